Serve requests, jobs and edits end to end with stand-ins

The whole path, thin: callers to entry hosts by nbhttp, entry hosts to each other by gRPC, to workers and the platform by HTTP. Workers are held by leases with epochs, starts are idempotent by task id, claims and jobs live in the platform's table.

--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the subcommands, one file each.
+package cmds
--- /dev/null
+++ b/front/doc.go
@@ -0,0 +1,2 @@
+// Package front serves callers and operators over HTTP.
+package front
--- /dev/null
+++ b/holder/report.go
@@ -0,0 +1,124 @@
+package holder
+
+import (
+	"sort"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// WorkerReport is a worker as operators see it.
+type WorkerReport struct {
+	Name     string    `json:"name"`
+	Rack     string    `json:"rack"`
+	Holder   string    `json:"holder"`
+	Epoch    uint64    `json:"epoch"`
+	Capacity unit.Size `json:"capacity"`
+	Used     unit.Size `json:"used"`
+	Tasks    int       `json:"tasks"`
+	State    string    `json:"state"`
+}
+
+// OwnerReport is what an owner holds and has waiting at one entry host.
+type OwnerReport struct {
+	Owner   string    `json:"owner"`
+	Running int       `json:"running"`
+	Holds   unit.Size `json:"holds"`
+	Waiting int       `json:"waiting"`
+}
+
+// Load is a summary for the choice of a holder by other hosts.
+type Load struct {
+	Load float64
+	Free unit.Size
+	Max  unit.Size
+	Wait time.Duration
+	Held []string
+}
+
+// Workers reports on all workers that this host holds.
+func (p *Pool) Workers() []WorkerReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reports := []WorkerReport{}
+	for _, h := range p.workers {
+		if !h.ready {
+			continue
+		}
+		reports = append(reports, WorkerReport{
+			Name: h.name, Rack: h.info.Rack, Holder: p.cfg.Holder, Epoch: h.epoch, Capacity: h.ledger.Capacity(),
+			Used: h.ledger.Used(), Tasks: h.ledger.Len(), State: h.state(),
+		})
+	}
+	sort.Slice(reports, func(i, j int) bool { return reports[i].Name < reports[j].Name })
+	return reports
+}
+
+func (h *Held) state() string {
+	switch {
+	case h.selfLeaves:
+		return "leaving-by-its-own-word"
+	case h.info.Leaving:
+		return "leaving-by-list-or-operator"
+	case h.health.ejected():
+		return "ejected-its-tasks-fail"
+	default:
+		return "in-use"
+	}
+}
+
+// Owners reports on all owners that hold or wait for room here.
+func (p *Pool) Owners() []OwnerReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owners := map[string]*OwnerReport{}
+	get := func(name string) *OwnerReport {
+		if owners[name] == nil {
+			owners[name] = &OwnerReport{Owner: name}
+		}
+		return owners[name]
+	}
+	for _, h := range p.places {
+		if h == nil {
+			continue
+		}
+		for _, r := range h.running {
+			if !r.suspended {
+				o := get(r.owner)
+				o.Running++
+				o.Holds = o.Holds.Add(r.size)
+			}
+		}
+	}
+	for _, q := range p.lanes {
+		q.Owners(func(owner string, waiting int) { get(owner).Waiting += waiting })
+	}
+	reports := []OwnerReport{}
+	for _, o := range owners {
+		reports = append(reports, *o)
+	}
+	sort.Slice(reports, func(i, j int) bool { return reports[i].Owner < reports[j].Owner })
+	return reports
+}
+
+// Load summarises the pool for other hosts.
+func (p *Pool) Load() Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var load Load
+	var used unit.Size
+	for _, h := range p.places {
+		if h == nil {
+			continue
+		}
+		load.Held = append(load.Held, h.name)
+		used = used.Add(h.ledger.Used())
+		if h.usable() {
+			load.Free = load.Free.Add(h.ledger.Free(false))
+			load.Max = load.Max.Max(h.ledger.Capacity())
+		}
+	}
+	load.Load = used.Share(p.total)
+	load.Wait = p.foretell(laneShort, "", 1)
+	return load
+}
--- /dev/null
+++ b/holder/tasks.go
@@ -0,0 +1,164 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/entry"
+	"github.com/corianderdrift/corianderdrift/ledger"
+	"github.com/corianderdrift/corianderdrift/reason"
+	"github.com/corianderdrift/corianderdrift/worker"
+)
+
+// Reserve waits for room for a task of a job and keeps it for hold, in which Start must come.
+func (p *Pool) Reserve(ctx context.Context, need Need, hold time.Duration) (*Grant, error) {
+	if g, ok := p.holds.Get(need.Task); ok {
+		return g, nil
+	}
+	g, err := p.Acquire(ctx, need)
+	if err != nil {
+		return nil, err
+	}
+	p.holds.Put(need.Task, g)
+	g.timer = time.AfterFunc(hold, func() { p.Unreserve(need.Task) })
+	return g, nil
+}
+
+// Unreserve gives back room that no start has used; it reports whether there was any.
+func (p *Pool) Unreserve(task string) bool {
+	g, ok := p.holds.Delete(task)
+	if ok {
+		g.timer.Stop()
+		p.Release(g)
+	}
+	return ok
+}
+
+// Start starts a task of a job on the worker that was reserved for it.
+func (p *Pool) Start(ctx context.Context, need Need, name string, call Call) (worker.TaskState, error) {
+	g, err := p.claimHold(need, name)
+	if err != nil {
+		return "", err
+	}
+	epoch, valid := g.Held.lease.Valid(time.Now())
+	if !valid {
+		p.Release(g)
+		return "", reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", name)
+	}
+	spec := p.spec(need, g, epoch, call.Params)
+	spec.Service = need.Work.Class == entry.Service
+	p.stats.Started(string(need.Work.Class))
+	state, err := g.Held.client.Start(ctx, need.Task, spec, call.ContentType, call.Body)
+	if err == nil {
+		if state.Over() {
+			p.Release(g)
+		}
+		return state, nil
+	}
+	return p.startFailed(g, err)
+}
+
+func (p *Pool) startFailed(g *Grant, err error) (worker.TaskState, error) {
+	var unreachable *worker.UnreachableError
+	var refused *worker.RefusedError
+	switch {
+	case errors.As(err, &unreachable):
+		p.Release(g)
+		return "", &reason.Refusal{Outcome: reason.NotRun, Reason: reason.WorkerUnreachable, Err: err}
+	case errors.As(err, &refused):
+		p.Release(g)
+		return "", refusedReason(refused)
+	}
+	return "", &reason.Refusal{Outcome: reason.Unknown, Reason: reason.WorkerSilent, Err: err}
+}
+
+func (p *Pool) claimHold(need Need, name string) (*Grant, error) {
+	if g, ok := p.holds.Delete(need.Task); ok && g.Held.name == name {
+		g.timer.Stop()
+		return g, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.workers[name]
+	if !ok || !h.usable() {
+		return nil, reason.Refuse(reason.LeaseLost, "this entry host does not hold worker %s", name)
+	}
+	w := p.newWaiter(need)
+	if err := h.ledger.Reserve(ledger.Item{Task: need.Task, Size: w.size, Long: w.long}); err != nil {
+		return nil, reason.Refuse(reason.WorkerRefused, "worker %s has no room any more", name)
+	}
+	if _, running := h.running[need.Task]; !running {
+		h.running[need.Task] = run{
+			work: need.Work.Name, owner: need.Work.Owner, since: time.Now(), size: w.size,
+			checkpointable: need.Work.Checkpointable, class: need.Work.Class,
+		}
+		if w.long {
+			p.longUsed = p.longUsed.Add(w.size)
+		}
+	}
+	p.reindex(h)
+	return &Grant{Held: h, Task: need.Task, Size: w.size, Rack: h.info.Rack, Owner: need.Work.Owner}, nil
+}
+
+// Inspect reads a task on a worker that this host holds.
+func (p *Pool) Inspect(ctx context.Context, task, name string) (worker.Answer, error) {
+	h, err := p.holding(name)
+	if err != nil {
+		return worker.Answer{}, err
+	}
+	answer, err := h.client.Attach(ctx, task, 0)
+	return p.taskAnswer(h, task, answer, err)
+}
+
+// StopTask ends a task, or makes sure that it never starts.
+func (p *Pool) StopTask(ctx context.Context, task, name string) (worker.Answer, error) {
+	p.Unreserve(task)
+	h, err := p.holding(name)
+	if err != nil {
+		return worker.Answer{}, err
+	}
+	state, err := h.client.Stop(ctx, task)
+	return p.taskAnswer(h, task, worker.Answer{State: state}, err)
+}
+
+func (p *Pool) taskAnswer(h *Held, task string, answer worker.Answer, err error) (worker.Answer, error) {
+	var refused *worker.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return worker.Answer{State: worker.Absent}, nil
+	case err != nil:
+		return worker.Answer{}, reason.Uncertain(reason.WorkerUnreachable, "worker %s does not answer", h.name)
+	}
+	if answer.State.Over() {
+		p.mu.Lock()
+		p.releaseTask(h, task)
+		p.dispatch()
+		p.mu.Unlock()
+	}
+	return answer, nil
+}
+
+func (p *Pool) holding(name string) (*Held, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.workers[name]
+	if !ok || !h.ready {
+		return nil, reason.Refuse(reason.LeaseLost, "this entry host does not hold worker %s", name)
+	}
+	return h, nil
+}
+
+// LastRenewal tells when this host last renewed a worker's lease; ok is false if it never has.
+func (p *Pool) LastRenewal(name string) (at time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, known := p.workers[name]
+	if !known || h.renewed.IsZero() {
+		return time.Time{}, false
+	}
+	return h.renewed, true
+}
+
+// TaskTTL returns how long tasks outlive the last renewal of their worker.
+func (p *Pool) TaskTTL() time.Duration { return p.cfg.TaskTTL }
--- /dev/null
+++ b/jobs/types.go
@@ -0,0 +1,102 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderdrift/corianderdrift/reason"
+)
+
+// Shards is the fixed number of parts into which jobs fall; each part has one home.
+const Shards = 32
+
+// State is where a job stands.
+type State string
+
+// The states of a job.
+const (
+	Waiting   State = "waiting"
+	Running   State = "running"
+	Done      State = "done"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Over reports whether a job in this state is finished for good.
+func (s State) Over() bool { return s == Done || s == Failed || s == Cancelled }
+
+// TaskState is where a task of a job stands.
+type TaskState string
+
+// The states of a task of a job.
+const (
+	TaskWaiting   TaskState = "waiting"
+	TaskAssigned  TaskState = "assigned"
+	TaskRunning   TaskState = "running"
+	TaskDone      TaskState = "done"
+	TaskFailed    TaskState = "failed"
+	TaskCancelled TaskState = "cancelled"
+)
+
+// Over reports whether a task in this state is finished for good.
+func (s TaskState) Over() bool { return s == TaskDone || s == TaskFailed || s == TaskCancelled }
+
+// Task is one task of a job.
+type Task struct {
+	State   TaskState `json:"state"`
+	Attempt int       `json:"attempt"`
+	// Worker is where the attempt runs or may run; the row says so before the start is sent.
+	Worker     string   `json:"worker,omitempty"`
+	DataCenter string   `json:"data-center,omitempty"`
+	Rack       string   `json:"rack,omitempty"`
+	FailedOn   []string `json:"failed-on,omitempty"`
+	Result     string   `json:"result,omitempty"`
+	// Detail is what the worker said of a failure.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Job is a job as the table keeps it.
+type Job struct {
+	ID          string        `json:"id"`
+	Owner       string        `json:"owner"`
+	Work        string        `json:"work"`
+	Params      string        `json:"params,omitempty"`
+	ContentType string        `json:"content-type,omitempty"`
+	Body        []byte        `json:"body,omitempty"`
+	BodyObject  string        `json:"body-object,omitempty"`
+	Digest      uint64        `json:"digest"`
+	State       State         `json:"state"`
+	Cancel      bool          `json:"cancel,omitempty"`
+	Reason      reason.Reason `json:"reason,omitempty"`
+	Detail      string        `json:"detail,omitempty"`
+	Created     time.Time     `json:"created"`
+	Ended       time.Time     `json:"ended,omitzero"`
+	Tasks       []Task        `json:"tasks"`
+	// Writer differs for every write, so that a write whose answer was lost is recognised.
+	Writer string `json:"writer"`
+}
+
+// ShardOf returns the shard of a job.
+func ShardOf(id string) int { return int(xxhash.Sum64String(id) % Shards) }
+
+func rowKey(id string) string { return fmt.Sprintf("job/%02d/%s", ShardOf(id), id) }
+
+func doneKey(id string) string { return "done/" + id }
+
+func shardPrefix(shard int) string { return fmt.Sprintf("job/%02d/", shard) }
+
+// TaskID returns the id under which an attempt of a task is started; it stands for one worker only.
+func TaskID(job string, task, attempt int) string {
+	return fmt.Sprintf("%s.%d.%d", job, task, attempt)
+}
+
+// Counts returns how many tasks stand in each state.
+func (j *Job) Counts() map[TaskState]int {
+	counts := map[TaskState]int{}
+	for _, t := range j.Tasks {
+		counts[t.State]++
+	}
+	return counts
+}
--- /dev/null
+++ b/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger accounts for what one worker carries, in every dimension.
+package ledger
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,180 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// Item is what one task holds of a worker.
+type Item struct {
+	Task string
+	Size unit.Size
+	// Long marks work that may not take the room kept for short work.
+	Long bool
+	// Free marks a task that holds nothing for now because it is checkpointed.
+	Free bool
+}
+
+// Ledger holds the reservations of one worker; its owner serialises access.
+type Ledger struct {
+	capacity unit.Size
+	reserve  unit.Size
+	used     unit.Size
+	long     unit.Size
+	items    map[string]Item
+}
+
+// FullError says which dimension has no room.
+type FullError struct {
+	Task      string
+	Dimension string
+}
+
+// Error names task and dimension.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("task %s does not fit: %s", e.Task, e.Dimension)
+}
+
+// New returns an empty ledger of a worker with the given capacity.
+func New(capacity unit.Size) *Ledger {
+	return &Ledger{capacity: capacity, items: map[string]Item{}}
+}
+
+// Capacity returns what the worker has.
+func (l *Ledger) Capacity() unit.Size { return l.capacity }
+
+// Used returns what is reserved.
+func (l *Ledger) Used() unit.Size { return l.used }
+
+// Len returns the number of tasks in the ledger.
+func (l *Ledger) Len() int { return len(l.items) }
+
+// SetReserve sets the room that long work may not take.
+func (l *Ledger) SetReserve(reserve unit.Size) { l.reserve = reserve }
+
+// Free returns what is left, for short or for long work; a dimension may be negative after adoption.
+func (l *Ledger) Free(long bool) unit.Size {
+	free := l.capacity.Sub(l.used)
+	if !long {
+		return free
+	}
+	room := l.capacity.Sub(l.reserve).Sub(l.long)
+	return smaller(free, room)
+}
+
+func smaller(a, b unit.Size) unit.Size {
+	return unit.Size{
+		CPUMilli:     min(a.CPUMilli, b.CPUMilli),
+		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+		Slots:        min(a.Slots, b.Slots),
+		Connections:  min(a.Connections, b.Connections),
+	}
+}
+
+// Reserve takes room for a task; a task that has room already keeps it.
+func (l *Ledger) Reserve(item Item) error {
+	if _, ok := l.items[item.Task]; ok {
+		return nil
+	}
+	if dimension := item.Size.Shortfall(l.Free(item.Long)); dimension != "" {
+		return &FullError{Task: item.Task, Dimension: dimension}
+	}
+	l.put(item)
+	return nil
+}
+
+// Adopt enters a task that runs already, whether or not it fits.
+func (l *Ledger) Adopt(item Item) {
+	l.Release(item.Task)
+	l.put(item)
+}
+
+func (l *Ledger) put(item Item) {
+	l.items[item.Task] = item
+	if item.Free {
+		return
+	}
+	l.used = l.used.Add(item.Size)
+	if item.Long {
+		l.long = l.long.Add(item.Size)
+	}
+}
+
+// Release gives a task's room back; it reports whether the task had any entry.
+func (l *Ledger) Release(task string) bool {
+	item, ok := l.items[task]
+	if !ok {
+		return false
+	}
+	delete(l.items, task)
+	if item.Free {
+		return true
+	}
+	l.used = l.used.Sub(item.Size)
+	if item.Long {
+		l.long = l.long.Sub(item.Size)
+	}
+	return true
+}
+
+// Get returns a task's item.
+func (l *Ledger) Get(task string) (Item, bool) {
+	item, ok := l.items[task]
+	return item, ok
+}
+
+// Tasks returns the ids of all tasks in the ledger.
+func (l *Ledger) Tasks() []string {
+	tasks := make([]string, 0, len(l.items))
+	for task := range l.items {
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+// MarkLong counts a task as long from now on.
+func (l *Ledger) MarkLong(task string) {
+	item, ok := l.items[task]
+	if !ok || item.Long {
+		return
+	}
+	item.Long = true
+	l.items[task] = item
+	if !item.Free {
+		l.long = l.long.Add(item.Size)
+	}
+}
+
+// Resize changes what a task holds to its measured size; it reports whether the worker still carries all.
+func (l *Ledger) Resize(task string, size unit.Size) bool {
+	item, ok := l.items[task]
+	if ok {
+		item.Size = size
+		l.Adopt(item)
+	}
+	return l.used.Fits(l.capacity)
+}
+
+// Suspend frees the room of a task that was checkpointed and keeps its entry.
+func (l *Ledger) Suspend(task string) {
+	if item, ok := l.items[task]; ok {
+		item.Free = true
+		l.Adopt(item)
+	}
+}
+
+// Resume takes room again for a task that was checkpointed.
+func (l *Ledger) Resume(task string) error {
+	item, ok := l.items[task]
+	if !ok || !item.Free {
+		return nil
+	}
+	if dimension := item.Size.Shortfall(l.Free(item.Long)); dimension != "" {
+		return &FullError{Task: task, Dimension: dimension}
+	}
+	item.Free = false
+	l.Adopt(item)
+	return nil
+}
--- /dev/null
+++ b/local/doc.go
@@ -0,0 +1,2 @@
+// Package local runs a small cell of stand-ins and entry hosts in one process.
+package local
--- /dev/null
+++ b/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric holds the counters and gauges of a process.
+package metric
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,114 @@
+package metric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/corianderdrift/corianderdrift/reason"
+)
+
+const namespace = "corianderdrift"
+
+// Set holds all metrics of one process.
+type Set struct {
+	Registry *prometheus.Registry
+
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	starts   *prometheus.CounterVec
+	waits    *prometheus.HistogramVec
+	workers  *prometheus.CounterVec
+	preempts prometheus.Counter
+	store    *prometheus.CounterVec
+	forwards *prometheus.CounterVec
+	replays  prometheus.Counter
+	claims   *prometheus.CounterVec
+	jobs     *prometheus.CounterVec
+}
+
+// NewSet returns metrics registered in a registry of their own.
+func NewSet() *Set {
+	s := &Set{Registry: prometheus.NewRegistry()}
+	s.requests = counter("requests_total", "Requests by class and outcome.", "class", "outcome")
+	s.refusals = counter("refusals_total", "Refusals by outcome and reason.", "outcome", "reason")
+	s.retries = counter("retries_total", "Retries by the reason of the try before.", "reason")
+	s.starts = counter("starts_total", "Tasks sent to workers by class.", "class")
+	s.workers = counter("worker_events_total", "Changes of workers by event.", "event")
+	s.store = counter("store_calls_total", "Calls to the platform by operation and result.", "operation", "result")
+	s.forwards = counter("forwards_total", "Requests sent to other entry hosts by where they are.", "where")
+	s.claims = counter("claims_total", "Claims of idempotency keys by result.", "result")
+	s.jobs = counter("jobs_total", "Jobs by event.", "event")
+	s.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "wait_seconds", Help: "Time from arrival at the holder to room on a worker, by class.",
+		Buckets: prometheus.ExponentialBuckets(0.0001, 4, 10),
+	}, []string{"class"})
+	s.preempts = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "preemptions_total", Help: "Long tasks checkpointed for short or urgent work.",
+	})
+	s.replays = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "replays_total", Help: "Answers given again for an idempotency key.",
+	})
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.starts, s.workers, s.store, s.forwards, s.claims, s.jobs,
+		s.waits, s.preempts, s.replays, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// Gauge registers a gauge that is read when metrics are.
+func (s *Set) Gauge(name, help string, read func() float64) {
+	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Answered counts a request that got its whole answer.
+func (s *Set) Answered(class string) { s.requests.WithLabelValues(class, "answered").Inc() }
+
+// Refused counts a refusal.
+func (s *Set) Refused(class string, r *reason.Refusal) {
+	s.requests.WithLabelValues(class, string(r.Outcome)).Inc()
+	s.refusals.WithLabelValues(string(r.Outcome), string(r.Reason)).Inc()
+}
+
+// Retry counts a retry.
+func (s *Set) Retry(why reason.Reason) { s.retries.WithLabelValues(string(why)).Inc() }
+
+// Started counts a task that was sent to a worker.
+func (s *Set) Started(class string) { s.starts.WithLabelValues(class).Inc() }
+
+// Waited records how long work waited for room.
+func (s *Set) Waited(class string, wait time.Duration) {
+	s.waits.WithLabelValues(class).Observe(wait.Seconds())
+}
+
+// WorkerEvent counts a change of a worker.
+func (s *Set) WorkerEvent(event string) { s.workers.WithLabelValues(event).Inc() }
+
+// Preempted counts a long task that made room.
+func (s *Set) Preempted() { s.preempts.Inc() }
+
+// StoreCall counts a call to the platform.
+func (s *Set) StoreCall(op string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	s.store.WithLabelValues(op, result).Inc()
+}
+
+// Forwarded counts a request sent to another entry host.
+func (s *Set) Forwarded(where string) { s.forwards.WithLabelValues(where).Inc() }
+
+// Replayed counts an answer given again.
+func (s *Set) Replayed() { s.replays.Inc() }
+
+// Claimed counts a claim of an idempotency key.
+func (s *Set) Claimed(result string) { s.claims.WithLabelValues(result).Inc() }
+
+// Job counts an event of a job.
+func (s *Set) Job(event string) { s.jobs.WithLabelValues(event).Inc() }
--- /dev/null
+++ b/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the messages between entry hosts, generated from peer.proto.
+package peerpb
--- /dev/null
+++ b/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers knows the other entry hosts by heartbeats and carries calls to them.
+package peers
--- /dev/null
+++ b/peers/net.go
@@ -0,0 +1,189 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
+
+	"github.com/corianderdrift/corianderdrift/entry"
+	"github.com/corianderdrift/corianderdrift/peerpb"
+)
+
+// Times and sizes of the connections between entry hosts.
+const (
+	MaxMessage       = 64 << 20
+	HeartbeatEvery   = 500 * time.Millisecond
+	heartbeatTimeout = 450 * time.Millisecond
+	KeepaliveTime    = 2 * time.Second
+	KeepaliveTimeout = 1500 * time.Millisecond
+	reconnectMost    = 500 * time.Millisecond
+	connectTimeout   = 800 * time.Millisecond
+	farTargets       = 3
+	catalogueTimeout = 2 * time.Second
+)
+
+// Net holds one connection to each entry host and sends heartbeats over them.
+type Net struct {
+	table *Table
+	creds credentials.TransportCredentials
+	self  func() *peerpb.HostState
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+
+	sent atomic.Int64
+	got  atomic.Int64
+}
+
+// NewNet returns a net whose heartbeats carry what self returns.
+func NewNet(table *Table, creds credentials.TransportCredentials, self func() *peerpb.HostState) *Net {
+	return &Net{table: table, creds: creds, self: self, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// UnsentError says that a call to a peer never left this host.
+type UnsentError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error names the peer's address.
+func (e *UnsentError) Error() string {
+	return fmt.Sprintf("peer %s can't be reached: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
+// Client returns a client of the peer at addr.
+func (n *Net) Client(addr netip.AddrPort) (peerpb.PeerClient, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if conn, ok := n.conns[addr]; ok {
+		return peerpb.NewPeerClient(conn), nil
+	}
+	retry := backoff.DefaultConfig
+	retry.BaseDelay, retry.MaxDelay = 50*time.Millisecond, reconnectMost
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+		grpc.WithTransportCredentials(n.creds),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: KeepaliveTime, Timeout: KeepaliveTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
+		grpc.WithDisableServiceConfig(),
+	)
+	if err != nil {
+		return nil, &UnsentError{Address: addr, Err: err}
+	}
+	n.conns[addr] = conn
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Call calls a peer; the error is an UnsentError if nothing was sent.
+func Call[Q, R any](
+	ctx context.Context, n *Net, addr netip.AddrPort, req Q,
+	call func(c peerpb.PeerClient, ctx context.Context, req Q, opts ...grpc.CallOption) (R, error),
+) (R, error) {
+	var none R
+	c, err := n.Client(addr)
+	if err != nil {
+		return none, err
+	}
+	var p peer.Peer
+	reply, err := call(c, ctx, req, grpc.Peer(&p))
+	if err != nil && p.Addr == nil && ctx.Err() == nil {
+		return none, &UnsentError{Address: addr, Err: err}
+	}
+	return reply, err
+}
+
+// Close closes all connections.
+func (n *Net) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range n.conns {
+		_ = conn.Close()
+	}
+	n.conns = map[netip.AddrPort]*grpc.ClientConn{}
+}
+
+// Run sends heartbeats until ctx is done.
+func (n *Net) Run(ctx context.Context) error {
+	ticker := time.NewTicker(HeartbeatEvery)
+	defer ticker.Stop()
+	for {
+		n.Beat(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Beat sends one round of heartbeats and waits for it.
+func (n *Net) Beat(ctx context.Context) {
+	state := n.State(time.Now())
+	var wg sync.WaitGroup
+	for _, addr := range n.table.targets(farTargets) {
+		wg.Go(func() { n.beatOne(ctx, addr, state) })
+	}
+	wg.Wait()
+}
+
+// State returns the host's own state with a few others' passed on.
+func (n *Net) State(now time.Time) *peerpb.HostState {
+	state := n.self()
+	state.Others = n.table.relay(now)
+	return state
+}
+
+func (n *Net) beatOne(ctx context.Context, addr netip.AddrPort, state *peerpb.HostState) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	reply, err := Call(ctx, n, addr, state, peerpb.PeerClient.Heartbeat)
+	if err == nil {
+		n.table.Observe(reply, time.Now())
+	}
+}
+
+// HighestVersion implements the catalogue keeper's view of peers.
+func (n *Net) HighestVersion() uint64 { return n.table.HighestVersion() }
+
+// NewerCatalogue asks the member with the highest version for its catalogue.
+func (n *Net) NewerCatalogue(ctx context.Context, have uint64) (*entry.Catalogue, error) {
+	var best *Member
+	for _, m := range n.table.Members() {
+		if !n.table.Alive(m, time.Now()) {
+			continue
+		}
+		if best == nil || m.State.GetCatalogueVersion() > best.State.GetCatalogueVersion() {
+			best = &m
+		}
+	}
+	if best == nil || best.State.GetCatalogueVersion() < have {
+		return nil, errors.New("no peer has a newer catalogue")
+	}
+	ctx, cancel := context.WithTimeout(ctx, catalogueTimeout)
+	defer cancel()
+	query := &peerpb.CatalogueQuery{Have: have}
+	reply, err := Call(ctx, n, best.Address, query, peerpb.PeerClient.Catalogue)
+	if err != nil || reply.GetVersion() < have || reply.GetVersion() == 0 {
+		return nil, err
+	}
+	var docs []entry.Document
+	for _, doc := range reply.GetDocuments() {
+		docs = append(docs, entry.Document{Key: doc.GetKey(), Version: doc.GetVersion(), Raw: doc.GetValue()})
+	}
+	return entry.NewCatalogue(reply.GetVersion(), docs)
+}
--- /dev/null
+++ b/peers/refusal.go
@@ -0,0 +1,35 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/peerpb"
+	"github.com/corianderdrift/corianderdrift/reason"
+)
+
+// Refusal puts an error into its message; nil stands for no error.
+func Refusal(err error) *peerpb.Refusal {
+	if err == nil {
+		return nil
+	}
+	r := reason.From(err)
+	detail := r.Detail
+	if r.Err != nil {
+		detail += " " + r.Err.Error()
+	}
+	return &peerpb.Refusal{
+		Outcome: string(r.Outcome), Reason: string(r.Reason), Detail: detail,
+		RetryAfterMicros: r.RetryAfter.Microseconds(),
+	}
+}
+
+// Refused takes an error out of its message; a nil message stands for no error.
+func Refused(m *peerpb.Refusal) error {
+	if m == nil {
+		return nil
+	}
+	return &reason.Refusal{
+		Outcome: reason.Outcome(m.GetOutcome()), Reason: reason.Reason(m.GetReason()), Detail: m.GetDetail(),
+		RetryAfter: time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/place/index.go
@@ -0,0 +1,90 @@
+package place
+
+import "github.com/corianderdrift/corianderdrift/unit"
+
+// Index is a tree over workers in which each node knows the most that is free below it in every dimension.
+type Index struct {
+	leaves int
+	nodes  []unit.Size
+}
+
+// none is less than any task takes.
+var none = unit.Size{CPUMilli: -1, MemoryMiB: -1, Accelerators: -1, Slots: -1, Connections: -1}
+
+// NewIndex returns an index with room for n workers, none of which has anything free.
+func NewIndex(n int) *Index {
+	leaves := 1
+	for leaves < n {
+		leaves *= 2
+	}
+	x := &Index{leaves: leaves, nodes: make([]unit.Size, 2*leaves)}
+	for i := range x.nodes {
+		x.nodes[i] = none
+	}
+	return x
+}
+
+// Len returns the number of workers that the index has room for.
+func (x *Index) Len() int { return x.leaves }
+
+// Set changes what worker i has free.
+func (x *Index) Set(i int, free unit.Size) {
+	n := x.leaves + i
+	x.nodes[n] = free
+	for n > 1 {
+		n /= 2
+		most := x.nodes[2*n].Max(x.nodes[2*n+1])
+		if x.nodes[n] == most {
+			return
+		}
+		x.nodes[n] = most
+	}
+}
+
+// Clear takes worker i out.
+func (x *Index) Clear(i int) { x.Set(i, none) }
+
+// Free returns what worker i has free.
+func (x *Index) Free(i int) unit.Size { return x.nodes[x.leaves+i] }
+
+// MayFit reports whether size could fit on any worker.
+func (x *Index) MayFit(size unit.Size) bool { return size.Fits(x.nodes[1]) }
+
+// Each calls visit for workers on which size fits, fuller halves of the tree first, until visit returns false.
+func (x *Index) Each(size unit.Size, visit func(i int, free unit.Size) bool) {
+	x.each(1, size, visit)
+}
+
+func (x *Index) each(n int, size unit.Size, visit func(i int, free unit.Size) bool) bool {
+	if !size.Fits(x.nodes[n]) {
+		return true
+	}
+	if n >= x.leaves {
+		return visit(n-x.leaves, x.nodes[n])
+	}
+	first, second := 2*n, 2*n+1
+	if x.nodes[second].CPUMilli < x.nodes[first].CPUMilli {
+		first, second = second, first
+	}
+	return x.each(first, size, visit) && x.each(second, size, visit)
+}
+
+// candidates is how many fitting workers are compared for one task.
+const candidates = 12
+
+// Best returns the fitting worker with the lowest score, or -1; score may return a negative number to pass a worker over.
+func (x *Index) Best(size unit.Size, score func(i int, free unit.Size) float64) int {
+	best, lowest, seen := -1, 0.0, 0
+	x.Each(size, func(i int, free unit.Size) bool {
+		s := score(i, free)
+		if s < 0 {
+			return true
+		}
+		if best < 0 || s < lowest {
+			best, lowest = i, s
+		}
+		seen++
+		return seen < candidates
+	})
+	return best
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,254 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Item is one piece of work that waits.
+type Item[T any] struct {
+	Value    T
+	Owner    string
+	Deadline time.Time
+	// Cost is the share of all capacity that the work takes, times the seconds that it takes it.
+	Cost   float64
+	Urgent bool
+
+	sequence uint64
+	index    int
+	owner    *ownerQueue[T]
+}
+
+// Queue holds the waiting work of one lane; its owner serialises access.
+type Queue[T any] struct {
+	owners   map[string]*ownerQueue[T]
+	order    ownerHeap[T]
+	virtual  float64
+	sequence uint64
+	length   int
+	cost     float64
+	weights  float64
+}
+
+type ownerQueue[T any] struct {
+	name    string
+	weight  float64
+	virtual float64
+	cost    float64
+	items   itemHeap[T]
+	index   int
+}
+
+// Verdict says what became of an item that was offered.
+type Verdict int
+
+// The verdicts on an offered item.
+const (
+	// Taken removes the item and charges its owner.
+	Taken Verdict = iota
+	// Dropped removes the item without a charge.
+	Dropped
+	// Blocked leaves the item and passes on to the next owner.
+	Blocked
+	// Halt leaves the item and ends the scan.
+	Halt
+)
+
+// New returns an empty queue.
+func New[T any]() *Queue[T] {
+	return &Queue[T]{owners: map[string]*ownerQueue[T]{}}
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Cost returns the sum of all waiting costs.
+func (q *Queue[T]) Cost() float64 { return q.cost }
+
+// OwnerLen returns the number of an owner's waiting items.
+func (q *Queue[T]) OwnerLen(owner string) int {
+	if o, ok := q.owners[owner]; ok {
+		return len(o.items)
+	}
+	return 0
+}
+
+// Push adds an item of an owner with the given weight.
+func (q *Queue[T]) Push(item *Item[T], weight int64) {
+	o, ok := q.owners[item.Owner]
+	if !ok {
+		o = &ownerQueue[T]{name: item.Owner, index: -1}
+		q.owners[item.Owner] = o
+	}
+	q.reweigh(o, float64(max(1, weight)))
+	if len(o.items) == 0 {
+		o.virtual = max(o.virtual, q.virtual)
+		q.weights += o.weight
+		heap.Push(&q.order, o)
+	}
+	q.sequence++
+	item.sequence, item.owner = q.sequence, o
+	heap.Push(&o.items, item)
+	o.cost += item.Cost
+	q.cost += item.Cost
+	q.length++
+}
+
+func (q *Queue[T]) reweigh(o *ownerQueue[T], weight float64) {
+	if len(o.items) > 0 {
+		q.weights += weight - o.weight
+	}
+	o.weight = weight
+}
+
+// Remove takes an item out; it reports whether the item was still waiting.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	o := item.owner
+	if o == nil {
+		return false
+	}
+	heap.Remove(&o.items, item.index)
+	item.owner = nil
+	q.length--
+	o.cost -= item.Cost
+	q.cost -= item.Cost
+	if len(o.items) == 0 {
+		q.weights -= o.weight
+		o.cost = 0
+		heap.Remove(&q.order, o.index)
+		if o.virtual <= q.virtual {
+			delete(q.owners, o.name)
+		}
+	}
+	if q.length == 0 {
+		q.cost, q.weights = 0, 0
+	}
+	return true
+}
+
+// charge moves an owner back by the cost of what it was given.
+func (q *Queue[T]) charge(o *ownerQueue[T], cost float64) {
+	q.virtual = max(q.virtual, o.virtual)
+	o.virtual += cost / o.weight
+	if o.index >= 0 {
+		heap.Fix(&q.order, o.index)
+	}
+}
+
+// Scan offers the first item of each owner, in the order of what they have had, until nothing is taken or misses owners were blocked.
+func (q *Queue[T]) Scan(misses int, offer func(item *Item[T]) Verdict) {
+	var blocked []*ownerQueue[T]
+	for len(q.order) > 0 && len(blocked) < misses {
+		o := q.order[0]
+		item := o.items[0]
+		verdict := offer(item)
+		if verdict == Halt {
+			break
+		}
+		if verdict == Blocked {
+			heap.Pop(&q.order)
+			blocked = append(blocked, o)
+			continue
+		}
+		if verdict == Taken {
+			q.charge(o, item.Cost)
+		}
+		q.Remove(item)
+	}
+	for _, o := range blocked {
+		heap.Push(&q.order, o)
+	}
+}
+
+// Wait predicts, in seconds, how long work of an owner would wait if served capacity seconds of cost a second.
+func (q *Queue[T]) Wait(owner string, weight int64, capacity float64) float64 {
+	if q.length == 0 || capacity <= 0 {
+		return 0
+	}
+	all := q.cost / capacity
+	o, ok := q.owners[owner]
+	if !ok || len(o.items) == 0 {
+		// A newcomer is behind at most one share of what the others have queued.
+		share := float64(max(1, weight)) / (q.weights + float64(max(1, weight)))
+		mean := q.cost / float64(q.length)
+		return min(all, mean/(capacity*share))
+	}
+	share := o.weight / q.weights
+	return min(all, o.cost/(capacity*share))
+}
+
+// Owners calls visit with the number of waiting items of each owner.
+func (q *Queue[T]) Owners(visit func(owner string, waiting int)) {
+	for name, o := range q.owners {
+		if len(o.items) > 0 {
+			visit(name, len(o.items))
+		}
+	}
+}
+
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+
+func (h itemHeap[T]) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if a.Deadline.IsZero() != b.Deadline.IsZero() {
+		return b.Deadline.IsZero()
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.sequence < b.sequence
+}
+
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap[T]) Push(x any) {
+	item := x.(*Item[T])
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
+
+type ownerHeap[T any] []*ownerQueue[T]
+
+func (h ownerHeap[T]) Len() int { return len(h) }
+
+func (h ownerHeap[T]) Less(i, j int) bool { return h[i].virtual < h[j].virtual }
+
+func (h ownerHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *ownerHeap[T]) Push(x any) {
+	o := x.(*ownerQueue[T])
+	o.index = len(*h)
+	*h = append(*h, o)
+}
+
+// Pop implements heap.Interface.
+func (h *ownerHeap[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	last.index = -1
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/unit/doc.go
@@ -0,0 +1,2 @@
+// Package unit holds the sizes of work and of workers.
+package unit
--- /dev/null
+++ b/unit/size.go
@@ -0,0 +1,89 @@
+package unit
+
+import "fmt"
+
+// Size is an amount of every dimension that a worker has and a task takes.
+type Size struct {
+	CPUMilli     int64 `json:"cpu-milli"`
+	MemoryMiB    int64 `json:"memory-mib"`
+	Accelerators int64 `json:"accelerators"`
+	Slots        int64 `json:"slots"`
+	Connections  int64 `json:"connections"`
+}
+
+// Dimensions is the number of dimensions of a Size.
+const Dimensions = 5
+
+// Names lists the dimensions in the order of Values.
+var Names = [Dimensions]string{"cpu-milli", "memory-mib", "accelerators", "slots", "connections"}
+
+// Values returns the amounts in the order of Names.
+func (s Size) Values() [Dimensions]int64 {
+	return [Dimensions]int64{s.CPUMilli, s.MemoryMiB, s.Accelerators, s.Slots, s.Connections}
+}
+
+// Add returns the sum of s and o.
+func (s Size) Add(o Size) Size {
+	s.CPUMilli += o.CPUMilli
+	s.MemoryMiB += o.MemoryMiB
+	s.Accelerators += o.Accelerators
+	s.Slots += o.Slots
+	s.Connections += o.Connections
+	return s
+}
+
+// Sub returns s less o.
+func (s Size) Sub(o Size) Size {
+	s.CPUMilli -= o.CPUMilli
+	s.MemoryMiB -= o.MemoryMiB
+	s.Accelerators -= o.Accelerators
+	s.Slots -= o.Slots
+	s.Connections -= o.Connections
+	return s
+}
+
+// Fits reports whether s is at most o in every dimension.
+func (s Size) Fits(o Size) bool {
+	return s.CPUMilli <= o.CPUMilli && s.MemoryMiB <= o.MemoryMiB &&
+		s.Accelerators <= o.Accelerators && s.Slots <= o.Slots && s.Connections <= o.Connections
+}
+
+// Share returns the largest share, from 0 to 1, that s takes of any dimension of total.
+func (s Size) Share(total Size) float64 {
+	share := 0.0
+	sv, tv := s.Values(), total.Values()
+	for i := range sv {
+		if tv[i] > 0 {
+			share = max(share, float64(sv[i])/float64(tv[i]))
+		}
+	}
+	return share
+}
+
+// Max returns the larger amount of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{
+		CPUMilli:     max(s.CPUMilli, o.CPUMilli),
+		MemoryMiB:    max(s.MemoryMiB, o.MemoryMiB),
+		Accelerators: max(s.Accelerators, o.Accelerators),
+		Slots:        max(s.Slots, o.Slots),
+		Connections:  max(s.Connections, o.Connections),
+	}
+}
+
+// Shortfall names the first dimension in which s exceeds o, or returns "".
+func (s Size) Shortfall(o Size) string {
+	sv, ov := s.Values(), o.Values()
+	for i := range sv {
+		if sv[i] > ov[i] {
+			return Names[i]
+		}
+	}
+	return ""
+}
+
+// String prints the amounts for people.
+func (s Size) String() string {
+	return fmt.Sprintf("%dm cpu, %d MiB, %d accelerators, %d slots, %d connections",
+		s.CPUMilli, s.MemoryMiB, s.Accelerators, s.Slots, s.Connections)
+}
