--- a/conf/conf.go
+++ b/conf/conf.go
@@ -29,8 +29,10 @@
 	Advertise netip.AddrPort
 	Platform  netip.AddrPort
 	Seeds     []netip.AddrPort
-	LeaseTTL  time.Duration
-	TaskTTL   time.Duration
+	// Source is the address from which outgoing connections come, if valid.
+	Source   netip.Addr
+	LeaseTTL time.Duration
+	TaskTTL  time.Duration
 	// ShortLimit is the learned run time up to which work counts as short.
 	ShortLimit time.Duration
 	// StopDelay is how long the host still takes requests after it has failed its readiness.
@@ -89,6 +91,7 @@
 	flags.String("advertise", "", "address under which other entry hosts reach peer-listen (default: peer-listen)")
 	flags.String("platform", "", "address of the platform's service")
 	flags.StringSlice("seeds", nil, "addresses of other entry hosts, separated by commas")
+	flags.String("source", "", "IP address from which connections to workers, peers and the platform come (default: any)")
 	flags.Duration("lease-ttl", 3*time.Second, "how long a worker's lease lasts (1s to 1m)")
 	flags.Duration("task-ttl", 12*time.Second, "how long tasks outlive the last renewal (at least 3 times lease-ttl)")
 	flags.Duration("short-limit", 500*time.Millisecond, "run time up to which work counts as short")
@@ -167,6 +170,13 @@
 	if r.v.GetString("advertise") != "" {
 		h.Advertise = r.addr("advertise")
 	}
+	if text := r.v.GetString("source"); text != "" {
+		source, err := netip.ParseAddr(text)
+		if err != nil {
+			r.fail("source", text, "must be an IP address")
+		}
+		h.Source = source
+	}
 	for _, seed := range r.list("seeds") {
 		addr, err := netip.ParseAddrPort(seed)
 		if err != nil {
--- a/entry/check.go
+++ b/entry/check.go
@@ -11,6 +11,8 @@
 	"sigs.k8s.io/yaml"
 )
 
+const notNegative = "must not be negative"
+
 var (
 	nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 	hashForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -131,10 +133,10 @@
 func (o Owner) check(key string) error {
 	return apply(key, []rule{
 		{o.Weight < 0 || o.Weight > MaxWeight, "weight", "must be 1 to 1000"},
-		{o.MaxQueued < 0, "max-queued", "must not be negative"},
+		{o.MaxQueued < 0, "max-queued", notNegative},
 		{o.TokenSHA256 != "" && !hashForm.MatchString(o.TokenSHA256), "token-sha256", "must be 64 hexadecimal digits"},
-		{o.Quota.CPUMilli < 0, "quota.cpu-milli", "must not be negative"},
-		{o.Quota.Accelerators < 0, "quota.accelerators", "must not be negative"},
+		{o.Quota.CPUMilli < 0, "quota.cpu-milli", notNegative},
+		{o.Quota.Accelerators < 0, "quota.accelerators", notNegative},
 	})
 }
 
@@ -145,10 +147,10 @@
 		{!known, "class", "must be request, service, batch or gang"},
 		{w.Size.CPUMilli <= 0, "size.cpu-milli", "must be at least 1"},
 		{w.Size.MemoryMiB <= 0, "size.memory-mib", "must be at least 1"},
-		{w.Size.Accelerators < 0, "size.accelerators", "must not be negative"},
-		{w.Size.Slots < 0, "size.slots", "must not be negative"},
-		{w.Size.Connections < 0, "size.connections", "must not be negative"},
-		{w.RunTime < 0, "run-time", "must not be negative"},
+		{w.Size.Accelerators < 0, "size.accelerators", notNegative},
+		{w.Size.Slots < 0, "size.slots", notNegative},
+		{w.Size.Connections < 0, "size.connections", notNegative},
+		{w.RunTime < 0, "run-time", notNegative},
 		{w.Timeout < 0 || w.Timeout.D() > MaxTimeout, "timeout", "must be at most 24h"},
 		{w.MaxBodyBytes < 0 || w.MaxBodyBytes > MaxBody, "max-body-bytes", fmt.Sprintf("must be at most %d", MaxBody)},
 		{w.Attempts < 0 || w.Attempts > MaxAttempts, "attempts", "must be 1 to 20"},
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -25,36 +25,48 @@
 // execute runs a request on one worker after another until one answers or no other may be tried.
 func (p *Pool) execute(ctx context.Context, call Call) (Answer, error) {
 	base := call.Need.Task
+	var ran error
 	for attempt := 1; ; attempt++ {
 		grant, err := p.Acquire(ctx, call.Need)
 		if err != nil {
-			return Answer{}, err
+			return Answer{}, firstOf(ran, err)
 		}
 		answer, err := p.runOn(ctx, grant, call)
 		if err == nil {
 			p.budget.earn()
 			return Answer{Answer: answer, Worker: grant.Held.name}, nil
 		}
-		if !p.mayRetry(ctx, call, err, attempt) {
-			return Answer{Worker: grant.Held.name}, err
+		if reason.From(err).Outcome != reason.NotRun {
+			ran = err
+		}
+		if !p.mayRetry(ctx, call, grant.Held.name, err, attempt) {
+			return Answer{Worker: grant.Held.name}, firstOf(ran, err)
 		}
 		call.Need.Avoid = append(call.Need.Avoid, grant.Held.name)
 		call.Need.Task = fmt.Sprintf("%s.%d", base, attempt)
 	}
 }
 
-func (p *Pool) mayRetry(ctx context.Context, call Call, err error, attempt int) bool {
+// firstOf keeps a later refusal from saying "not run" of work of which an attempt ran.
+func firstOf(ran, refused error) error {
+	if ran != nil {
+		return ran
+	}
+	return refused
+}
+
+func (p *Pool) mayRetry(ctx context.Context, call Call, tried string, err error, attempt int) bool {
 	refusal := reason.From(err)
 	work := call.Need.Work
 	proven := refusal.Outcome == reason.NotRun || (refusal.Outcome == reason.Failed && refusal.Reason == reason.TaskFailed)
-	if !proven || attempt >= work.Attempts || ctx.Err() != nil {
+	if !proven || refusal.Reason == reason.BadRequest || attempt >= work.Attempts || ctx.Err() != nil {
 		return false
 	}
 	neverLeft := refusal.Reason == reason.WorkerUnreachable || refusal.Reason == reason.LeaseLost
 	if !work.Repeatable && !neverLeft {
 		return false
 	}
-	if !p.hasOther(append(call.Need.Avoid, "")) {
+	if !p.hasOther(append(call.Need.Avoid, tried)) {
 		return false
 	}
 	if !p.budget.spend() {
--- a/holder/health.go
+++ b/holder/health.go
@@ -21,7 +21,6 @@
 	runs     int
 	until    time.Time
 	times    int
-	probing  bool
 }
 
 func (s *health) ejected() bool { return time.Now().Before(s.until) }
@@ -69,7 +68,7 @@
 	length := h.health.eject(time.Now())
 	p.reindex(h)
 	p.stats.WorkerEvent("ejected")
-	p.log.WithFields(map[string]any{"worker": h.name, "for": length}).Warn("worker ejected: its tasks fail")
+	p.log.WithFields(map[string]any{fieldWorker: h.name, "for": length}).Warn("worker ejected: its tasks fail")
 	time.AfterFunc(length+time.Millisecond, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/holder/held.go
+++ b/holder/held.go
@@ -17,6 +17,9 @@
 
 type unitSize = unit.Size
 
+// fieldWorker is the log field of a worker's name.
+const fieldWorker = "worker"
+
 // renewalsPerTTL is how often a lease is renewed in the time that it lasts.
 const renewalsPerTTL = 3
 
@@ -110,7 +113,7 @@
 func (p *Pool) newHeld(ctx context.Context, info Info) *Held {
 	ctx, cancel := context.WithCancel(ctx)
 	h := &Held{
-		name: info.Name, client: worker.NewClient(info.Name, info.Address), pool: p, cancel: cancel,
+		name: info.Name, client: worker.NewClient(info.Name, info.Address, p.cfg.Source), pool: p, cancel: cancel,
 		wake: make(chan struct{}, 1), info: info, place: -1, running: map[string]run{},
 	}
 	p.workers[info.Name] = h
@@ -237,7 +240,7 @@
 	h.ready = true
 	p.enter(h)
 	p.stats.WorkerEvent("held")
-	p.log.WithFields(map[string]any{"worker": h.name, "epoch": epoch, "tasks": len(state.Tasks)}).Info("worker held")
+	p.log.WithFields(map[string]any{fieldWorker: h.name, "epoch": epoch, "tasks": len(state.Tasks)}).Info("worker held")
 	p.dispatch()
 }
 
@@ -340,7 +343,7 @@
 	}
 	p.drop(h)
 	p.stats.WorkerEvent("lost")
-	p.log.WithFields(map[string]any{"worker": h.name, "why": why}).Warn("worker's lease lost")
+	p.log.WithFields(map[string]any{fieldWorker: h.name, "why": why}).Warn("worker's lease lost")
 	p.dispatch()
 }
 
@@ -351,7 +354,7 @@
 	h.renewed = sent
 	if h.selfLeaves != reply.Leaving {
 		h.selfLeaves = reply.Leaving
-		p.log.WithFields(map[string]any{"worker": h.name, "leaving": reply.Leaving}).Info("worker's own word on leaving")
+		p.log.WithFields(map[string]any{fieldWorker: h.name, "leaving": reply.Leaving}).Info("worker's own word on leaving")
 	}
 	for _, end := range reply.Ended {
 		h.acked = max(h.acked, end.Sequence)
@@ -387,7 +390,7 @@
 	p.mu.Unlock()
 	p.stats.WorkerEvent("handed-over")
 	if err := h.client.Unlease(ctx, p.cfg.Holder, epoch); err == nil {
-		p.log.WithField("worker", h.name).Info("worker handed over")
+		p.log.WithField(fieldWorker, h.name).Info("worker handed over")
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	TaskTTL time.Duration
 	// ShortLimit is the learned run time up to which work counts as short.
 	ShortLimit time.Duration
+	// Source is the address from which connections to workers come, if valid.
+	Source netip.Addr
 	// Plain switches to first come, first served without admission, as a baseline for measurements.
 	Plain bool
 	// Quotas says whether an owner may take more; nil allows all.
@@ -84,7 +87,6 @@
 	drift     float64
 	budget    budget
 	stopping  bool
-	pending   int
 	starving  *waiter
 	starvedOn *Held
 }
@@ -157,7 +159,7 @@
 		return out.grant, out.err
 	case <-ctx.Done():
 	}
-	return nil, p.abandon(w, ctx)
+	return nil, p.abandon(ctx, w)
 }
 
 func (p *Pool) newWaiter(need Need) *waiter {
@@ -177,7 +179,7 @@
 	return w
 }
 
-func (p *Pool) abandon(w *waiter, ctx context.Context) error {
+func (p *Pool) abandon(ctx context.Context, w *waiter) error {
 	p.mu.Lock()
 	waiting := p.lanes[w.lane].Remove(w.item)
 	p.mu.Unlock()
--- a/holder/relieve.go
+++ b/holder/relieve.go
@@ -67,7 +67,7 @@
 	}
 	if state, err := h.client.Stop(ctx, task); err == nil && state.Over() {
 		p.stats.WorkerEvent("stopped-over-size")
-		p.log.WithFields(map[string]any{"worker": h.name, "task": task}).Warn("task stopped: it took more than it declared")
+		p.log.WithFields(map[string]any{fieldWorker: h.name, "task": task}).Warn("task stopped: it took more than it declared")
 		p.mu.Lock()
 		p.releaseTask(h, task)
 		p.mu.Unlock()
@@ -247,5 +247,5 @@
 		return
 	}
 	// Whether it goes on is not known, so its room stays taken until the worker tells.
-	p.log.WithFields(map[string]any{"worker": v.held.name, "task": v.task}).WithError(err).Warn("resume failed")
+	p.log.WithFields(map[string]any{fieldWorker: v.held.name, "task": v.task}).WithError(err).Warn("resume failed")
 }
--- a/jobs/book.go
+++ b/jobs/book.go
@@ -120,14 +120,12 @@
 		}
 		return Job{}, store.Row{}, &reason.Refusal{Outcome: reason.NotRun, Reason: reason.StoreUnavailable, Err: err}
 	}
-	for _, row := range rows {
-		var job Job
-		if err := json.Unmarshal(row.Value, &job); err != nil {
-			return Job{}, store.Row{}, err
-		}
-		return job, row, nil
+	if len(rows) == 0 {
+		return Job{}, store.Row{}, reason.Refuse(reason.NoSuchJob, "there is no job %s", id)
 	}
-	return Job{}, store.Row{}, reason.Refuse(reason.NoSuchJob, "there is no job %s", id)
+	var job Job
+	err = json.Unmarshal(rows[0].Value, &job)
+	return job, rows[0], err
 }
 
 func (b *Book) live(id string) (Job, bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/corianderdrift/corianderdrift/peers"
 	"github.com/corianderdrift/corianderdrift/route"
 	"github.com/corianderdrift/corianderdrift/store"
+	"github.com/corianderdrift/corianderdrift/worker"
 )
 
 const (
@@ -75,11 +76,13 @@
 	}
 	n.id = cfg.Name + "@" + n.incarnation
 	n.life, n.end = context.WithCancel(context.Background())
-	n.store = store.NewClient(cfg.Platform, n.metrics)
+	const dialTimeout = 2 * time.Second
+	dialer := worker.NewDialer(cfg.Source, dialTimeout)
+	n.store = store.NewClient(cfg.Platform, dialer, n.metrics)
 	n.writer = store.NewBatcher(n.store)
 	n.pool = holder.NewPool(holder.Config{
 		Holder: n.id, LeaseTTL: cfg.LeaseTTL, TaskTTL: cfg.TaskTTL, ShortLimit: cfg.ShortLimit,
-		Plain: cfg.Policy == conf.PolicyPlain,
+		Plain: cfg.Policy == conf.PolicyPlain, Source: cfg.Source,
 	}, n.book, n.metrics, log)
 	n.table = peers.NewTable(cfg.Name, cfg.DataCenter)
 	for _, seed := range cfg.Seeds {
@@ -91,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.net = peers.NewNet(n.table, creds, n.state)
+	n.net = peers.NewNet(n.table, creds, dialer, n.state)
 	n.keeper = catlog.NewKeeper(n.store, n.net, log)
 	n.router = route.NewRouter(n.table, n.net, n.pool, n.metrics)
 	n.claims = claim.NewBook(n.life, n.id, n.store, n.writer, n, n.metrics, log)
@@ -113,6 +116,7 @@
 	n.metrics.Gauge("workers_held", "Workers held.", func() float64 { return float64(len(n.pool.Load().Held)) })
 	n.metrics.Gauge("job_shards", "Job shards whose home this host is.", func() float64 { return float64(n.homes.Count()) })
 	n.metrics.Gauge("catalogue_version", "Catalogue version in force.", func() float64 { return float64(n.keeper.Version()) })
+	n.metrics.Gauge("peer_bytes", "Bytes exchanged with peers over connections opened here.", func() float64 { return float64(n.net.Bytes()) })
 	n.metrics.Gauge("load", "Share of the fullest dimension in use.", func() float64 { return n.pool.Load().Load })
 }
 
@@ -147,7 +151,7 @@
 // Run serves until ctx is done, then stops in the order that cuts nothing off; a second context ends the stop early.
 func (n *Node) Run(ctx context.Context, hard context.Context) error {
 	defer n.end()
-	listener, err := net.Listen("tcp", n.cfg.PeerListen.String())
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.cfg.PeerListen.String())
 	if err != nil {
 		return fmt.Errorf("peer-listen: %w", err)
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -164,7 +164,7 @@
 		n.jobs.Wake(shard)
 		return
 	}
-	n.atHome(ctx, shard, reportWake+strconv.Itoa(shard))
+	_, _ = n.atHome(ctx, shard, reportWake+strconv.Itoa(shard))
 }
 
 // Why asks the home of a job's shard why the job waits.
--- a/peers/net.go
+++ b/peers/net.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -41,13 +42,15 @@
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
 
-	sent atomic.Int64
-	got  atomic.Int64
+	dialer *net.Dialer
+	bytes  atomic.Int64
 }
 
 // NewNet returns a net whose heartbeats carry what self returns.
-func NewNet(table *Table, creds credentials.TransportCredentials, self func() *peerpb.HostState) *Net {
-	return &Net{table: table, creds: creds, self: self, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+func NewNet(
+	table *Table, creds credentials.TransportCredentials, dialer *net.Dialer, self func() *peerpb.HostState,
+) *Net {
+	return &Net{table: table, creds: creds, dialer: dialer, self: self, conns: map[netip.AddrPort]*grpc.ClientConn{}}
 }
 
 // UnsentError says that a call to a peer never left this host.
@@ -81,6 +84,7 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithContextDialer(n.dial),
 	)
 	if err != nil {
 		return nil, &UnsentError{Address: addr, Err: err}
@@ -89,6 +93,36 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
+func (n *Net) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, bytes: &n.bytes}, nil
+}
+
+// Bytes returns how many bytes this host has exchanged over connections that it opened to peers.
+func (n *Net) Bytes() int64 { return n.bytes.Load() }
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // Call calls a peer; the error is an UnsentError if nothing was sent.
 func Call[Q, R any](
 	ctx context.Context, n *Net, addr netip.AddrPort, req Q,
--- a/store/client.go
+++ b/store/client.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -32,8 +34,9 @@
 }
 
 // NewClient returns a client of the platform at addr.
-func NewClient(addr netip.AddrPort, stats Stats) *Client {
+func NewClient(addr netip.AddrPort, dialer *net.Dialer, stats Stats) *Client {
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
 	}
@@ -98,7 +101,8 @@
 		value, err = io.ReadAll(body)
 		return err
 	})
-	if unavailable, ok := err.(*UnavailableError); ok && unavailable.Status == http.StatusNotFound {
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Status == http.StatusNotFound {
 		return nil, &NotFoundError{Key: key}
 	}
 	return value, err
--- a/worker/client.go
+++ b/worker/client.go
@@ -35,10 +35,10 @@
 	read    atomic.Int64
 }
 
-// NewClient returns a client of the worker at addr.
-func NewClient(name string, addr netip.AddrPort) *Client {
+// NewClient returns a client of the worker at addr, with connections from source if it is valid.
+func NewClient(name string, addr netip.AddrPort, source netip.Addr) *Client {
 	c := &Client{name: name, base: "http://" + addr.String()}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := NewDialer(source, dialTimeout)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -56,6 +56,15 @@
 	return c
 }
 
+// NewDialer returns a dialer whose connections come from source, if it is valid.
+func NewDialer(source netip.Addr, timeout time.Duration) *net.Dialer {
+	dialer := &net.Dialer{Timeout: timeout}
+	if source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return dialer
+}
+
 // Name returns the worker's name.
 func (c *Client) Name() string { return c.name }
 
