--- a/catlog/keeper.go
+++ b/catlog/keeper.go
@@ -67,12 +67,14 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	wake    chan struct{}
+	// before is called with a version just before it comes into force.
+	before func(c *entry.Catalogue)
 }
 
-// NewKeeper returns a keeper that has no catalogue yet.
-func NewKeeper(table Table, peers Peers, log logrus.FieldLogger) *Keeper {
+// NewKeeper returns a keeper that has no catalogue yet; before is called with every version before it is in force.
+func NewKeeper(table Table, peers Peers, log logrus.FieldLogger, before func(c *entry.Catalogue)) *Keeper {
 	return &Keeper{
-		table: table, peers: peers, log: log,
+		table: table, peers: peers, log: log, before: before,
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -238,6 +240,7 @@
 	if old != nil && old.Version() >= c.Version() {
 		return
 	}
+	k.before(c)
 	k.current.Store(c)
 	close(k.changed)
 	k.changed = make(chan struct{})
--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -149,9 +149,9 @@
 		}
 	}
 	if p.cfg.Plain || w.need.Work.Class == entry.Service || w.need.Work.Class == entry.Request {
-		return place.Spread(w.size, free, capacity, sameRack) + h.health.penalty()
+		return place.Spread(w.size, free, capacity, sameRack)
 	}
-	return place.Tight(w.size, free, capacity) + h.health.penalty()
+	return place.Tight(w.size, free, capacity)
 }
 
 // releaseTask frees what a task holds; p.mu is held.
--- a/holder/health.go
+++ b/holder/health.go
@@ -25,13 +25,6 @@
 
 func (s *health) ejected() bool { return time.Now().Before(s.until) }
 
-func (s *health) penalty() float64 {
-	if s.runs < 2 {
-		return 0
-	}
-	return s.failures
-}
-
 func (s *health) note(failed bool) {
 	s.runs++
 	if failed {
--- a/holder/held.go
+++ b/holder/held.go
@@ -67,6 +67,9 @@
 	checkpointable bool
 	suspended      bool
 	class          entry.Class
+	// seen is the memory in MiB that the worker last reported for the task.
+	seen   int64
+	seenAt time.Time
 }
 
 // usable reports whether new work may go to the worker; the pool's lock is held.
@@ -161,7 +164,9 @@
 	case ready && !wanted:
 		h.handOver(ctx)
 	case ready:
-		h.renew(ctx)
+		if h.renew(ctx) {
+			pause = min(pause, fastRenewal)
+		}
 	case wanted && !stopping:
 		return h.take(ctx)
 	}
@@ -299,7 +304,8 @@
 	}
 }
 
-func (h *Held) renew(ctx context.Context) {
+// renew renews the lease; it reports whether a task takes more than it declared.
+func (h *Held) renew(ctx context.Context) bool {
 	p := h.pool
 	p.mu.Lock()
 	epoch, acked := h.epoch, h.acked
@@ -308,15 +314,16 @@
 	reply, err := h.client.Lease(ctx, h.request(epoch, acked))
 	if err != nil {
 		h.renewFailed(ctx, err)
-		return
+		return false
 	}
 	if !reply.Granted {
 		h.lose("another holder has the lease")
-		return
+		return false
 	}
 	h.lease.Granted(epoch, sent, p.cfg.LeaseTTL)
 	h.settleRenewal(sent, reply)
 	h.relieve(ctx, reply.Usage)
+	return len(reply.Usage) > 0
 }
 
 func (h *Held) renewFailed(ctx context.Context, err error) {
--- a/holder/relieve.go
+++ b/holder/relieve.go
@@ -9,8 +9,16 @@
 	"github.com/corianderdrift/corianderdrift/worker"
 )
 
-// relievePct is the share of a worker's memory above which a task that takes more than it declared is taken off.
-const relievePct = 85
+const (
+	// relievePct is the share of a worker's memory above which a task that takes more than it declared is taken off.
+	relievePct = 85
+	// usageLag is how old the workers' reports of usage are.
+	usageLag = 500 * time.Millisecond
+	// usageHorizon is how far ahead the growth of a task is reckoned: the lag, the time to the next report, and the call.
+	usageHorizon = usageLag + fastRenewal + 250*time.Millisecond
+	// fastRenewal is the time between renewals while a task takes more than it declared.
+	fastRenewal = 150 * time.Millisecond
+)
 
 // relieve acts on tasks that take more than they declared, before the worker is over.
 func (h *Held) relieve(ctx context.Context, usage []worker.Usage) {
@@ -40,13 +48,27 @@
 	r := h.running[u.Task]
 	measured := item.Size
 	measured.MemoryMiB = max(measured.MemoryMiB, u.MemoryMiB)
-	h.ledger.Resize(u.Task, measured)
 	p.book.Took(r.work, measured)
+	measured.MemoryMiB = max(measured.MemoryMiB, r.foretold(u.MemoryMiB, time.Now()))
+	h.ledger.Resize(u.Task, measured)
+	h.running[u.Task] = r
 	p.reindex(h)
 	used, capacity := h.ledger.Used().MemoryMiB, h.ledger.Capacity().MemoryMiB
 	return r.size, used*100 > capacity*relievePct, true
 }
 
+// foretold returns the memory that a task will have by the time that something can be done about it.
+func (r *run) foretold(now int64, at time.Time) int64 {
+	before, since := r.size.MemoryMiB, r.since.Add(usageLag)
+	if !r.seenAt.IsZero() {
+		before, since = r.seen, r.seenAt
+	}
+	const least = 50 * time.Millisecond
+	grown := float64(now-before) / max(least, at.Sub(since)).Seconds()
+	r.seen, r.seenAt = now, at
+	return now + int64(grown*usageHorizon.Seconds())
+}
+
 func (h *Held) ledgerItem(task string) (item struct{ Size unitSize }, ok bool) {
 	if h.ledger == nil {
 		return item, false
--- a/jobs/homes.go
+++ b/jobs/homes.go
@@ -188,7 +188,7 @@
 			view.until = sent.Add(homeTTL)
 		}
 		if row.Holder == h.self && !wasMine {
-			h.log.WithFields(map[string]any{"shard": shard, "epoch": row.Epoch}).Info("home of job shard")
+			h.log.WithFields(map[string]any{"shard": shard, "epoch": row.Epoch}).Debug("home of job shard")
 		}
 	case errors.As(err, &conflict):
 		view.until = time.Time{}
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	n.net = peers.NewNet(n.table, creds, dialer, n.state)
-	n.keeper = catlog.NewKeeper(n.store, n.net, log)
+	n.keeper = catlog.NewKeeper(n.store, n.net, log, func(c *entry.Catalogue) { n.pool.KeepRoom(c.Works()) })
 	n.router = route.NewRouter(n.table, n.net, n.pool, n.metrics)
 	n.claims = claim.NewBook(n.life, n.id, n.store, n.writer, n, n.metrics, log)
 	n.homes = jobs.NewHomes(n.id, n.store, n.writer, n.homeHosts, log)
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -149,6 +149,7 @@
 // start brings a cluster up and waits until it is ready and holds all workers.
 func start(t *testing.T, s spec) *cluster {
 	t.Helper()
+	t.Parallel()
 	c := qt.New(t)
 	bin := build(c)
 	cl := &cluster{
--- /dev/null
+++ b/test/jobs_test.go
@@ -0,0 +1,181 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/front"
+	"github.com/corianderdrift/corianderdrift/jobs"
+)
+
+func jobID(c *qt.C, r record) string {
+	c.Helper()
+	var status front.JobStatus
+	c.Assert(json.Unmarshal(r.answer, &status), qt.IsNil, qt.Commentf("%d %s", r.status, r.answer))
+	return status.ID
+}
+
+// waitJob waits for the end of a job.
+func (cl *cluster) waitJob(h *host, id string) front.JobStatus {
+	cl.c.Helper()
+	var status front.JobStatus
+	cl.eventually("job "+id+" is over", func() bool {
+		status = front.JobStatus{}
+		return cl.get(h.url+"/v1/jobs/"+id, &status) == nil && status.State.Over()
+	})
+	return status
+}
+
+// submitJobs submits jobs through all hosts and returns their ids.
+func (cl *cluster) submitJobs(n int, work, params string, tasks int) []string {
+	var mu sync.Mutex
+	var ids []string
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			header := http.Header{"Work-Params": {params}}
+			if tasks > 0 {
+				header.Set("Work-Tasks", fmt.Sprint(tasks))
+			}
+			url := cl.hosts[i%len(cl.hosts)].url + "/v1/run/" + work
+			status, _, body, err := cl.do(http.MethodPost, url, fmt.Appendf(nil, "%s %d", work, i), header)
+			cl.c.Check(err, qt.IsNil)
+			cl.c.Check(status, qt.Equals, http.StatusAccepted, qt.Commentf("%s", body))
+			var job front.JobStatus
+			cl.c.Check(json.Unmarshal(body, &job), qt.IsNil)
+			mu.Lock()
+			defer mu.Unlock()
+			ids = append(ids, job.ID)
+		})
+	}
+	wg.Wait()
+	return ids
+}
+
+func TestJobsSurviveTheDeathOfHosts(t *testing.T) {
+	cl := start(t, spec{hosts: 3, workers: 3})
+	cl.put(documents)
+	ids := cl.submitJobs(8, "rolls", "run=300ms", 6)
+	ids = append(ids, cl.submitJobs(4, "survey", "run=300ms", 0)...)
+	cl.eventually("tasks run", func() bool { return cl.startsOn(cl.workers[0]) > 0 })
+	for _, h := range cl.hosts[:2] {
+		h.kill()
+		cl.launch(h.proc)
+		cl.waitReady(h)
+	}
+	for _, id := range ids {
+		status := cl.waitJob(cl.hosts[2], id)
+		cl.c.Check(status.State, qt.Equals, jobs.Done, qt.Commentf("%+v", status))
+		for i := range status.Tasks {
+			code, _, body, err := cl.do(http.MethodGet, fmt.Sprintf("%s/v1/jobs/%s/tasks/%d/result", cl.hosts[2].url, id, i), nil, nil)
+			cl.c.Check(err, qt.IsNil)
+			cl.c.Check(code, qt.Equals, http.StatusOK)
+			cl.c.Check(strings.HasPrefix(string(body), status.Work+" "), qt.IsTrue, qt.Commentf("%q", body))
+		}
+	}
+	events := cl.settled()
+	checkPlaces(cl.c, events)
+	ran := map[string]int{}
+	for _, e := range events {
+		if e.Kind == fakes.EventEnd && e.State == "finished" {
+			ran[logical(e.Task)]++
+		}
+	}
+	cl.c.Check(len(ran), qt.Equals, 8*6+4*4)
+}
+
+func TestSubmissionWithAKeyIsAcceptedOnce(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 1})
+	cl.put(documents)
+	header := http.Header{"Idempotency-Key": {"june"}, "Work-Params": {"run=20ms"}}
+	ids := map[string]bool{}
+	for i := range 6 {
+		status, _, body, err := cl.do(http.MethodPost, cl.hosts[i%2].url+"/v1/run/rolls", []byte("june rolls"), header)
+		cl.c.Assert(err, qt.IsNil)
+		cl.c.Assert(status, qt.Equals, http.StatusAccepted, qt.Commentf("%s", body))
+		var job front.JobStatus
+		cl.c.Assert(json.Unmarshal(body, &job), qt.IsNil)
+		ids[job.ID] = true
+		if i == 2 {
+			cl.waitJob(cl.hosts[0], job.ID)
+		}
+	}
+	cl.c.Check(len(ids), qt.Equals, 1)
+	status, _, body, err := cl.do(http.MethodPost, cl.hosts[0].url+"/v1/run/rolls", []byte("other rolls"), header)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Check(status, qt.Equals, http.StatusUnprocessableEntity, qt.Commentf("%s", body))
+	starts := 0
+	for _, e := range cl.settled() {
+		if e.Kind == fakes.EventStart {
+			starts++
+		}
+	}
+	cl.c.Check(starts, qt.Equals, 1)
+}
+
+func TestCancelledJobsStop(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 2, slots: 4})
+	cl.put(documents)
+	ids := cl.submitJobs(20, "rolls", "run=20s", 5)
+	cl.eventually("the workers are full", func() bool { return cl.startsOn(cl.workers[0])+cl.startsOn(cl.workers[1]) >= 6 })
+	for i, id := range ids {
+		status, _, body, err := cl.do(http.MethodDelete, cl.hosts[i%2].url+"/v1/jobs/"+id, nil, nil)
+		cl.c.Assert(err, qt.IsNil)
+		cl.c.Assert(status, qt.Equals, http.StatusAccepted, qt.Commentf("%s", body))
+	}
+	for _, id := range ids {
+		cl.c.Check(cl.waitJob(cl.hosts[0], id).State, qt.Equals, jobs.Cancelled)
+	}
+	checkPlaces(cl.c, cl.settled())
+}
+
+func TestServicesKeepRunningAcrossHolders(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 3})
+	cl.put(documents)
+	id := cl.submitJobs(1, "roster", "", 3)[0]
+	running := func() bool {
+		var status front.JobStatus
+		return cl.get(cl.hosts[1].url+"/v1/jobs/"+id, &status) == nil && status.Counts[jobs.TaskRunning] == 3
+	}
+	cl.eventually("all tasks of the service run", running)
+	before := cl.startsOn(cl.workers[0]) + cl.startsOn(cl.workers[1]) + cl.startsOn(cl.workers[2])
+	cl.hosts[0].kill()
+	cl.eventually("the other host holds all workers", func() bool { return cl.heldBy(cl.hosts[1], cl.hosts[1]) == 3 })
+	cl.eventually("all tasks of the service still run", running)
+	after := cl.startsOn(cl.workers[0]) + cl.startsOn(cl.workers[1]) + cl.startsOn(cl.workers[2])
+	cl.c.Check(after, qt.Equals, before, qt.Commentf("tasks were started anew instead of adopted"))
+	status, _, _, err := cl.do(http.MethodDelete, cl.hosts[1].url+"/v1/jobs/"+id, nil, nil)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(status, qt.Equals, http.StatusAccepted)
+	cl.waitJob(cl.hosts[1], id)
+	checkPlaces(cl.c, cl.settled())
+}
+
+func TestTasksOfADeadWorkerRunElsewhere(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 2})
+	cl.put(documents)
+	id := cl.submitJobs(1, "rolls", "run=2s", 6)[0]
+	var dead *standIn
+	cl.eventually("tasks run on a worker", func() bool {
+		for _, w := range cl.workers {
+			if cl.startsOn(w) > 0 {
+				dead = w
+				return true
+			}
+		}
+		return false
+	})
+	dead.kill()
+	status := cl.waitJob(cl.hosts[0], id)
+	cl.c.Check(status.State, qt.Equals, jobs.Done)
+	for _, task := range status.Tasks {
+		cl.c.Check(task.Attempt <= 3, qt.IsTrue)
+	}
+}
