--- a/holder/execute.go
+++ b/holder/execute.go
@@ -14,6 +14,8 @@
 const (
 	// silence is how long a worker may say nothing before its task is looked for on a new connection.
 	silence = time.Second
+	// slowestUpload is the rate, in bytes a second, at which a body may still be on its way to a worker.
+	slowestUpload = 512 << 10
 	// longestSilence bounds the pause between such looks.
 	longestSilence = 5 * time.Second
 	// settleTime is how long the fate of a task is looked for after its deadline.
@@ -34,7 +36,7 @@
 		answer, err := p.runOn(ctx, grant, call)
 		if err == nil {
 			p.budget.earn()
-			return Answer{Answer: answer, Worker: grant.Held.name}, nil
+			return Answer{Answer: answer, Worker: grant.Held.name, held: grant.Held, task: grant.Task}, nil
 		}
 		if reason.From(err).Outcome != reason.NotRun {
 			ran = err
@@ -163,8 +165,8 @@
 func (p *Pool) converse(ctx context.Context, h *Held, task string, spec worker.Spec, call Call) (worker.Answer, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &watch{pause: silence}
-	s.timer = time.AfterFunc(silence, func() { s.look(callCtx, cancel, h, task) })
+	s := &watch{pause: silence + time.Duration(len(call.Body))*time.Second/slowestUpload}
+	s.timer = time.AfterFunc(s.pause, func() { s.look(callCtx, cancel, h, task) })
 	answer, err := h.client.Run(callCtx, task, spec, call.ContentType, call.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -200,7 +202,7 @@
 	default:
 		s.absent = 0
 	}
-	s.pause = min(longestSilence, s.pause*3/2)
+	s.pause = min(max(s.pause, longestSilence), s.pause*3/2)
 	s.timer.Reset(s.pause)
 }
 
--- a/holder/find.go
+++ b/holder/find.go
@@ -34,6 +34,9 @@
 func (p *Pool) runner(task string) (*Held, string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if h, id, ok := p.recent.get(task); ok {
+		return h, id
+	}
 	for _, h := range p.places {
 		if h == nil {
 			continue
--- a/holder/flight.go
+++ b/holder/flight.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// flightGrace is how long a run whose callers have all gone waits for one of them to come back.
-	flightGrace = 500 * time.Millisecond
+	// flightGrace is how long a run whose callers have all gone waits for one of them to come back; it is longer than
+	// a caller takes to find out that its connection is silent.
+	flightGrace = 6 * time.Second
 	// flightKept is how long an answer is kept for a caller that asks again.
 	flightKept = 3 * time.Second
 )
@@ -30,6 +31,8 @@
 type Answer struct {
 	worker.Answer
 	Worker string
+	held   *Held
+	task   string
 }
 
 // flight is a request on its way; callers with the same task id share it.
@@ -116,6 +119,9 @@
 	f.answer, f.err = p.execute(ctx, call)
 	f.cancel()
 	close(f.done)
+	if f.answer.task != "" {
+		p.recent.put(call.Need.Task, f.answer.held, f.answer.task)
+	}
 	if call.Local {
 		p.flights.Delete(call.Need.Task)
 		return
--- a/holder/held.go
+++ b/holder/held.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/entry"
@@ -20,6 +21,9 @@
 // fieldWorker is the log field of a worker's name.
 const fieldWorker = "worker"
 
+// startGrace is how long a start may be on its way to its worker while the lease is given back.
+const startGrace = 300 * time.Millisecond
+
 // renewalsPerTTL is how often a lease is renewed in the time that it lasts.
 const renewalsPerTTL = 3
 
@@ -44,11 +48,13 @@
 	wake   chan struct{}
 
 	// The rest is guarded by the pool's lock.
-	info       Info
-	ledger     *ledger.Ledger
-	running    map[string]run
-	place      int
-	ready      bool
+	info    Info
+	ledger  *ledger.Ledger
+	running map[string]run
+	place   int
+	ready   bool
+	// handing marks a worker whose lease is about to be given back.
+	handing    bool
 	selfLeaves bool
 	epoch      uint64
 	acked      uint64
@@ -74,7 +80,7 @@
 
 // usable reports whether new work may go to the worker; the pool's lock is held.
 func (h *Held) usable() bool {
-	return h.ready && !h.info.Leaving && !h.selfLeaves && !h.health.ejected()
+	return h.ready && !h.handing && !h.info.Leaving && !h.selfLeaves && !h.health.ejected()
 }
 
 // Client returns the worker's client.
@@ -393,6 +399,14 @@
 	p := h.pool
 	p.mu.Lock()
 	epoch := h.epoch
+	h.info.Wanted = false
+	h.handing = true
+	p.reindex(h)
+	p.mu.Unlock()
+	// Starts that were sent under the lease reach the worker before the lease is given back.
+	pauseFor(ctx, startGrace)
+	p.mu.Lock()
+	h.handing = false
 	p.drop(h)
 	p.mu.Unlock()
 	p.stats.WorkerEvent("handed-over")
@@ -415,9 +429,11 @@
 		h.info.Wanted = false
 	}
 	p.mu.Unlock()
+	var wg sync.WaitGroup
 	for _, h := range held {
-		h.handOver(ctx)
+		wg.Go(func() { h.handOver(ctx) })
 	}
+	wg.Wait()
 }
 
 // failWaiting refuses everything that waits after the last worker went; p.mu is held.
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -73,6 +73,7 @@
 
 	flights *shard.Map[*flight]
 	holds   *shard.Map[*Grant]
+	recent  recent
 
 	mu        sync.Mutex
 	workers   map[string]*Held
--- a/jobs/book.go
+++ b/jobs/book.go
@@ -20,6 +20,8 @@
 	scanEvery  = 5 * time.Second
 	scanPause  = 200 * time.Millisecond
 	bodyInline = 16 << 10
+	// acceptTime bounds the wait for the table when a job is submitted or cancelled.
+	acceptTime = 5 * time.Second
 )
 
 // Stats counts events of jobs.
@@ -68,6 +70,8 @@
 
 // Submit accepts a job: when it returns without an error, the job's row is written.
 func (b *Book) Submit(ctx context.Context, job Job) (Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
 	if len(job.Body) > bodyInline {
 		job.BodyObject = "body/" + job.ID
 		if err := b.table.PutObject(ctx, job.BodyObject, job.Body); err != nil {
@@ -140,6 +144,8 @@
 
 // Cancel marks a job as cancelled; its home ends what runs.
 func (b *Book) Cancel(ctx context.Context, id string) (Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
 	for {
 		job, row, err := b.Get(ctx, id)
 		if err != nil || job.State.Over() || job.Cancel {
--- a/route/router.go
+++ b/route/router.go
@@ -99,14 +99,15 @@
 	}
 }
 
-// mayOffer reports whether another host may have room where this one said that it has none.
+// mayOffer reports whether another host may run what this one proved that it did not start.
 func mayOffer(err error) bool {
 	refusal := reason.From(err)
 	if refusal.Outcome != reason.NotRun {
 		return false
 	}
 	switch refusal.Reason {
-	case reason.NoWorkers, reason.Stopping, reason.PeerUnreachable, reason.NoCatalogue:
+	case reason.NoWorkers, reason.Stopping, reason.PeerUnreachable, reason.NoCatalogue,
+		reason.LeaseLost, reason.WorkerLeaving:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/test/answers_test.go
@@ -0,0 +1,118 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/fault"
+)
+
+const mebibyte = 1 << 20
+
+func TestWholeAnswersOfAllSizes(t *testing.T) {
+	cl := start(t, spec{dataCenters: []string{"east", "west"}, hosts: 2, workers: 2})
+	cl.put(documents)
+	// Peers and workers answer late and out of order.
+	cl.net.Set("jitter", fault.Rule{Link: fault.Link{Delay: time.Millisecond, Jitter: 3 * time.Millisecond}})
+	var b book
+	var wg sync.WaitGroup
+	for caller := range 6 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(21, uint64(caller)))
+			for _, size := range []int{0, 1, 64 << 10, 8 * mebibyte, 17, 300 << 10} {
+				body := make([]byte, size)
+				for i := 0; i+8 <= size; i += 8 {
+					body[i] = byte(rng.Uint32())
+				}
+				r := cl.send(context.Background(), cl.hosts[rng.IntN(len(cl.hosts))], "check", "", "run=20ms", body)
+				cl.c.Check(r.answered(), qt.IsTrue, qt.Commentf("%d bytes: %d %s %v", size, r.status, r.problem.Detail, r.err))
+				b.add(r)
+			}
+		})
+	}
+	wg.Wait()
+	checkAnswers(cl.c, b.all(), cl.settled())
+}
+
+func TestAnswersOfAFixedSizeBelongToTheirRequest(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 2})
+	cl.put(documents)
+	rng := rand.New(rand.NewPCG(22, 0))
+	var wg sync.WaitGroup
+	for range 10 {
+		body := uniqueBody(rng, 100)
+		wg.Go(func() {
+			r := cl.send(context.Background(), cl.hosts[0], "check", "", "run=10ms,answer-bytes=8388608", body)
+			if cl.c.Check(r.answered(), qt.IsTrue, qt.Commentf("%v", r.err)) {
+				cl.c.Check(len(r.answer), qt.Equals, 8*mebibyte)
+				cl.c.Check(bytes.HasPrefix(r.answer, []byte(r.digest+"\n")), qt.IsTrue)
+				cl.c.Check(bytes.Count(r.answer, []byte(r.digest)), qt.Equals, len(r.answer)/(len(r.digest)+1))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestConnectionsSilentInMidAnswer(t *testing.T) {
+	cl := start(t, spec{hosts: 2, workers: 1})
+	cl.put(documents)
+	w := cl.workers[0]
+	// The answer is on its way, slowly, when its connection goes silent for good.
+	cl.net.Set("slow", fault.Rule{Names: []string{w.name}, Link: fault.Link{Delay: 20 * time.Millisecond}})
+	var b book
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(23, uint64(i)))
+			b.add(cl.send(context.Background(), cl.hosts[i%2], "check", "", "run=300ms", uniqueBody(rng, 4*mebibyte)))
+		})
+	}
+	cl.eventually("the tasks run", func() bool { return cl.startsOn(w) >= 4 })
+	pause(500 * time.Millisecond)
+	w.proxy.Silence()
+	for _, h := range cl.hosts {
+		cl.proxies[h.name].Silence()
+	}
+	cl.net.Clear("slow")
+	wg.Wait()
+	records := b.all()
+	t.Log(summary(records))
+	for _, r := range records {
+		cl.c.Check(r.answered(), qt.IsTrue, qt.Commentf("%d %s %v", r.status, r.problem.Detail, r.err))
+	}
+	cl.checkAll(records)
+}
+
+func TestBodiesBeyondTheMaximum(t *testing.T) {
+	cl := start(t, spec{hosts: 1, workers: 1})
+	cl.put(documents)
+	h := cl.hosts[0]
+	body := make([]byte, 8*mebibyte+1)
+	tests := []struct {
+		name string
+		body io.Reader
+		size int64
+	}{
+		{"declared length", bytes.NewReader(body), int64(len(body))},
+		{"chunked", io.MultiReader(bytes.NewReader(body)), -1},
+	}
+	for _, test := range tests {
+		cl.c.Run(test.name, func(c *qt.C) {
+			req, err := http.NewRequest(http.MethodPost, h.url+"/v1/run/check", test.body)
+			c.Assert(err, qt.IsNil)
+			req.ContentLength = test.size
+			resp, err := cl.client.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			c.Check(resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		})
+	}
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -155,7 +155,7 @@
 	cl := &cluster{
 		c: c, spec: s.withDefaults(), net: fault.NewNet(), proxies: map[string]*fault.Proxy{},
 		number: os.Getpid()*7 + int(clusters.Add(1)),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
+		client: &http.Client{Timeout: waitLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
 	}
 	t.Cleanup(cl.stop)
 	cl.startPlatform(bin)
@@ -195,6 +195,7 @@
 func (cl *cluster) launch(p *proc) {
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.done = make(chan struct{})
 	cl.c.Assert(p.cmd.Start(), qt.IsNil)
 	go func(cmd *exec.Cmd, done chan struct{}) {
