--- /dev/null
+++ b/cmds/cmd_load.go
@@ -0,0 +1,136 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/corianderdrift/corianderdrift/loads"
+)
+
+var cmdLoad = command{
+	name: "load", short: "Send open-loop load from a profile or a recorded trace and report what callers got",
+	long: `Send requests at the times that a seeded profile or a recorded trace says, whatever the answers, so that
+waiting is not hidden by a slow system. Prints percentiles of the wait by owner and work; --report writes all as JSON,
+--plot draws it over time. Exit code 1 if an outcome that the profile states is not met.`,
+	example: "  corianderdrift load --profile loads/profiles/trust-crest.yaml --hosts http://127.0.0.1:18080 --plot crest.png",
+	flags: func(flags *pflag.FlagSet) {
+		flags.String("profile", "", "profile file (YAML or JSON)")
+		flags.String("trace", "", "trace file, one arrival a line; a profile given as well states the outcomes")
+		flags.StringSlice("hosts", []string{"http://127.0.0.1:8080"}, "URLs of entry hosts")
+		flags.String("report", "", "file for the report as JSON")
+		flags.String("plot", "", "file for the plot as PNG")
+		flags.String("save-trace", "", "file for the arrivals as a trace")
+		flags.String("token", "", "owner's token")
+	},
+	action: load,
+}
+
+func load(in call) error {
+	profile, arrivals, err := readLoad(in)
+	if err != nil {
+		return err
+	}
+	if name, _ := in.flags.GetString("save-trace"); name != "" {
+		if err := writeFile(name, func(f *os.File) error { return loads.WriteTrace(f, arrivals) }); err != nil {
+			return err
+		}
+	}
+	hosts, _ := in.flags.GetStringSlice("hosts")
+	token, _ := in.flags.GetString("token")
+	sender := loads.NewSender(hosts, token)
+	defer sender.Close()
+	report := loads.Sum(profile.Name, profile.Seed, sender.Run(in.ctx, arrivals, progressLine(len(arrivals))))
+	fmt.Fprintln(os.Stderr)
+	if err := printReport(in.out, report); err != nil {
+		return err
+	}
+	if name, _ := in.flags.GetString("report"); name != "" {
+		if err := writeFile(name, func(f *os.File) error { return json.NewEncoder(f).Encode(report) }); err != nil {
+			return err
+		}
+	}
+	if name, _ := in.flags.GetString("plot"); name != "" {
+		if err := report.Plot(name); err != nil {
+			return err
+		}
+	}
+	return report.Check(profile.Expect)
+}
+
+func readLoad(in call) (loads.Profile, []loads.Arrival, error) {
+	var profile loads.Profile
+	profileName, _ := in.flags.GetString("profile")
+	traceName, _ := in.flags.GetString("trace")
+	if profileName == "" && traceName == "" {
+		return profile, nil, &usageError{errors.New("load needs --profile or --trace")}
+	}
+	if profileName != "" {
+		data, err := readFile(profileName)
+		if err != nil {
+			return profile, nil, &usageError{err}
+		}
+		if profile, err = loads.ParseProfile(data); err != nil {
+			return profile, nil, &usageError{err}
+		}
+	}
+	if traceName == "" {
+		return profile, profile.Arrivals(), nil
+	}
+	file, err := os.Open(traceName)
+	if err != nil {
+		return profile, nil, &usageError{err}
+	}
+	defer file.Close()
+	arrivals, err := loads.ReadTrace(file)
+	if err != nil {
+		return profile, nil, &usageError{err}
+	}
+	return profile, arrivals, nil
+}
+
+func writeFile(name string, write func(f *os.File) error) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(file), file.Close())
+}
+
+// progressLine returns a function that shows how much was sent, a few times a second.
+func progressLine(total int) func(sent int) {
+	const every = 250 * time.Millisecond
+	var shown time.Time
+	return func(sent int) {
+		if time.Since(shown) < every {
+			return
+		}
+		shown = time.Now()
+		fmt.Fprintf(os.Stderr, "\rsent %d of %d", sent, total)
+	}
+}
+
+func printReport(out io.Writer, report loads.Report) error {
+	var rows [][]string
+	for _, g := range report.Groups {
+		rows = append(rows, []string{
+			g.Owner, g.Work, strconv.Itoa(g.Asked), strconv.Itoa(g.InTime), strconv.Itoa(g.Late), strconv.Itoa(g.NotRun),
+			strconv.Itoa(g.Unknown), strconv.Itoa(g.Failed), fmt.Sprintf("%.1f", g.WaitP50), fmt.Sprintf("%.1f", g.WaitP99),
+			fmt.Sprintf("%.1f", g.RefuseP9),
+		})
+	}
+	header := []string{
+		"owner", "work", "asked", "in-time", "late", "not-run", "unknown", "failed", "wait-p50-ms", "wait-p99-ms", "refusal-p99-ms",
+	}
+	if err := table(out, header, rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "the sender itself was late by %.1f ms at p99\n", report.SenderLateP99)
+	return err
+}
--- /dev/null
+++ b/cmds/cmd_measure.go
@@ -0,0 +1,58 @@
+package cmds
+
+import (
+	"fmt"
+
+	"github.com/spf13/pflag"
+
+	"github.com/corianderdrift/corianderdrift/bench"
+)
+
+var cmdMeasure = command{
+	name: "measure", args: "[crest|blocking|packing]...", short: "Measure the policy against a plain baseline", most: -1,
+	long: `Run cells of stand-ins in this process under the policy and under the baseline (first come, first served,
+least-loaded of two, no admission), and print each measure beside its goal.`,
+	flags: func(flags *pflag.FlagSet) {
+		flags.Uint64("seed", 1, "seed of the loads")
+		flags.String("plot", "", "file for the plot of the highest crest as PNG")
+	},
+	action: measure,
+}
+
+func measure(in call) error {
+	seed, _ := in.flags.GetUint64("seed")
+	plot, _ := in.flags.GetString("plot")
+	names := in.args
+	if len(names) == 0 {
+		names = []string{"crest", "blocking", "packing"}
+	}
+	var all []bench.Row
+	for _, name := range names {
+		var rows []bench.Row
+		var err error
+		switch name {
+		case "crest":
+			rows, err = bench.Crest(seed, plot)
+		case "blocking":
+			rows, err = bench.Blocking(seed)
+		case "packing":
+			rows = bench.Packing(seed)
+		default:
+			err = &usageError{fmt.Errorf("there is no measure %q: known are crest, blocking and packing", name)}
+		}
+		if err != nil {
+			return err
+		}
+		all = append(all, rows...)
+	}
+	var rows [][]string
+	for _, r := range all {
+		verdict := "pass"
+		if !r.Passed {
+			verdict = "fall short"
+		}
+		rows = append(rows, []string{r.Measure, r.Case, r.Full, r.Plain, r.Goal, verdict})
+	}
+	fmt.Fprintf(in.out, "seed %d\n", seed)
+	return table(in.out, []string{"measure", "case", "policy", "baseline", "goal", "verdict"}, rows)
+}
--- /dev/null
+++ b/loads/plot.go
@@ -0,0 +1,33 @@
+package loads
+
+import (
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Plot draws asked, answered in time and refused per second, and the wait, over time, into a PNG file.
+func (r Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = r.Name
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "requests a second; wait p99 in ms"
+	perSecond := float64(time.Second/time.Millisecond) / float64(r.BucketMillis)
+	asked, inTime, refused, waits := plotter.XYs{}, plotter.XYs{}, plotter.XYs{}, plotter.XYs{}
+	for i, b := range r.Buckets {
+		x := float64(i) / perSecond
+		asked = append(asked, plotter.XY{X: x, Y: float64(b.Asked) * perSecond})
+		inTime = append(inTime, plotter.XY{X: x, Y: float64(b.InTime) * perSecond})
+		refused = append(refused, plotter.XY{X: x, Y: float64(b.Refused) * perSecond})
+		waits = append(waits, plotter.XY{X: x, Y: b.WaitP99})
+	}
+	err := plotutil.AddLines(p, "asked", asked, "in time", inTime, "refused", refused, "wait p99 (ms)", waits)
+	if err != nil {
+		return err
+	}
+	const width, height = 8 * vg.Inch, 4 * vg.Inch
+	return p.Save(width, height, file)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/jobs"
 	"github.com/corianderdrift/corianderdrift/learn"
+	"github.com/corianderdrift/corianderdrift/loads"
 	"github.com/corianderdrift/corianderdrift/metric"
 	"github.com/corianderdrift/corianderdrift/peerpb"
 	"github.com/corianderdrift/corianderdrift/peers"
@@ -61,6 +63,7 @@
 	fleet  *fleet.Fleet
 	front  *front.Server
 
+	trace   *loads.Recorder
 	leaving atomic.Bool
 	mu      sync.Mutex
 	listed  []store.Host
@@ -104,13 +107,37 @@
 		Table: n.store, Writer: n.writer, Fleet: n.fleet, Homes: n.homes, Stats: n.metrics, Log: log,
 		Work: n.work, Estimate: n.estimate,
 	})
+	if err := n.openTrace(); err != nil {
+		return nil, err
+	}
 	n.front = front.New(front.Config{
-		Host: cfg, Node: n, Keeper: n.keeper, Router: n.router, Claims: n.claims, Jobs: n.jobs, Metrics: n.metrics, Log: log,
+		Recorder: n.recorder(), Host: cfg, Node: n, Keeper: n.keeper, Router: n.router, Claims: n.claims, Jobs: n.jobs, Metrics: n.metrics, Log: log,
 	})
 	n.gauges()
 	return n, nil
 }
 
+// openTrace begins to record arriving requests, if a setting says so.
+func (n *Node) openTrace() error {
+	if n.cfg.TraceFile == "" {
+		return nil
+	}
+	file, err := os.Create(n.cfg.TraceFile)
+	if err != nil {
+		return &conf.Error{Setting: "trace-file", Value: n.cfg.TraceFile, Allowed: err.Error()}
+	}
+	n.trace = loads.NewRecorder(file)
+	return nil
+}
+
+// recorder returns nil as an interface where nothing is recorded.
+func (n *Node) recorder() front.Recorder {
+	if n.trace == nil {
+		return nil
+	}
+	return n.trace
+}
+
 func (n *Node) gauges() {
 	n.metrics.Gauge("waiting", "Work that waits for room.", func() float64 { return float64(n.pool.Waiting()) })
 	n.metrics.Gauge("workers_held", "Workers held.", func() float64 { return float64(len(n.pool.Load().Held)) })
@@ -205,6 +232,9 @@
 		cause = err
 	}
 	n.store.Close()
+	if n.trace != nil {
+		_ = n.trace.Flush()
+	}
 	n.log.Info("stopped")
 	return cause
 }
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -230,10 +230,10 @@
 )
 
 func (cl *cluster) startPlatform(bin string) {
-	real := port(cl.ip(groupPlatform, 0), portPlatform)
-	cl.proxy("platform", port(cl.ip(groupPlatformProxy, 0), portPlatform), real)
-	cl.platform = cl.command(bin, "platform", "dev", "platform", "--listen", real.String())
-	cl.platURL = "http://" + real.String()
+	direct := port(cl.ip(groupPlatform, 0), portPlatform)
+	cl.proxy("platform", port(cl.ip(groupPlatformProxy, 0), portPlatform), direct)
+	cl.platform = cl.command(bin, "platform", "dev", "platform", "--listen", direct.String())
+	cl.platURL = "http://" + direct.String()
 	cl.launch(cl.platform)
 	cl.waitHTTP(cl.platURL + "/v1/hosts")
 }
@@ -242,13 +242,13 @@
 	for i := range len(cl.spec.dataCenters) * cl.spec.workers {
 		dataCenter := cl.spec.dataCenters[i/cl.spec.workers]
 		name := fmt.Sprintf("%s-w%d", dataCenter, i%cl.spec.workers+1)
-		real := port(cl.ip(groupWorker, i), portWorker)
-		w := &standIn{dataCenter: dataCenter, url: "http://" + real.String()}
-		w.proc = cl.command(bin, name, "dev", "worker", "--listen", real.String(), "--name", name,
+		direct := port(cl.ip(groupWorker, i), portWorker)
+		w := &standIn{dataCenter: dataCenter, url: "http://" + direct.String()}
+		w.proc = cl.command(bin, name, "dev", "worker", "--listen", direct.String(), "--name", name,
 			"--data-center", dataCenter, "--rack", fmt.Sprintf("%s-r%d", dataCenter, i%2),
 			"--slots", fmt.Sprint(cl.spec.slots), "--cpu-milli", fmt.Sprint(cl.spec.cpu),
 			"--memory-mib", fmt.Sprint(cl.spec.memory), "--accelerators", fmt.Sprint(cl.spec.accels))
-		w.proxy = cl.proxy(name, port(cl.ip(groupWorkerProxy, i), portWorker), real)
+		w.proxy = cl.proxy(name, port(cl.ip(groupWorkerProxy, i), portWorker), direct)
 		w.listing = store.Host{
 			Name: name, Kind: store.KindWorker, Address: w.proxy.Addr(), DataCenter: dataCenter, Rack: fmt.Sprintf("r%d", i%2),
 		}
