Refuse at the door what would have no slack left at its deadline

Work was admitted when its foretold wait and its mean run time just fitted, so earliest deadline first started everything at the last moment; what ran longer than the mean was stopped at its deadline (1264 of 17056) after it had used a slot, or was dropped when its turn came. Change: the wait may take 0.6 of the time to the deadline less the p90 run time; dropped work counts in the correction of foretold waits.

--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -44,7 +44,8 @@
 }
 
 func (p *Pool) offer(w *waiter, lane int, now time.Time) queue.Verdict {
-	if !p.cfg.Plain && !w.need.Deadline.IsZero() && now.Add(w.estimate.Mean).After(w.need.Deadline) {
+	if !p.cfg.Plain && !w.need.Deadline.IsZero() && now.Add(w.estimate.P90).After(w.need.Deadline) {
+		p.learnDrift(w, now.Sub(w.since))
 		w.ready <- outcome{err: reason.Refuse(reason.DeadlineUnreachable, "no room came in time")}
 		return queue.Dropped
 	}
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -240,6 +240,10 @@
 	return nil
 }
 
+// slackShare is the part of the time to a deadline, less the run time, that work may be foretold to wait; the rest
+// takes up what runs longer than foretold.
+const slackShare = 0.6
+
 // admit refuses what can't start in time, before it waits.
 func (p *Pool) admit(w *waiter) error {
 	lane := p.lanes[w.lane]
@@ -254,12 +258,12 @@
 	}
 	w.foretold = p.foretell(w.lane, owner, w.need.Weight)
 	left := time.Until(w.need.Deadline)
-	if w.foretold+w.estimate.Mean <= left {
+	if w.foretold <= time.Duration(slackShare*float64(left-w.estimate.P90)) {
 		return nil
 	}
 	refusal := reason.Refuse(reason.DeadlineUnreachable,
 		"the work would wait %s and run %s, and has %s", w.foretold.Round(time.Millisecond),
-		w.estimate.Mean.Round(time.Millisecond), left.Round(time.Millisecond))
+		w.estimate.P90.Round(time.Millisecond), left.Round(time.Millisecond))
 	refusal.RetryAfter = w.foretold
 	return refusal
 }
