Test claims, traces, decoders, placement and membership; record a trace

The linearizability check of the batcher found that a change whose answer was lost and which was then overwritten was reported as not having happened. The conflict now says that it may have been overwritten; claims, jobs and leases of shards were read through and do not depend on the difference. A claim that is being taken back now counts as unsettled before its goroutine runs, so that a planned stop waits for it.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -145,6 +145,7 @@
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			b.stats.Claimed("store-unavailable")
+			b.unsettled.Put(task, struct{}{})
 			go b.disown(key, row, version)
 			refusal := reason.Refuse(reason.StoreUnavailable, "the claim could not be written")
 			refusal.RetryAfter = claimTimeout
@@ -224,7 +225,6 @@
 
 // disown takes back a claim that may have been written although no answer said so; its work was never started.
 func (b *Book) disown(key Key, row Row, version uint64) {
-	b.unsettled.Put(row.Task, struct{}{})
 	defer b.unsettled.Delete(row.Task)
 	row.State, row.Reason = NotRun, reason.StoreUnavailable
 	for b.ctx.Err() == nil {
--- a/front/run.go
+++ b/front/run.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if s.cfg.Recorder != nil {
-		s.cfg.Recorder.Record(a.work.Name, a.params, len(a.body), a.timeout)
+		s.cfg.Recorder.Record(a.work.Name, a.params, len(a.body), a.timeout, a.key != "")
 	}
 	if a.async || a.work.Class != entry.Request {
 		s.submit(w, r, a)
--- a/front/server.go
+++ b/front/server.go
@@ -57,7 +57,7 @@
 
 // Recorder takes down arriving requests for replay.
 type Recorder interface {
-	Record(work, params string, bytes int, timeout time.Duration)
+	Record(work, params string, bytes int, timeout time.Duration, keyed bool)
 }
 
 // Config is what a server works with.
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,41 @@
+package lease_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/lease"
+)
+
+func TestLeaseIsCountedFromTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var l lease.Lease
+		_, ok := l.Valid(time.Now())
+		c.Check(ok, qt.IsFalse)
+
+		sent := time.Now()
+		// The answer came late; the worker may have counted from any moment after the send.
+		time.Sleep(2 * time.Second)
+		l.Granted(7, sent, 3*time.Second)
+		epoch, ok := l.Valid(time.Now())
+		c.Check(epoch, qt.Equals, uint64(7))
+		c.Check(ok, qt.IsTrue)
+		time.Sleep(time.Second - lease.Margin)
+		_, ok = l.Valid(time.Now())
+		c.Check(ok, qt.IsFalse, qt.Commentf("in force although the worker may have let it lapse"))
+		c.Check(l.Remaining(time.Now()), qt.Equals, time.Duration(0))
+	})
+}
+
+func TestLostLeaseIsNotInForce(t *testing.T) {
+	c := qt.New(t)
+	var l lease.Lease
+	l.Granted(1, time.Now(), time.Hour)
+	l.Lost()
+	_, ok := l.Valid(time.Now())
+	c.Check(ok, qt.IsFalse)
+}
--- /dev/null
+++ b/loads/loads_test.go
@@ -0,0 +1,97 @@
+package loads_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/entry"
+	"github.com/corianderdrift/corianderdrift/loads"
+	"github.com/corianderdrift/corianderdrift/reason"
+)
+
+var profile = loads.Profile{
+	Name: "p", Seed: 3, Duration: entry.Duration(20 * time.Second),
+	Streams: []loads.Stream{{
+		Work: "w", Owner: "o", Rate: 50, Run: entry.Duration(10 * time.Millisecond), LongEvery: 100, LongTimes: 1000,
+		Crest: loads.Crest{At: entry.Duration(10 * time.Second), Length: entry.Duration(5 * time.Second), Times: 10},
+	}},
+}
+
+func TestArrivalsFollowTheProfileAndTheSeed(t *testing.T) {
+	c := qt.New(t)
+	first, second := profile.Arrivals(), profile.Arrivals()
+	c.Assert(first, qt.DeepEquals, second)
+	crest, long := 0, 0
+	for _, a := range first {
+		if a.AtMicros >= 10e6 && a.AtMicros < 15e6 {
+			crest++
+		}
+		if a.RunMicros == 10e6 {
+			long++
+		}
+	}
+	c.Check(crest > 2200 && crest < 2800, qt.IsTrue, qt.Commentf("%d in the crest", crest))
+	c.Check(long, qt.Equals, len(first)/100)
+}
+
+func TestTracesAreReadAsWritten(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	c.Assert(loads.WriteTrace(&b, profile.Arrivals()), qt.IsNil)
+	list, err := loads.ReadTrace(&b)
+	c.Assert(err, qt.IsNil)
+	c.Check(list, qt.DeepEquals, profile.Arrivals())
+	var recorded bytes.Buffer
+	r := loads.NewRecorder(&recorded)
+	r.Record("w", "run=1ms", 5, time.Second, true)
+	c.Assert(r.Flush(), qt.IsNil)
+	list, err = loads.ReadTrace(&recorded)
+	c.Assert(err, qt.IsNil)
+	c.Check(list[0].TimeoutMillis, qt.Equals, int64(1000))
+}
+
+func TestReportsAreCheckedAgainstStatedOutcomes(t *testing.T) {
+	c := qt.New(t)
+	a := loads.Arrival{Work: "w", TimeoutMillis: 100}
+	results := []loads.Result{
+		{Arrival: a, Answered: true, Took: 50 * time.Millisecond},
+		{Arrival: a, Answered: true, Took: 150 * time.Millisecond},
+		{Arrival: a, Outcome: reason.NotRun, Reason: reason.QueueFull},
+		{Arrival: a, Outcome: reason.Unknown},
+	}
+	report := loads.Sum("r", 1, results)
+	c.Check(report.Check([]loads.Expect{{Work: "w", AnsweredShare: 0.25, MostUnknown: 1}}), qt.IsNil)
+	c.Check(report.Check([]loads.Expect{{Work: "w", AnsweredShare: 0.26, MostUnknown: 1}}), qt.IsNotNil)
+	c.Check(report.Check([]loads.Expect{{Work: "w", MostUnknown: 0}}), qt.IsNotNil)
+	results[0].Wrong = true
+	c.Check(loads.Sum("r", 1, results).Check(nil), qt.ErrorMatches, ".*belong to other requests")
+}
+
+func TestBadProfilesAreRefused(t *testing.T) {
+	for _, text := range []string{"", "duration: 1s\ncolour: red", "duration: 2h", "duration: 1s\nstreams: [{work: w}]"} {
+		c := qt.New(t)
+		_, err := loads.ParseProfile([]byte(text))
+		c.Check(err, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
+
+func FuzzReadTrace(f *testing.F) {
+	f.Add([]byte("# comment\n{\"at-us\":1,\"work\":\"w\"}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		list, err := loads.ReadTrace(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		var b bytes.Buffer
+		if err := loads.WriteTrace(&b, list); err != nil {
+			t.Fatal(err)
+		}
+		again, err := loads.ReadTrace(&b)
+		if err != nil || len(again) != len(list) {
+			t.Fatalf("%d arrivals became %d: %v", len(list), len(again), err)
+		}
+	})
+}
--- a/loads/trace.go
+++ b/loads/trace.go
@@ -54,10 +54,10 @@
 }
 
 // Record writes one request down.
-func (r *Recorder) Record(work, params string, bytes int, timeout time.Duration) {
+func (r *Recorder) Record(work, params string, bytes int, timeout time.Duration, keyed bool) {
 	line, err := json.Marshal(Arrival{
 		AtMicros: time.Since(r.started).Microseconds(), Work: work, Params: params, Bytes: bytes,
-		TimeoutMillis: timeout.Milliseconds(),
+		TimeoutMillis: timeout.Milliseconds(), Keyed: keyed,
 	})
 	if err != nil {
 		return
--- /dev/null
+++ b/peers/table_test.go
@@ -0,0 +1,84 @@
+package peers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/peerpb"
+	"github.com/corianderdrift/corianderdrift/peers"
+)
+
+func state(name, incarnation string, started int64, age time.Duration) *peerpb.HostState {
+	return &peerpb.HostState{
+		Name: name, Incarnation: incarnation, StartedUnixNanos: started, Address: "127.0.0.1:1", DataCenter: "here",
+		AgeMicros: age.Microseconds(), CatalogueVersion: uint64(started),
+	}
+}
+
+func TestTheNewestWordOfAHostCounts(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name string
+		says []*peerpb.HostState
+		want string
+	}{
+		{"newer process", []*peerpb.HostState{state("b", "one", 1, 0), state("b", "two", 2, time.Second)}, "two"},
+		{"late word of the older process", []*peerpb.HostState{state("b", "two", 2, time.Second), state("b", "one", 1, 0)}, "two"},
+		{"own name", []*peerpb.HostState{state("a", "other", 1, 0)}, ""},
+		{"bad address", []*peerpb.HostState{{Name: "b", Address: "nonsense"}}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			table := peers.NewTable("a", "here")
+			for _, s := range test.says {
+				table.Observe(s, now)
+			}
+			m, ok := table.Member("b")
+			c.Check(ok, qt.Equals, test.want != "")
+			c.Check(m.State.GetIncarnation(), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestSilentAndLeavingHostsAreNotLive(t *testing.T) {
+	c := qt.New(t)
+	table := peers.NewTable("a", "here")
+	now := time.Now()
+	table.Observe(state("fresh", "1", 1, 0), now)
+	table.Observe(state("silent", "1", 1, peers.AliveNear), now)
+	leaving := state("leaving", "1", 1, 0)
+	leaving.Leaving = true
+	table.Observe(leaving, now)
+	relayed := state("relayer", "1", 1, 0)
+	relayed.Others = []*peerpb.HostState{state("heard-of", "1", 9, time.Second)}
+	table.Observe(relayed, now)
+	var names []string
+	for _, m := range table.Near(now) {
+		names = append(names, m.Name)
+	}
+	c.Check(names, qt.DeepEquals, []string{"fresh", "heard-of", "relayer"})
+	c.Check(table.HighestVersion(), qt.Equals, uint64(9))
+}
+
+func TestPreferenceMovesOnlyWhatItMust(t *testing.T) {
+	c := qt.New(t)
+	hosts := []string{"a", "b", "c", "d"}
+	moved, counts := 0, map[string]int{}
+	for i := range 1000 {
+		thing := fmt.Sprint("worker-", i)
+		before := peers.Preferred(thing, hosts)
+		counts[before]++
+		after := peers.Preferred(thing, hosts[:3])
+		if before != "d" && after != before {
+			moved++
+		}
+	}
+	c.Check(moved, qt.Equals, 0)
+	for _, host := range hosts {
+		c.Check(counts[host] > 150, qt.IsTrue, qt.Commentf("%s has %d of 1000", host, counts[host]))
+	}
+}
--- a/store/batch.go
+++ b/store/batch.go
@@ -53,7 +53,8 @@
 	return &Batcher{table: table, queue: make(chan *pending, batchQueue)}
 }
 
-// Do applies a change; a ConflictError means that it did not happen, an UnavailableError that it may have.
+// Do applies a change; a ConflictError means that it did not happen, or was overwritten where it says so, an
+// UnavailableError that it may have happened or may yet.
 func (b *Batcher) Do(ctx context.Context, op Op) (uint64, error) {
 	p := &pending{ctx: ctx, op: op, done: make(chan batchResult, 1)}
 	select {
@@ -211,7 +212,7 @@
 		case p.sent && appliedBefore(p.op, mine):
 			p.done <- batchResult{version: mine[0].Version}
 		default:
-			p.done <- batchResult{err: &ConflictError{Rows: mine}}
+			p.done <- batchResult{err: &ConflictError{Rows: mine, Overwritten: p.sent}}
 		}
 	}
 	if len(rest) == len(batch) {
--- /dev/null
+++ b/store/batch_test.go
@@ -0,0 +1,194 @@
+package store_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/store"
+)
+
+// memory is a table in memory that loses the answers of some commits after they took effect.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[string]store.Row
+	version uint64
+	commits int
+	// loseEvery loses the answer of one commit in so many.
+	loseEvery int
+}
+
+func (m *memory) Commit(_ context.Context, tx store.Tx) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commits++
+	var conflicts []store.Row
+	for _, check := range tx.Checks {
+		if row := m.rows[check.Key]; row.Version != check.Version {
+			row.Key = check.Key
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return 0, &store.ConflictError{Rows: conflicts}
+	}
+	m.version++
+	for _, write := range tx.Writes {
+		m.rows[write.Key] = store.Row{Key: write.Key, Version: m.version, Value: write.Value}
+	}
+	if m.loseEvery > 0 && m.commits%m.loseEvery == 0 {
+		return 0, &store.UnavailableError{Op: "commit", Err: errors.New("answer lost")}
+	}
+	return m.version, nil
+}
+
+func runBatcher(t *testing.T, m *memory) *store.Batcher {
+	t.Helper()
+	b := store.NewBatcher(m)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = b.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return b
+}
+
+func claimOp(key, writer string, version uint64) store.Op {
+	value, _ := json.Marshal(writer)
+	return store.Op{Checks: []store.Check{{Key: key, Version: version}}, Writes: []store.Write{{Key: key, Value: value}}}
+}
+
+func TestOneOfManyClaimsOfAKeyWins(t *testing.T) {
+	for _, loseEvery := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("losing one answer in %d", loseEvery), func(t *testing.T) {
+			c := qt.New(t)
+			b := runBatcher(t, &memory{rows: map[string]store.Row{}, loseEvery: loseEvery})
+			var mu sync.Mutex
+			winners := map[string]int{}
+			var wg sync.WaitGroup
+			for writer := range 8 {
+				for key := range 20 {
+					wg.Go(func() {
+						name := fmt.Sprintf("key-%d", key)
+						_, err := b.Do(context.Background(), claimOp(name, fmt.Sprint(writer), 0))
+						var conflict *store.ConflictError
+						mu.Lock()
+						defer mu.Unlock()
+						if err == nil {
+							winners[name]++
+						} else {
+							c.Check(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
+						}
+					})
+				}
+			}
+			wg.Wait()
+			c.Check(winners, qt.HasLen, 20)
+			for key, n := range winners {
+				c.Check(n, qt.Equals, 1, qt.Commentf("%s", key))
+			}
+		})
+	}
+}
+
+func TestChangesThatArriveTogetherShareACommit(t *testing.T) {
+	c := qt.New(t)
+	m := &memory{rows: map[string]store.Row{}}
+	b := runBatcher(t, m)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			_, err := b.Do(context.Background(), claimOp(fmt.Sprint(i), "w", 0))
+			c.Check(err, qt.IsNil)
+		})
+	}
+	wg.Wait()
+	c.Check(m.commits < 100, qt.IsTrue, qt.Commentf("%d commits", m.commits))
+}
+
+// swap is a compare-and-set of one register, as a caller saw it.
+type swap struct {
+	expect, value string
+}
+
+// swapResult is what the caller was told: done, what stood there instead, or that it may have been overwritten.
+type swapResult struct {
+	done    bool
+	unknown bool
+	was     string
+}
+
+var register = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		in, out, now := input.(swap), output.(swapResult), state.(string)
+		switch {
+		case out.unknown && now == in.expect:
+			return []any{now, in.value}
+		case out.unknown:
+			return []any{now}
+		case out.done && now == in.expect:
+			return []any{in.value}
+		case !out.done && now == out.was && now != in.expect:
+			return []any{now}
+		default:
+			return nil
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func TestCompareAndSetIsLinearizableWhenAnswersAreLost(t *testing.T) {
+	c := qt.New(t)
+	m := &memory{rows: map[string]store.Row{}, loseEvery: 3}
+	b := runBatcher(t, m)
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	start := time.Now()
+	var wg sync.WaitGroup
+	for client := range 4 {
+		wg.Go(func() {
+			row := store.Row{}
+			for i := range 12 {
+				value := fmt.Sprintf("%d-%d", client, i)
+				call := time.Since(start)
+				_, err := b.Do(context.Background(), claimOp("register", value, row.Version))
+				in, out := swap{textOf(row), value}, swapResult{done: err == nil}
+				var conflict *store.ConflictError
+				if errors.As(err, &conflict) {
+					row = conflict.Rows[0]
+					out.was, out.unknown = textOf(row), conflict.Overwritten
+				} else {
+					m.mu.Lock()
+					row = m.rows["register"]
+					m.mu.Unlock()
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: in, Output: out, Call: call.Nanoseconds(), Return: time.Since(start).Nanoseconds(),
+				})
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	c.Check(porcupine.CheckOperations(register.ToModel(), history), qt.IsTrue)
+}
+
+func textOf(row store.Row) string {
+	var text string
+	_ = json.Unmarshal(row.Value, &text)
+	return text
+}
--- a/store/types.go
+++ b/store/types.go
@@ -72,6 +72,8 @@
 // ConflictError says that a transaction's checks did not hold and that nothing was written.
 type ConflictError struct {
 	Rows []Row
+	// Overwritten says that an earlier try of the same change may have taken effect, and that others changed the rows since.
+	Overwritten bool
 }
 
 // Error names the first conflicting row.
--- /dev/null
+++ b/worker/client_test.go
@@ -0,0 +1,90 @@
+package worker_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/worker"
+)
+
+func client(t testing.TB, handler http.HandlerFunc) *worker.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	c := worker.NewClient("w", netip.MustParseAddrPort(server.Listener.Addr().String()), netip.Addr{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestErrorsTellWhatWasSent(t *testing.T) {
+	var unreachable *worker.UnreachableError
+	var refused *worker.RefusedError
+	var lost *worker.LostError
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		as      any
+	}{
+		{"refused", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusConflict)
+			_, _ = w.Write([]byte(`{"fault":"no-room"}`))
+		}, &refused},
+		{"error of something in between", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusBadGateway)
+		}, &lost},
+		{"cut before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, &lost},
+		{"torn answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("only a part"))
+		}, &lost},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := client(t, test.handler).Run(context.Background(), "id", worker.Spec{}, "", []byte("body"))
+			c.Check(errors.As(err, test.as), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		c := qt.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		addr := netip.MustParseAddrPort(listener.Addr().String())
+		c.Assert(listener.Close(), qt.IsNil)
+		_, err = worker.NewClient("w", addr, netip.Addr{}).Run(context.Background(), "id", worker.Spec{}, "", nil)
+		c.Check(errors.As(err, &unreachable), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add(200, []byte(`{"granted":true,"epoch":1}`))
+	f.Add(409, []byte(`{"fault":"stale-epoch"}`))
+	f.Add(200, []byte(`{"tasks":[{"id":"a","size":{"slots":1}}]}`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		if status < 200 || status > 599 {
+			return
+		}
+		c := client(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write(body)
+		})
+		ctx := context.Background()
+		if _, err := c.State(ctx); err == nil && status/100 != 2 {
+			t.Fatal("a refusal was taken for a state")
+		}
+		if _, err := c.Lease(ctx, worker.LeaseRequest{}); err == nil && status/100 != 2 {
+			t.Fatal("a refusal was taken for a lease")
+		}
+		answer, err := c.Run(ctx, "id", worker.Spec{}, "", nil)
+		if err == nil && status != 204 && status != 304 && string(answer.Body) != string(body) {
+			t.Fatal("another body")
+		}
+	})
+}
