Split owners' quotas into shares of hosts by rows in the table

A share grows by compare-and-set while the sum stays within the quota, shrinks when it has been idle, and moves to whoever waits with less. A host that is cut off keeps its own. Tasks of a dead host are booked by whoever adopts them before its share is dropped. First try (failed, mended): hosts that were always busy kept the whole quota and the other data centre starved; a line of waiting hosts ordered by arrival alone did not help, since the busy ones stood in it too.

--- a/holder/pool.go
+++ b/holder/pool.go
@@ -293,6 +293,13 @@
 	p.drift = min(most, max(lowest, p.drift*(1+step*(ratio-1))))
 }
 
+// Kick looks again for room for what waits.
+func (p *Pool) Kick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
 // Release gives a grant's room back.
 func (p *Pool) Release(g *Grant) {
 	p.mu.Lock()
--- a/holder/report.go
+++ b/holder/report.go
@@ -101,6 +101,18 @@
 	return reports
 }
 
+// WorkerBytes returns how many bytes were exchanged with workers that this pool knows.
+func (p *Pool) WorkerBytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var total int64
+	for _, h := range p.workers {
+		sent, read := h.client.Bytes()
+		total += sent + read
+	}
+	return total
+}
+
 // Load summarises the pool for other hosts.
 func (p *Pool) Load() Load {
 	p.mu.Lock()
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -85,12 +85,19 @@
 		return nil, reason.Refuse(reason.LeaseLost, "this entry host does not hold worker %s", name)
 	}
 	w := p.newWaiter(need)
+	_, running := h.running[need.Task]
+	if !running && p.cfg.Quotas != nil && !p.cfg.Quotas.Take(need.Work.Owner, w.size) {
+		return nil, reason.Refuse(reason.OverQuota, "owner %s has no quota left here", need.Work.Owner)
+	}
 	if err := h.ledger.Reserve(ledger.Item{Task: need.Task, Size: w.size, Long: w.long}); err != nil {
+		if !running && p.cfg.Quotas != nil {
+			p.cfg.Quotas.Give(need.Work.Owner, w.size)
+		}
 		return nil, reason.Refuse(reason.WorkerRefused, "worker %s has no room any more", name)
 	}
-	if _, running := h.running[need.Task]; !running {
+	if !running {
 		h.running[need.Task] = run{
-			work: need.Work.Name, owner: need.Work.Owner, since: time.Now(), size: w.size,
+			work: need.Work.Name, owner: need.Work.Owner, since: time.Now(), size: w.size, quota: true,
 			checkpointable: need.Work.Checkpointable, class: need.Work.Class,
 		}
 		if w.long {
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/peerpb"
 	"github.com/corianderdrift/corianderdrift/peers"
@@ -131,6 +133,66 @@
 	}
 }
 
+func (n *Node) quotaOf(owner string) entry.Quota {
+	c := n.keeper.Current()
+	if c == nil {
+		return entry.Quota{}
+	}
+	o, _ := c.Owner(owner)
+	return o.Quota
+}
+
+// gone reports whether a process has been replaced or removed, and the tasks that it left are booked by their new
+// holders; while a host of its data centre can't be heard, that is not known.
+func (n *Node) gone(id, dataCenter string) bool {
+	name, incarnation, _ := strings.Cut(id, "@")
+	now := time.Now()
+	if !n.replaced(name, incarnation, now) {
+		return false
+	}
+	return n.booked(dataCenter, name, now) && (dataCenter != n.cfg.DataCenter || !n.quotas.Unbooked())
+}
+
+func (n *Node) heard(id string) bool {
+	name, _, _ := strings.Cut(id, "@")
+	m, ok := n.table.Member(name)
+	return ok && n.table.Alive(m, time.Now())
+}
+
+// settled reports whether all other hosts of this data centre have booked what they adopted.
+func (n *Node) settled() bool { return n.booked(n.cfg.DataCenter, "", time.Now()) }
+
+// booked reports whether all listed hosts of a data centre but one are heard and have booked what they adopted.
+func (n *Node) booked(dataCenter, except string, now time.Time) bool {
+	for _, listed := range n.listedHosts(dataCenter) {
+		m, ok := n.table.Member(listed)
+		if listed == except && !ok {
+			continue
+		}
+		if !ok || !n.table.Alive(m, now) || m.State.GetUnbooked() {
+			return false
+		}
+	}
+	return true
+}
+
+// replaced reports whether a process with the name of another has taken its place, or the platform has dropped the name.
+func (n *Node) replaced(name, incarnation string, now time.Time) bool {
+	if name == n.cfg.Name {
+		return incarnation != n.incarnation
+	}
+	if m, ok := n.table.Member(name); ok && n.table.Alive(m, now) {
+		return m.State.GetIncarnation() != incarnation
+	}
+	list := n.list()
+	for _, host := range list {
+		if host.Name == name {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
 // state is what heartbeats tell of this host.
 func (n *Node) state() *peerpb.HostState {
 	load := n.pool.Load()
@@ -140,6 +202,6 @@
 		Leaving: n.leaving.Load(), Load: load.Load, FreeCpuMilli: load.Free.CPUMilli,
 		FreeAccelerators: load.Free.Accelerators, MaxCpuMilli: load.Max.CPUMilli, MaxMemoryMib: load.Max.MemoryMiB,
 		MaxAccelerators: load.Max.Accelerators, WaitMicros: load.Wait.Microseconds(), Held: load.Held,
-		StartedUnixNanos: n.started.UnixNano(),
+		StartedUnixNanos: n.started.UnixNano(), Unbooked: n.quotas.Unbooked(),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/corianderdrift/corianderdrift/metric"
 	"github.com/corianderdrift/corianderdrift/peerpb"
 	"github.com/corianderdrift/corianderdrift/peers"
+	"github.com/corianderdrift/corianderdrift/quota"
 	"github.com/corianderdrift/corianderdrift/route"
 	"github.com/corianderdrift/corianderdrift/store"
 	"github.com/corianderdrift/corianderdrift/worker"
@@ -60,6 +61,7 @@
 	claims *claim.Book
 	homes  *jobs.Homes
 	jobs   *jobs.Book
+	quotas *quota.Book
 	fleet  *fleet.Fleet
 	front  *front.Server
 
@@ -83,9 +85,13 @@
 	dialer := worker.NewDialer(cfg.Source, dialTimeout)
 	n.store = store.NewClient(cfg.Platform, dialer, n.metrics)
 	n.writer = store.NewBatcher(n.store)
+	n.quotas = quota.NewBook(quota.Config{
+		Self: n.id, DataCenter: cfg.DataCenter, Table: n.store, Writer: n.writer, Quota: n.quotaOf, Gone: n.gone, Settled: n.settled, Heard: n.heard,
+		Grown: func() { n.pool.Kick() }, Log: log,
+	})
 	n.pool = holder.NewPool(holder.Config{
 		Holder: n.id, LeaseTTL: cfg.LeaseTTL, TaskTTL: cfg.TaskTTL, ShortLimit: cfg.ShortLimit,
-		Plain: cfg.Policy == conf.PolicyPlain, Source: cfg.Source,
+		Plain: cfg.Policy == conf.PolicyPlain, Source: cfg.Source, Quotas: n.quotas,
 	}, n.book, n.metrics, log)
 	n.table = peers.NewTable(cfg.Name, cfg.DataCenter)
 	for _, seed := range cfg.Seeds {
@@ -144,6 +150,7 @@
 	n.metrics.Gauge("job_shards", "Job shards whose home this host is.", func() float64 { return float64(n.homes.Count()) })
 	n.metrics.Gauge("catalogue_version", "Catalogue version in force.", func() float64 { return float64(n.keeper.Version()) })
 	n.metrics.Gauge("peer_bytes", "Bytes exchanged with peers over connections opened here.", func() float64 { return float64(n.net.Bytes()) })
+	n.metrics.Gauge("worker_bytes", "Bytes exchanged with workers.", func() float64 { return float64(n.pool.WorkerBytes()) })
 	n.metrics.Gauge("load", "Share of the fullest dimension in use.", func() float64 { return n.pool.Load().Load })
 }
 
@@ -201,6 +208,7 @@
 	g.Go("hosts", n.watchHosts)
 	g.Go("room", n.keepRoom)
 	g.Go("preemption", n.pool.Preempt)
+	g.Go("quotas", n.quotas.Run)
 	homesCtx, stopHomes := context.WithCancel(n.life)
 	defer stopHomes()
 	g.Go("homes", func(context.Context) error { return n.homes.Run(homesCtx) })
--- a/peers/table.go
+++ b/peers/table.go
@@ -187,7 +187,7 @@
 		FreeCpuMilli: s.GetFreeCpuMilli(), FreeAccelerators: s.GetFreeAccelerators(),
 		MaxCpuMilli: s.GetMaxCpuMilli(), MaxMemoryMib: s.GetMaxMemoryMib(), MaxAccelerators: s.GetMaxAccelerators(),
 		WaitMicros: s.GetWaitMicros(), Held: s.GetHeld(), StartedUnixNanos: s.GetStartedUnixNanos(),
-		AgeMicros: now.Sub(m.Current).Microseconds(),
+		Unbooked: s.GetUnbooked(), AgeMicros: now.Sub(m.Current).Microseconds(),
 	}
 }
 
