--- a/bench/cell.go
+++ b/bench/cell.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	for _, doc := range docs {
-		req, err := http.NewRequest(http.MethodPut, urls[0]+"/v1/catalogue/"+doc.Key, bytes.NewReader(doc.Raw))
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, urls[0]+"/v1/catalogue/"+doc.Key, bytes.NewReader(doc.Raw))
 		if err != nil {
 			return err
 		}
--- a/loads/profile.go
+++ b/loads/profile.go
@@ -33,7 +33,7 @@
 	Run entry.Duration `json:"run"`
 	// Spread makes run times vary by a log-normal factor with this sigma.
 	Spread float64 `json:"spread,omitempty"`
-	// LongEvery makes one request in so many run LongTimes as long.
+	// LongEvery makes one request in so many, by chance, run LongTimes as long.
 	LongEvery int     `json:"long-every,omitempty"`
 	LongTimes float64 `json:"long-times,omitempty"`
 	// LongWork is the work under which the long ones are sent; by default they are not told apart.
@@ -145,7 +145,7 @@
 		run *= math.Exp(s.Spread * rng.NormFloat64())
 	}
 	work := s.Work
-	if s.LongEvery > 0 && n%s.LongEvery == 0 {
+	if s.LongEvery > 0 && rng.IntN(s.LongEvery) == 0 {
 		run *= s.LongTimes
 		if s.LongWork != "" {
 			work = s.LongWork
--- a/store/client.go
+++ b/store/client.go
@@ -153,8 +153,11 @@
 		_ = discard(io.LimitReader(resp.Body, maxReplyBytes))
 		return &UnavailableError{Op: op, Status: resp.StatusCode}
 	}
-	if err := read(io.LimitReader(resp.Body, maxReplyBytes)); err != nil {
+	answer := io.LimitReader(resp.Body, maxReplyBytes)
+	if err := read(answer); err != nil {
 		return &UnavailableError{Op: op, Err: err}
 	}
+	// A connection is used again only after its answer was read to the end.
+	_ = discard(answer)
 	return nil
 }
--- a/worker/client.go
+++ b/worker/client.go
@@ -206,6 +206,8 @@
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
 		return &LostError{Worker: c.name, Err: err}
 	}
+	// A connection is used again only after its answer was read to the end.
+	_, _ = io.Copy(io.Discard, resp.Body)
 	return nil
 }
 
