--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -80,15 +81,7 @@
 }
 
 func matches[T comparable](list []T, value T) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, v := range list {
-		if v == value {
-			return true
-		}
-	}
-	return false
+	return len(list) == 0 || slices.Contains(list, value)
 }
 
 // Proxy passes the connections to one address on to another.
--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/entry"
@@ -99,7 +100,7 @@
 	}
 	var best *Held
 	for _, h := range p.places {
-		if h == nil || !h.usable() || !w.size.Fits(h.ledger.Capacity()) || contains(w.need.Avoid, h.name) {
+		if h == nil || !h.usable() || !w.size.Fits(h.ledger.Capacity()) || slices.Contains(w.need.Avoid, h.name) {
 			continue
 		}
 		if best == nil || h.ledger.Used().Share(h.ledger.Capacity()) < best.ledger.Used().Share(best.ledger.Capacity()) {
@@ -120,7 +121,7 @@
 	}
 	best := index.Best(w.size, func(i int, _ unitSize) float64 {
 		h := p.places[i]
-		if _, ok := h.lease.Valid(now); !ok || contains(w.need.Avoid, h.name) || !h.usable() {
+		if _, ok := h.lease.Valid(now); !ok || slices.Contains(w.need.Avoid, h.name) || !h.usable() {
 			return -1
 		}
 		if p.starvedOn == h && p.starving != w && w.long {
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range p.places {
-		if h != nil && h.usable() && !contains(avoid, h.name) {
+		if h != nil && h.usable() && !slices.Contains(avoid, h.name) {
 			return true
 		}
 	}
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -226,7 +227,7 @@
 			continue
 		}
 		usable++
-		if w.size.Fits(h.ledger.Capacity()) && !contains(w.need.Avoid, h.name) {
+		if w.size.Fits(h.ledger.Capacity()) && !slices.Contains(w.need.Avoid, h.name) {
 			fits = true
 			break
 		}
@@ -308,15 +309,6 @@
 	p.dispatch()
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Stop refuses new work from now on; what waits is still served.
 func (p *Pool) Stop() {
 	p.mu.Lock()
--- a/place/index_test.go
+++ b/place/index_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -73,7 +74,7 @@
 
 func BenchmarkPlacement(b *testing.B) {
 	for _, workers := range []int{10, 81, 810, 8100} {
-		b.Run(unit.Size{Slots: int64(workers)}.String(), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) {
 			capacity := unit.Size{CPUMilli: 64000, MemoryMiB: 256000, Accelerators: 8, Slots: 64, Connections: 64}
 			index := place.NewIndex(workers)
 			rng := rand.New(rand.NewPCG(1, 1))
--- a/route/router.go
+++ b/route/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -119,10 +120,10 @@
 	now := time.Now()
 	self := r.selfTarget(req.Work.Size)
 	var near, far []target
-	if self != nil && !contains(tried, "") {
+	if self != nil && !slices.Contains(tried, "") {
 		near = append(near, *self)
 	}
-	fits := func(m peers.Member) bool { return holds(m.State, req.Work.Size) && !contains(tried, m.Name) }
+	fits := func(m peers.Member) bool { return holds(m.State, req.Work.Size) && !slices.Contains(tried, m.Name) }
 	isNear := map[string]bool{}
 	for _, m := range r.table.Near(now) {
 		isNear[m.Name] = true
@@ -151,15 +152,6 @@
 	return target{}, r.nobody(req.Work.Size)
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // better returns the lower score of two random targets.
 func better(targets []target) (target, bool) {
 	if len(targets) == 0 {
