--- a/holder/pool.go
+++ b/holder/pool.go
@@ -89,6 +89,8 @@
 	drift     float64
 	budget    budget
 	stopping  bool
+	// waits tells the preemption that work has begun to wait.
+	waits     chan struct{}
 	starving  *waiter
 	starvedOn *Held
 }
@@ -103,6 +105,7 @@
 		short:   place.NewIndex(1),
 		long:    place.NewIndex(1),
 		drift:   1,
+		waits:   make(chan struct{}, 1),
 	}
 	for i := range p.lanes {
 		p.lanes[i] = queue.New[*waiter]()
@@ -217,6 +220,12 @@
 	}
 	p.lanes[w.lane].Push(w.item, w.need.Weight)
 	p.dispatch()
+	if p.lanes[w.lane].Len() > 0 {
+		select {
+		case p.waits <- struct{}{}:
+		default:
+		}
+	}
 	return nil
 }
 
