Hold requests of 3 s through a rolling stop

With the wait for requests in flight taken out the test passed: its longest run, 0.8 s, ended within the delays of the stop. 3 s are longer than all of them.

--- a/test/change_test.go
+++ b/test/change_test.go
@@ -120,7 +120,7 @@
 		work, key, params, size := "check", "", "run=30ms", 300
 		switch {
 		case caller == 0:
-			params, size = "run=800ms", mebibyte
+			params, size = "run=3s", mebibyte
 		case caller == 1:
 			params, size = "run=5ms", 4*mebibyte
 		case caller%3 == 0:
