--- a/test/cut_test.go
+++ b/test/cut_test.go
@@ -97,3 +97,24 @@
 	cl.c.Check(cl.waitJob(h, long).State, qt.Equals, jobs.Done)
 	checkPlaces(cl.c, cl.settled())
 }
+
+func TestTasksInACutOffDataCentreAreNotStartedElsewhere(t *testing.T) {
+	cl := start(t, spec{dataCenters: []string{"east", "west"}, hosts: 2, workers: 2, slots: 4})
+	cl.put(documents)
+	ids := cl.submitJobs(4, "rolls", "run=20s", 3)
+	cl.eventually("tasks run in both data centres", func() bool {
+		return cl.totalStarts() == 12 && cl.startsOn(cl.workers[0])+cl.startsOn(cl.workers[1]) < 12 &&
+			cl.startsOn(cl.workers[2])+cl.startsOn(cl.workers[3]) < 12
+	})
+	cl.cutOff(cl.hosts[2].dataCenter)
+	cut := time.Now()
+	// Long enough for homes to move, and for leases of tasks that nobody renews to lapse.
+	cl.eventually("the cut lasts", func() bool { return time.Since(cut) > 11*time.Second })
+	cl.heal()
+	for _, id := range ids {
+		cl.c.Check(cl.waitJob(cl.hosts[0], id).State, qt.Equals, jobs.Done)
+	}
+	events := cl.settled()
+	checkPlaces(cl.c, events)
+	cl.c.Check(cl.totalStarts(), qt.Equals, 12, qt.Commentf("a task was started again while it ran"))
+}
