Make the test of connections silent in mid-answer independent of speed

The link is now slowed after the tasks have started and the connections go silent once an answer has begun; the requests have 55 s. What it checks is the same: all four get their whole answers.

--- a/test/answers_test.go
+++ b/test/answers_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/fault"
 )
 
@@ -63,20 +64,37 @@
 
 func TestConnectionsSilentInMidAnswer(t *testing.T) {
 	cl := start(t, spec{hosts: 2, workers: 1})
-	cl.put(documents)
+	cl.put(documents + `
+---
+kind: work
+name: patient
+owner: desk
+class: request
+repeatable: true
+size: {cpu-milli: 500, memory-mib: 128}
+run-time: 3s
+timeout: 55s
+`)
 	w := cl.workers[0]
-	// The answer is on its way, slowly, when its connection goes silent for good.
-	cl.net.Set("slow", fault.Rule{Names: []string{w.name}, Link: fault.Link{Delay: 20 * time.Millisecond}})
 	var b book
 	var wg sync.WaitGroup
 	for i := range 4 {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(23, uint64(i)))
-			b.add(cl.send(context.Background(), cl.hosts[i%2], "check", "", "run=300ms", uniqueBody(rng, 4*mebibyte)))
+			b.add(cl.send(context.Background(), cl.hosts[i%2], "patient", "", "run=3s", uniqueBody(rng, 4*mebibyte)))
 		})
 	}
 	cl.eventually("the tasks run", func() bool { return cl.startsOn(w) >= 4 })
-	pause(500 * time.Millisecond)
+	// The answers come slowly, and are on their way when their connections go silent for good.
+	cl.net.Set("slow", fault.Rule{Names: []string{w.name}, Link: fault.Link{Delay: 20 * time.Millisecond}})
+	cl.eventually("an answer is on its way", func() bool {
+		for _, e := range cl.events() {
+			if e.Kind == fakes.EventEnd {
+				return true
+			}
+		}
+		return false
+	})
 	w.proxy.Silence()
 	for _, h := range cl.hosts {
 		cl.proxies[h.name].Silence()
