Take "not run" of a lost request only from the host that was asked last

A request was offered to a host that refused it with proof (its last worker's lease was gone after a freeze), then to a second one, which started it and was killed. The sender then looked for the answer among all hosts of the data centre; the first host still knew its refusal for 3 s, and that was taken as proof that the second had not started it, so a third host started it again.

Ruled out: resends by net/http (PUT with a body is not replayed), calls that count as unsent although they left (only calls without a stream do), the worker's own check of ids (two workers), retries inside a holder (they have ids of their own).

The check of starts now prints what the workers logged of the attempt.

Conclusion: a refusal proves something only about the offer it answers.

--- a/route/router.go
+++ b/route/router.go
@@ -102,11 +102,10 @@
 
 // mayOffer reports whether another host may run what this one proved that it did not start.
 func mayOffer(err error) bool {
-	refusal := reason.From(err)
-	if refusal.Outcome != reason.NotRun {
+	if !notRun(err) {
 		return false
 	}
-	switch refusal.Reason {
+	switch reason.From(err).Reason {
 	case reason.NoWorkers, reason.Stopping, reason.PeerUnreachable, reason.NoCatalogue,
 		reason.LeaseLost, reason.WorkerLeaving:
 		return true
@@ -265,20 +264,20 @@
 	case err != nil && ctx.Err() != nil:
 		return holder.Answer{}, reason.Uncertain(reason.CallerLeft, "the caller left before the answer")
 	case err != nil:
-		return r.Recover(ctx, req.Task, m.DataCenter, req.Deadline, err)
+		return r.Recover(ctx, req.Task, m, req.Deadline, err)
 	}
 	return answerOf(reply)
 }
 
-// Recover asks the hosts of a data centre for the answer of a task whose host was lost on the way.
+// Recover asks the hosts of a data centre for the answer of a task that was offered to one of them and got lost there.
 func (r *Router) Recover(
-	ctx context.Context, task, dataCenter string, deadline time.Time, cause error,
+	ctx context.Context, task string, offered peers.Member, deadline time.Time, cause error,
 ) (holder.Answer, error) {
 	r.stats.Retry(reason.PeerSilent)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(recoverWait/4))
 	defer cancel()
 	for {
-		if answer, found, err := r.Ask(ctx, task, dataCenter); found {
+		if answer, found, err := r.ask(ctx, task, offered.DataCenter, offered.Name); found {
 			return answer, err
 		}
 		timer := time.NewTimer(recoverPause)
@@ -293,7 +292,13 @@
 
 // Ask asks the hosts of a data centre once for the answer of a task.
 func (r *Router) Ask(ctx context.Context, task, dataCenter string) (holder.Answer, bool, error) {
-	if answer, found, err := r.pool.Find(ctx, task, recoverWait); found {
+	return r.ask(ctx, task, dataCenter, "")
+}
+
+// ask takes "not run" only from the host to which the task was offered last; the others still know their refusals of
+// earlier offers.
+func (r *Router) ask(ctx context.Context, task, dataCenter, offered string) (holder.Answer, bool, error) {
+	if answer, found, err := r.pool.Find(ctx, task, recoverWait); found && !notRun(err) {
 		return answer, true, err
 	}
 	ask := r.table.Live(time.Now(), func(m peers.Member) bool { return m.DataCenter == dataCenter })
@@ -306,11 +311,16 @@
 			continue
 		}
 		answer, err := answerOf(reply)
+		if notRun(err) && m.Name != offered {
+			continue
+		}
 		return answer, true, err
 	}
 	return holder.Answer{}, false, nil
 }
 
+func notRun(err error) bool { return err != nil && reason.From(err).Outcome == reason.NotRun }
+
 func answerOf(reply *peerpb.RunReply) (holder.Answer, error) {
 	if err := peers.Refused(reply.GetRefusal()); err != nil {
 		return holder.Answer{Worker: reply.GetWorker()}, err
--- a/test/checks_test.go
+++ b/test/checks_test.go
@@ -211,7 +211,7 @@
 		spans[logical(s.task)] = append(spans[logical(s.task)], s)
 	}
 	for task, n := range starts {
-		c.Check(n, qt.Equals, 1, qt.Commentf("attempt %s started %d times", task, n))
+		c.Check(n, qt.Equals, 1, qt.Commentf("attempt %s started %d times:%s", task, n, history(events, task)))
 	}
 	for task, list := range spans {
 		sort.Slice(list, func(i, j int) bool { return list[i].from < list[j].from })
@@ -222,6 +222,18 @@
 	}
 }
 
+// history lists what the workers logged of an attempt.
+func history(events []fakes.Event, task string) string {
+	var b strings.Builder
+	for _, e := range events {
+		if e.Task == task {
+			fmt.Fprintf(&b, "\n  %s %s on %s by %s, epoch %d %s %s",
+				time.Unix(0, e.UnixNanos).Format("05.000"), e.Kind, e.Worker, e.Holder, e.Epoch, e.State, e.Detail)
+		}
+	}
+	return b.String()
+}
+
 // logical returns what the attempts of a task have in common: jobs have job.task.attempt, requests task or task.attempt.
 func logical(task string) string {
 	parts := strings.Split(task, ".")
