Let a stopping host pass late requests on, and wait while workers change holders

A stopping host refused everything after the delay although other hosts could run it.

Now its pool takes no new work, and its router goes on offering requests to the others until none has come for the stop delay. They now wait, up to 4 s; the largest size counts workers that take no work at present too.

Ruled out: a longer delay alone, since no delay is longer than every balancer takes.

The four copies of a pause that ends with its context are one in package clock.

Conclusion: being about to stop is a reason to take no work for one's own workers, not to turn callers away.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/reason"
 	"github.com/corianderdrift/corianderdrift/shard"
 	"github.com/corianderdrift/corianderdrift/store"
@@ -190,7 +191,7 @@
 		if row.Answer != nil && len(row.Answer.Body) > inlineAnswer {
 			object := "claim/" + row.Task
 			if err := b.table.PutObject(b.ctx, object, row.Answer.Body); err != nil {
-				pause(b.ctx, cleanupPause)
+				clock.Pause(b.ctx, cleanupPause)
 				continue
 			}
 			row.Answer = &Answer{ContentType: row.Answer.ContentType, Worker: row.Answer.Worker, Object: object}
@@ -200,7 +201,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			break
 		}
-		pause(b.ctx, cleanupPause)
+		clock.Pause(b.ctx, cleanupPause)
 	}
 	time.AfterFunc(recordKept, func() { b.live.Delete(row.Task) })
 }
@@ -243,7 +244,7 @@
 			version = current.Version
 			continue
 		}
-		pause(b.ctx, cleanupPause)
+		clock.Pause(b.ctx, cleanupPause)
 	}
 }
 
@@ -316,12 +317,3 @@
 
 // Unsettled returns the number of runs whose end is not written yet.
 func (b *Book) Unsettled() int { return b.unsettled.Len() }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock holds what the parts of a host share about waiting.
+package clock
--- a/front/run.go
+++ b/front/run.go
@@ -52,6 +52,7 @@
 
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	s.arrived.Store(arrived.UnixNano())
 	a, err := s.read(r, arrived)
 	class := string(a.work.Class)
 	if class == "" {
@@ -203,7 +204,7 @@
 		name := a.owner.Name + "/" + a.work.Name + "/" + a.key
 		id = uuid.NewSHA1(uuid.NameSpaceOID, []byte(name)).String()
 	}
-	if err := s.cfg.Router.Possible(a.work.Size); err != nil {
+	if err := s.cfg.Router.Possible(r.Context(), a.work.Size); err != nil {
 		s.refuse(w, class, err)
 		return
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/corianderdrift/corianderdrift/catlog"
 	"github.com/corianderdrift/corianderdrift/claim"
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/conf"
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/jobs"
@@ -78,6 +79,8 @@
 	cfg      Config
 	engine   *nbhttp.Engine
 	inFlight atomic.Int64
+	// arrived is when work last arrived, in nanoseconds of the Unix epoch.
+	arrived  atomic.Int64
 	unready  atomic.Bool
 	refusing atomic.Bool
 	handler  http.Handler
@@ -166,18 +169,16 @@
 // Refuse makes the server refuse new work.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// Quiet reports whether no work has arrived for the given time.
+func (s *Server) Quiet(d time.Duration) bool { return time.Since(time.Unix(0, s.arrived.Load())) >= d }
+
 // InFlight returns the number of requests that have no whole answer yet.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // Stop closes the listener and the connections; the caller has waited for InFlight to reach 0.
 func (s *Server) Stop(ctx context.Context) {
 	const flush = 100 * time.Millisecond
-	timer := time.NewTimer(flush)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Pause(ctx, flush)
 	_ = s.engine.Shutdown(ctx)
 }
 
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/reason"
 	"github.com/corianderdrift/corianderdrift/worker"
 )
@@ -227,7 +228,7 @@
 		if err == nil && answer.State.Over() {
 			return answer, nil
 		}
-		if err != nil && !pauseFor(ctx, silence/4) {
+		if err != nil && !clock.Pause(ctx, silence/4) {
 			break
 		}
 	}
@@ -258,7 +259,7 @@
 		if err == nil || errors.As(err, &refusal) {
 			return answer, err
 		}
-		if !pauseFor(ctx, silence/4) {
+		if !clock.Pause(ctx, silence/4) {
 			return worker.Answer{}, reason.Uncertain(reason.WorkerSilent, "worker %s does not tell what became of the work", h.name)
 		}
 	}
@@ -289,14 +290,3 @@
 		return h.client.Attach(ctx, task, 0)
 	}
 }
-
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/holder/keep.go
+++ b/holder/keep.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/ledger"
 	"github.com/corianderdrift/corianderdrift/worker"
@@ -218,7 +219,7 @@
 	p.reindex(h)
 	p.mu.Unlock()
 	// Starts that were sent under the lease reach the worker before the lease is given back.
-	pauseFor(ctx, startGrace)
+	clock.Pause(ctx, startGrace)
 	p.mu.Lock()
 	h.handing = false
 	p.drop(h)
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/queue"
 	"github.com/corianderdrift/corianderdrift/reason"
 )
@@ -30,7 +31,7 @@
 			return nil
 		case <-p.waits:
 			timer.Stop()
-			pauseFor(ctx, preemptAfter)
+			clock.Pause(ctx, preemptAfter)
 		case <-timer.C:
 		}
 		p.preemptOnce(ctx)
--- a/holder/report.go
+++ b/holder/report.go
@@ -34,6 +34,8 @@
 	Max  unit.Size
 	Wait time.Duration
 	Held []string
+	// Stopping says that this host's own workers take no new work.
+	Stopping bool
 }
 
 // Workers reports on all workers that this host holds.
@@ -125,12 +127,13 @@
 		}
 		load.Held = append(load.Held, h.name)
 		used = used.Add(h.ledger.Used())
+		load.Max = load.Max.Max(h.ledger.Capacity())
 		if h.usable() {
 			load.Free = load.Free.Add(h.ledger.Free(false))
-			load.Max = load.Max.Max(h.ledger.Capacity())
 		}
 	}
 	load.Load = used.Share(p.total)
 	load.Wait = p.foretell(laneShort, "", 1)
+	load.Stopping = p.stopping
 	return load
 }
--- a/loads/run.go
+++ b/loads/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/front"
 	"github.com/corianderdrift/corianderdrift/reason"
 )
@@ -63,12 +64,7 @@
 	for i, a := range list {
 		at := started.Add(time.Duration(a.AtMicros) * time.Microsecond)
 		if wait := time.Until(at); wait > 0 {
-			timer := time.NewTimer(wait)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				timer.Stop()
-			}
+			clock.Pause(ctx, wait)
 		}
 		if ctx.Err() != nil {
 			results = results[:i]
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderdrift/corianderdrift/catlog"
 	"github.com/corianderdrift/corianderdrift/claim"
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/conf"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/fleet"
@@ -252,8 +253,7 @@
 	n.leaving.Store(true)
 	n.front.Unready()
 	n.net.Beat(ctx)
-	pauseFor(ctx, n.cfg.StopDelay)
-	n.front.Refuse()
+	clock.Pause(ctx, n.cfg.StopDelay)
 	n.pool.Stop()
 	stopHomes()
 	releaseCtx, cancel := context.WithTimeout(ctx, releaseTime)
@@ -261,13 +261,21 @@
 	n.homes.Release(releaseCtx)
 	waitFor(ctx, func() bool { return n.pool.Waiting() == 0 })
 	n.pool.HandOverAll(ctx)
-	waitFor(ctx, func() bool { return n.front.InFlight() == 0 && n.pool.Unanswered() == 0 })
+	// A balancer that is late to notice still sends work here; the other hosts run it.
+	lateCtx, cancelLate := context.WithTimeout(ctx, n.cfg.StopLimit/2)
+	defer cancelLate()
+	waitFor(lateCtx, func() bool { return n.idle() && n.front.Quiet(n.cfg.StopDelay) })
+	n.front.Refuse()
+	waitFor(ctx, n.idle)
 	settleCtx, cancelSettle := context.WithTimeout(ctx, releaseTime)
 	defer cancelSettle()
 	waitFor(settleCtx, func() bool { return n.claims.Unsettled() == 0 })
 	n.front.Stop(ctx)
 }
 
+// idle reports whether every request that arrived has its answer.
+func (n *Node) idle() bool { return n.front.InFlight() == 0 && n.pool.Unanswered() == 0 }
+
 // stopPeers lets calls from peers end, and cuts them when ctx is done.
 func stopPeers(ctx context.Context, s *grpc.Server) {
 	done := make(chan struct{})
@@ -287,18 +295,9 @@
 	}
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func waitFor(ctx context.Context, done func() bool) {
 	const look = 10 * time.Millisecond
 	for !done() && ctx.Err() == nil {
-		pauseFor(ctx, look)
+		clock.Pause(ctx, look)
 	}
 }
--- a/route/router.go
+++ b/route/router.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/peerpb"
@@ -29,6 +31,10 @@
 	recoverPause = 200 * time.Millisecond
 	// recoverWait bounds the wait of one such look.
 	recoverWait = 2 * time.Second
+	// workersWait is how long a request waits for any worker to be held: a little more than one takes to change its holder.
+	workersWait = 4 * time.Second
+	// workersPause lies between two looks for such a worker.
+	workersPause = 50 * time.Millisecond
 	// tries is how many hosts a request is offered to while none has started it.
 	tries = 3
 )
@@ -79,8 +85,42 @@
 	return t.member.Name
 }
 
-// Run runs a request on this host or on the one that it chooses, and returns the whole answer.
+// Run runs a request on this host or on the one that it chooses, and returns the whole answer; while workers change
+// their holders it waits for one.
 func (r *Router) Run(ctx context.Context, req Request) (holder.Answer, error) {
+	base := req.Task
+	var answer holder.Answer
+	err := r.whileNoWorkers(ctx, req.Deadline, func(round int) error {
+		if round > 0 {
+			// A host that refused an id still gives that refusal for it, so the next round has an id of its own.
+			req.Task = fmt.Sprintf("%s.r%d", base, round)
+		}
+		var err error
+		answer, err = r.offer(ctx, req)
+		return err
+	})
+	return answer, err
+}
+
+// whileNoWorkers tries again while no fitting worker is held; nobody holds a worker that changes its holder.
+func (r *Router) whileNoWorkers(ctx context.Context, deadline time.Time, try func(round int) error) error {
+	until := time.Now().Add(workersWait)
+	if !deadline.IsZero() && deadline.Before(until) {
+		until = deadline
+	}
+	for round := 0; ; round++ {
+		err := try(round)
+		if !reason.Is(err, reason.NoWorkers) && !reason.Is(err, reason.TooLarge) || !notRun(err) {
+			return err
+		}
+		if time.Now().Add(workersPause).After(until) || !clock.Pause(ctx, workersPause) {
+			return err
+		}
+	}
+}
+
+// offer offers a request to one host after another until one has started it.
+func (r *Router) offer(ctx context.Context, req Request) (holder.Answer, error) {
 	var tried []string
 	for try := 1; ; try++ {
 		t, err := r.choose(req, tried)
@@ -170,12 +210,16 @@
 
 func (r *Router) selfTarget(size unit.Size) *target {
 	load := r.pool.Load()
-	if len(load.Held) == 0 || !sizeWithin(size, load.Max.CPUMilli, load.Max.MemoryMiB, load.Max.Accelerators) {
+	if load.Stopping || !heldHere(load, size) {
 		return nil
 	}
 	return &target{score: load.Wait + crowding(load.Load), near: true}
 }
 
+func heldHere(load holder.Load, size unit.Size) bool {
+	return len(load.Held) > 0 && sizeWithin(size, load.Max.CPUMilli, load.Max.MemoryMiB, load.Max.Accelerators)
+}
+
 // crowding prefers emptier hosts among those on which nothing waits.
 func crowding(load float64) time.Duration { return time.Duration(load * float64(2*time.Millisecond)) }
 
@@ -220,7 +264,7 @@
 			return true
 		}
 	}
-	return r.selfTarget(size) != nil
+	return heldHere(r.pool.Load(), size)
 }
 
 func (r *Router) runAt(ctx context.Context, t target, req Request) (holder.Answer, error) {
@@ -280,11 +324,7 @@
 		if answer, found, err := r.ask(ctx, task, offered.DataCenter, offered.Name); found {
 			return answer, err
 		}
-		timer := time.NewTimer(recoverPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Pause(ctx, recoverPause) {
 			return holder.Answer{}, &reason.Refusal{Outcome: reason.Unknown, Reason: reason.PeerSilent, Err: cause}
 		}
 	}
@@ -332,14 +372,12 @@
 }
 
 // Possible refuses work that no known worker could ever hold.
-func (r *Router) Possible(size unit.Size) error {
-	if r.possible(size) {
+func (r *Router) Possible(ctx context.Context, size unit.Size) error {
+	return r.whileNoWorkers(ctx, time.Time{}, func(int) error {
+		if err := r.nobody(size); !r.possible(size) && reason.Is(err, reason.TooLarge) {
+			return err
+		}
+		// Without any worker in sight nothing is known, so the work may wait.
 		return nil
-	}
-	err := r.nobody(size)
-	if reason.Is(err, reason.TooLarge) {
-		return err
-	}
-	// Without any worker in sight nothing is known, so the work may wait.
-	return nil
+	})
 }
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -140,6 +140,7 @@
 		{"the asked one is lost", offers{dies}, reason.Unknown, 1},
 		{"an earlier refusal is no proof for a later offer", offers{refuses, dies}, reason.Unknown, 1},
 		{"two earlier refusals are none either", offers{refuses, refuses, dies}, reason.Unknown, 1},
+		{"the workers change their holders", offers{refuses, refuses, refuses, refuses, runs}, "", 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/store/batch.go
+++ b/store/batch.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/corianderdrift/corianderdrift/clock"
 )
 
 const (
@@ -179,12 +181,7 @@
 	for _, p := range batch {
 		p.sent = true
 	}
-	timer := time.NewTimer(batchRetry)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Pause(ctx, batchRetry)
 	return batch
 }
 
--- a/test/change_test.go
+++ b/test/change_test.go
@@ -318,3 +318,35 @@
 	cl.c.Check(doc.Doc["colour"], qt.Equals, "blue")
 	cl.c.Check(doc.Doc["weight"], qt.Equals, float64(7))
 }
+
+func TestAStoppingHostServesWhatComesLate(t *testing.T) {
+	// The delay is also how long no work must have come before the host ends; it is far longer than any pause here.
+	cl := start(t, spec{hosts: 2, workers: 2, hostFlags: []string{"--stop-delay", "3s"}})
+	cl.put(documents)
+	stopping := cl.hosts[0]
+	var b book
+	stop := make(chan struct{})
+	// These callers don't look at the readiness.
+	wg := cl.load(&b, 4, stop, cl.mixed(43, "run=10ms", stopping))
+	stopping.signal(syscall.SIGTERM)
+	cl.eventually("the other host holds all workers", func() bool { return !cl.holds(stopping) })
+	handedOver := time.Now()
+	late := func() int {
+		count := 0
+		for _, r := range b.all() {
+			if r.began.After(handedOver) {
+				count++
+			}
+		}
+		return count
+	}
+	cl.eventually("work came late", func() bool { return late() > 100 })
+	close(stop)
+	wg.Wait()
+	<-stopping.done
+	cl.c.Check(stopping.cmd.ProcessState.ExitCode(), qt.Equals, 0)
+	for _, r := range b.all() {
+		cl.c.Check(r.answered(), qt.IsTrue, qt.Commentf("%s via %s: %d %s %v", r.work, r.host, r.status, r.answer, r.err))
+	}
+	cl.checkAll(b.all())
+}
