Read quota rows seldom while nobody waits for the quota

Cause: every host read the row of every owner whose share it has once a second, 15,300 reads a second for 90 hosts and 170 owners against a budget of 2,000 (docs/CAPACITY.md, what breaks first). The reads serve only to see whether somebody waits.

Heartbeats now name the owners for whose quota a host waits in line, and states with such names are passed on first; the rows of other owners are read every 10 s.

Ruled out: one query for all rows of a host, since the table counts rows.

Before: 1 read a second for each owner and host with a share.

Conclusion: news travels with the heartbeats, the table keeps the truth.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -202,6 +202,6 @@
 		Leaving: n.leaving.Load(), Load: load.Load, FreeCpuMilli: load.Free.CPUMilli,
 		FreeAccelerators: load.Free.Accelerators, MaxCpuMilli: load.Max.CPUMilli, MaxMemoryMib: load.Max.MemoryMiB,
 		MaxAccelerators: load.Max.Accelerators, WaitMicros: load.Wait.Microseconds(), Held: load.Held,
-		StartedUnixNanos: n.started.UnixNano(), Unbooked: n.quotas.Unbooked(),
+		StartedUnixNanos: n.started.UnixNano(), Unbooked: n.quotas.Unbooked(), Lines: n.quotas.Lines(),
 	}
 }
--- a/peers/table.go
+++ b/peers/table.go
@@ -164,10 +164,26 @@
 	return append(near, others[:min(far, len(others))]...)
 }
 
+// Awaited returns the owners for whose quota a live member waits in line.
+func (t *Table) Awaited() map[string]bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owners := map[string]bool{}
+	for _, m := range t.members {
+		for _, owner := range m.State.GetLines() {
+			owners[owner] = owners[owner] || t.Alive(*m, now)
+		}
+	}
+	return owners
+}
+
 // relay returns a few states of hosts of other data centres to pass on, with their ages; near hosts hear each other.
 func (t *Table) relay(now time.Time) []*peerpb.HostState {
 	members := t.Members()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	// Those that wait for somebody's quota are heard of first.
+	sort.SliceStable(members, func(i, j int) bool { return len(members[i].State.GetLines()) > len(members[j].State.GetLines()) })
 	var states []*peerpb.HostState
 	for _, m := range members {
 		if len(states) == relayed || m.DataCenter == t.dataCenter || !t.Alive(m, now) {
@@ -187,7 +203,7 @@
 		FreeCpuMilli: s.GetFreeCpuMilli(), FreeAccelerators: s.GetFreeAccelerators(),
 		MaxCpuMilli: s.GetMaxCpuMilli(), MaxMemoryMib: s.GetMaxMemoryMib(), MaxAccelerators: s.GetMaxAccelerators(),
 		WaitMicros: s.GetWaitMicros(), Held: s.GetHeld(), StartedUnixNanos: s.GetStartedUnixNanos(),
-		Unbooked: s.GetUnbooked(), AgeMicros: now.Sub(m.Current).Microseconds(),
+		Unbooked: s.GetUnbooked(), Lines: s.GetLines(), AgeMicros: now.Sub(m.Current).Microseconds(),
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,7 +18,9 @@
 )
 
 const (
+	// lookEvery is how often the row of an owner for whose quota somebody waits is read, and lookRest how often the rest.
 	lookEvery = time.Second
+	lookRest  = 10 * time.Second
 	// idleAfter is how long a share is kept without use.
 	idleAfter = 3 * time.Second
 	// tryEvery is the least time between two tries to change a share.
@@ -69,6 +71,8 @@
 	Heard func(self string) bool
 	// Settled reports whether all tasks that hosts of this data centre adopted are covered by their shares.
 	Settled func() bool
+	// Awaited returns the owners for whose quota another host was heard to wait.
+	Awaited func() map[string]bool
 	// Kick makes what waits ask for its room again.
 	Kick func()
 	Log  logrus.FieldLogger
@@ -205,6 +209,7 @@
 
 // due returns the owners whose share should change.
 func (b *Book) due(now time.Time) []string {
+	awaited := b.cfg.Awaited()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var owners []string
@@ -214,7 +219,7 @@
 			a.share = Share{}
 			continue
 		}
-		look := (a.share != (Share{}) || a.inLine) && now.Sub(a.looked) > lookEvery
+		look := (a.share != (Share{}) || a.inLine) && now.Sub(a.looked) > a.lookAfter(awaited[owner])
 		if now.Before(a.retry) || (!look && a.aim(limit, now) == a.share) {
 			continue
 		}
@@ -225,6 +230,27 @@
 	return owners
 }
 
+// lookAfter returns how long the row of an owner may go without a look.
+func (a *account) lookAfter(awaited bool) time.Duration {
+	if a.inLine || a.ceiling != nil || awaited {
+		return lookEvery
+	}
+	return lookRest
+}
+
+// Lines returns the owners for whose quota this host waits in line.
+func (b *Book) Lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var owners []string
+	for owner, a := range b.owners {
+		if a.inLine {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
 // aim returns the share that an account should have, if the quota had room for it.
 func (a *account) aim(limit entry.Quota, now time.Time) Share {
 	if now.Sub(a.wanted) > idleAfter && now.Sub(a.below) > idleAfter {
