--- a/bench/cell.go
+++ b/bench/cell.go
@@ -29,10 +29,10 @@
 const heldWait = 30 * time.Second
 
 // withCell runs use on a cell of the given shape with the given catalogue in force.
-func withCell(shape local.Shape, catalogue string, use func(urls []string) error) error {
+func withCell(shape local.Shape, catalogue string, use func(cell *local.Cell, urls []string) error) error {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	shape.Log, shape.Quiet = log, true
+	shape.Log = log
 	if shape.ShortLimit == 0 {
 		shape.ShortLimit = 500 * time.Millisecond
 	}
@@ -52,7 +52,7 @@
 	if err := putAll(urls, catalogue); err != nil {
 		return err
 	}
-	return use(urls)
+	return use(cell, urls)
 }
 
 func putAll(urls []string, catalogue string) error {
@@ -84,8 +84,8 @@
 func run(policy conf.Policy, shape local.Shape, catalogue string, profile loads.Profile) (loads.Report, []loads.Result, error) {
 	var report loads.Report
 	var results []loads.Result
-	shape.Policy = policy
-	err := withCell(shape, catalogue, func(urls []string) error {
+	shape.Policy, shape.Quiet = policy, true
+	err := withCell(shape, catalogue, func(_ *local.Cell, urls []string) error {
 		sender := loads.NewSender(urls, "")
 		defer sender.Close()
 		results = sender.Run(context.Background(), profile.Arrivals(), nil)
--- a/cmds/cmd_measure.go
+++ b/cmds/cmd_measure.go
@@ -9,7 +9,7 @@
 )
 
 var cmdMeasure = command{
-	name: "measure", args: "[crest|blocking|packing]...", short: "Measure the policy against a plain baseline", most: -1,
+	name: "measure", args: "[crest|blocking|start|packing]...", short: "Measure the policy against a plain baseline", most: -1,
 	long: `Run cells of stand-ins in this process under the policy and under the baseline (first come, first served,
 least-loaded of two, no admission), and print each measure beside its goal.`,
 	flags: func(flags *pflag.FlagSet) {
@@ -26,7 +26,7 @@
 	cases, _ := in.flags.GetInt("cases")
 	names := in.args
 	if len(names) == 0 {
-		names = []string{"crest", "blocking", "packing"}
+		names = []string{"crest", "blocking", "start", "packing"}
 	}
 	var all []bench.Row
 	for _, name := range names {
@@ -37,10 +37,12 @@
 			rows, err = bench.Crest(seed, plot)
 		case "blocking":
 			rows, err = bench.Blocking(seed, cases)
+		case "start":
+			rows, err = bench.Starts(seed)
 		case "packing":
 			rows = bench.Packing(seed)
 		default:
-			err = &usageError{fmt.Errorf("there is no measure %q: known are crest, blocking and packing", name)}
+			err = &usageError{fmt.Errorf("there is no measure %q: known are crest, blocking, start and packing", name)}
 		}
 		if err != nil {
 			return err
