Let gangs keep the room they have while the rest is missing

Cause: a gang asked for all its room at once, waited a second and gave everything back. Among small work that always waits, 6 slots are never free in the same second, so gangs starved.

A gang now keeps what it got for 10 to 20 s (drawn, so that two gangs that hold each other's room do not end at the same time), and backs off from 1 s to 2 min, so that one that can never start leaves the room to others. Holders drop such room after 30 s without a start.

Ruled out: taking more from bulk work by weights, which does not bring 6 slots together.

--- a/jobs/driver.go
+++ b/jobs/driver.go
@@ -27,8 +27,6 @@
 	slowRound   = 2 * time.Second
 	// restRound is the longest pause between two looks at tasks that run.
 	restRound   = 10 * time.Second
-	gangBackoff = 200 * time.Millisecond
-	gangMost    = 5 * time.Second
 	failWorkers = 3
 )
 
@@ -76,6 +74,7 @@
 	work    entry.Work
 	wake    chan struct{}
 	backoff time.Duration
+	gang    gathering
 	// cancelSeen says that the row was seen with a cancel mark.
 	cancelSeen atomic.Bool
 	// written is the job as last written, for readers in other goroutines.
@@ -91,6 +90,7 @@
 var errFenced = errors.New("the job has another home now")
 
 func (d *driver) run(ctx context.Context) {
+	defer d.letGo(ctx)
 	for ctx.Err() == nil && d.book.homes.Mine(ShardOf(d.job.ID)) {
 		pause, err := d.round(ctx)
 		if errors.Is(err, errFenced) || d.job.State.Over() {
--- a/jobs/homes_test.go
+++ b/jobs/homes_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -43,15 +45,18 @@
 	return l.cut
 }
 
-func (l *link) Read(context.Context, store.Query) ([]store.Row, error) {
+func (l *link) Read(_ context.Context, q store.Query) ([]store.Row, error) {
 	if l.isCut() {
 		return nil, errCut
 	}
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	var rows []store.Row
-	for _, row := range l.rows {
-		rows = append(rows, row)
+	for key, row := range l.rows {
+		under := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
+		if slices.Contains(q.Keys, key) || slices.ContainsFunc(q.Prefixes, under) {
+			rows = append(rows, row)
+		}
 	}
 	return rows, nil
 }
@@ -69,6 +74,10 @@
 	}
 	l.version++
 	for _, write := range op.Writes {
+		if write.Delete {
+			delete(l.rows, write.Key)
+			continue
+		}
 		l.rows[write.Key] = store.Row{Key: write.Key, Version: l.version, Value: write.Value}
 	}
 	return l.version, nil
--- a/jobs/steps.go
+++ b/jobs/steps.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/entry"
@@ -145,11 +144,9 @@
 	}
 	reserved := d.reserve(ctx)
 	if d.work.Class == entry.Gang && len(reserved) < waiting {
-		d.releaseAll(ctx, reserved)
-		d.backoff = min(gangMost, max(gangBackoff, 2*d.backoff))
-		return d.backoff/2 + rand.N(d.backoff/2), nil
+		return d.gather(ctx, reserved), nil
 	}
-	d.backoff = 0
+	d.backoff, d.gang = 0, gathering{}
 	if len(reserved) == 0 {
 		return fastRound + rand.N(fastRound), nil
 	}
@@ -180,9 +177,9 @@
 }
 
 func (d *driver) reserve(ctx context.Context) []step {
-	most := reserveMost
+	most, wait, hold := reserveMost, reserveWait, reserveHold
 	if d.work.Class == entry.Gang {
-		most = len(d.job.Tasks)
+		most, wait, hold = len(d.job.Tasks), gangWait, gangHold
 	}
 	var racks []string
 	for _, t := range d.job.Tasks {
@@ -191,8 +188,11 @@
 		}
 	}
 	steps := d.each([]TaskState{TaskWaiting}, most, func(i int, t Task) step {
+		if s, ok := d.keptFor(i); ok {
+			return s
+		}
 		at, err := d.book.fleet.Reserve(ctx, Need{
-			Task: d.taskID(i), Work: d.work, Avoid: t.FailedOn, AvoidRacks: racks, Wait: reserveWait, Hold: reserveHold,
+			Task: d.taskID(i), Work: d.work, Avoid: t.FailedOn, AvoidRacks: racks, Wait: wait, Hold: hold,
 		})
 		return step{at: at, err: err}
 	})
@@ -208,20 +208,6 @@
 	return reserved
 }
 
-func (d *driver) releaseAll(ctx context.Context, reserved []step) {
-	ctx = context.WithoutCancel(ctx)
-	var wg sync.WaitGroup
-	for _, s := range reserved {
-		id := d.taskID(s.index)
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			d.book.fleet.Release(ctx, id, s.at)
-		})
-	}
-	wg.Wait()
-}
-
 // start starts the tasks whose row says where; a proved failure gives the task a new attempt.
 func (d *driver) start(ctx context.Context, reserved []step) error {
 	places := map[int]Place{}
@@ -258,6 +244,7 @@
 
 // cancelRound ends everything that may run and closes the job when that is proved.
 func (d *driver) cancelRound(ctx context.Context) (time.Duration, error) {
+	d.letGo(ctx)
 	steps := d.each([]TaskState{TaskAssigned, TaskRunning}, MaxParallel, func(i int, t Task) step {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
