Measure blocking in cells of two sizes

The goal falls short in one worker of 8 slots, where short work waits for itself in the 2 slots kept for it. Keeping a third slot of 8 was ruled out by reckoning: long work would have 5 slots for a load of 5.8.

--- a/bench/block.go
+++ b/bench/block.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/conf"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/loads"
 	"github.com/corianderdrift/corianderdrift/local"
@@ -49,22 +50,24 @@
 	blockDuration = 40 * time.Second
 )
 
-var blockShape = local.Shape{
-	DataCenters: []string{"local"}, Hosts: 1, Workers: 1,
-	Capacity: unit.Size{CPUMilli: 16000, MemoryMiB: 32 << 10, Slots: 8, Connections: 64},
-}
-
-// blockSlots is the number of slots of the cell; with few of them long work can take all.
+// blockSlots is the number of slots of a worker; in a cell of one worker long work can take all of them.
 const blockSlots = 8
 
+func blockShape(workers int) local.Shape {
+	return local.Shape{
+		DataCenters: []string{"local"}, Hosts: 1, Workers: workers,
+		Capacity: unit.Size{CPUMilli: 16000, MemoryMiB: 32 << 10, Slots: blockSlots, Connections: 64},
+	}
+}
+
 // blockRate is the rate at which short and long work together keep the given share of the slots busy.
-func blockRate() float64 {
+func blockRate(workers int) float64 {
 	mean := blockRun.Seconds() * (1 - 1.0/blockEvery + float64(blockLong)/blockEvery)
-	return blockLoad * blockSlots / mean
+	return blockLoad * blockSlots * float64(workers) / mean
 }
 
-func blockProfile(name string, seed uint64, longWork string, long bool) loads.Profile {
-	s := loads.Stream{Work: "route", Owner: "skippers", Rate: blockRate(), Run: entry.Duration(blockRun), LongWork: longWork}
+func blockProfile(name string, seed uint64, workers int, longWork string, long bool) loads.Profile {
+	s := loads.Stream{Work: "route", Owner: "skippers", Rate: blockRate(workers), Run: entry.Duration(blockRun), LongWork: longWork}
 	if long {
 		s.LongEvery, s.LongTimes = blockEvery, blockLong
 	}
@@ -82,8 +85,9 @@
 	return loads.Sum("short", 0, short)
 }
 
-// Blocking measures the wait of short work behind long work, in the first so many of three cases.
-func Blocking(seed uint64, most int) ([]Row, error) {
+// Blocking measures the wait of short work behind long work, in the first so many of three cases, in a cell of so many
+// workers.
+func Blocking(seed uint64, most, workers int) ([]Row, error) {
 	cases := []struct {
 		name     string
 		declared [2]time.Duration
@@ -93,19 +97,21 @@
 		{"and declared the wrong way round", [2]time.Duration{blockLong * blockRun, blockRun}, "scan"},
 		{"long pieces hide in the same entry", [2]time.Duration{blockRun, blockLong * blockRun}, ""},
 	}
-	alone, err := shortOf("", blockProfile("alone", seed, "", false), blockCatalogue(blockRun, blockLong*blockRun, false))
+	shape := blockShape(workers)
+	catalogue := blockCatalogue(blockRun, blockLong*blockRun, false)
+	alone, err := shortOf(conf.PolicyFull, shape, blockProfile("alone", seed, workers, "", false), catalogue)
 	if err != nil {
 		return nil, err
 	}
 	var rows []Row
 	for _, c := range cases[:min(most, len(cases))] {
 		catalogue := blockCatalogue(c.declared[0], c.declared[1], c.longWork == "")
-		profile := blockProfile(c.name, seed, c.longWork, true)
-		full, err := shortOf("full", profile, catalogue)
+		profile := blockProfile(c.name, seed, workers, c.longWork, true)
+		full, err := shortOf(conf.PolicyFull, shape, profile, catalogue)
 		if err != nil {
 			return rows, err
 		}
-		plain, err := shortOf("plain", profile, catalogue)
+		plain, err := shortOf(conf.PolicyPlain, shape, profile, catalogue)
 		if err != nil {
 			return rows, err
 		}
@@ -114,17 +120,15 @@
 			return fmt.Sprintf("p99 %.1f ms, %.1f times alone (%.1f ms)", g.WaitP99, g.WaitP99/alone.WaitP99, alone.WaitP99)
 		}
 		rows = append(rows, Row{
-			"blocking: wait of short work", c.name, text(full), text(plain), "<= 1.5 times alone", full.WaitP99 <= goal*alone.WaitP99,
+			"blocking: wait of short work", fmt.Sprintf("%d slots, %s", workers*blockSlots, c.name), text(full), text(plain),
+			"<= 1.5 times alone", full.WaitP99 <= goal*alone.WaitP99,
 		})
 	}
 	return rows, nil
 }
 
-func shortOf(policy string, profile loads.Profile, catalogue string) (loads.Group, error) {
-	if policy == "" {
-		policy = "full"
-	}
-	_, results, err := run(policyOf(policy), blockShape, catalogue, profile)
+func shortOf(policy conf.Policy, shape local.Shape, profile loads.Profile, catalogue string) (loads.Group, error) {
+	_, results, err := run(policy, shape, catalogue, profile)
 	if err != nil {
 		return loads.Group{}, err
 	}
--- a/bench/pack.go
+++ b/bench/pack.go
@@ -4,14 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 
-	"github.com/corianderdrift/corianderdrift/conf"
 	"github.com/corianderdrift/corianderdrift/ledger"
 	"github.com/corianderdrift/corianderdrift/place"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
-func policyOf(name string) conf.Policy { return conf.Policy(name) }
-
 const packMixes = 100
 
 // deployment is the workers of one user's data centres and the sizes of its work.
--- a/cmds/cmd_measure.go
+++ b/cmds/cmd_measure.go
@@ -15,6 +15,7 @@
 	flags: func(flags *pflag.FlagSet) {
 		flags.Uint64("seed", 2, "seed of the loads")
 		flags.Int("cases", 3, "number of cases of blocking")
+		flags.IntSlice("workers", []int{1, 4}, "numbers of workers of 8 slots in the cells of blocking")
 		flags.String("plot", "", "file for the plot of the highest crest as PNG")
 	},
 	action: measure,
@@ -24,6 +25,7 @@
 	seed, _ := in.flags.GetUint64("seed")
 	plot, _ := in.flags.GetString("plot")
 	cases, _ := in.flags.GetInt("cases")
+	workers, _ := in.flags.GetIntSlice("workers")
 	names := in.args
 	if len(names) == 0 {
 		names = []string{"crest", "blocking", "start", "packing"}
@@ -36,7 +38,7 @@
 		case "crest":
 			rows, err = bench.Crest(seed, plot)
 		case "blocking":
-			rows, err = bench.Blocking(seed, cases)
+			rows, err = blocking(seed, cases, workers)
 		case "start":
 			rows, err = bench.Starts(seed)
 		case "packing":
@@ -60,3 +62,18 @@
 	fmt.Fprintf(in.out, "seed %d\n", seed)
 	return table(in.out, []string{"measure", "case", "policy", "baseline", "goal", "verdict"}, rows)
 }
+
+func blocking(seed uint64, cases int, sizes []int) ([]bench.Row, error) {
+	var all []bench.Row
+	for _, workers := range sizes {
+		if workers < 1 {
+			return nil, &usageError{fmt.Errorf("--workers: %d is not a number of workers from 1", workers)}
+		}
+		rows, err := bench.Blocking(seed, cases, workers)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
+}
