Let one of two near hosts call the other for the heartbeat

Cause: near hosts called each other once a second both ways, although each call carries both states; that was 300 of the bytes a second of every pair.

Now the host with the lesser name calls, and the other one only when it has not heard for 1.5 s, so a host that is frozen or cut one way is still called.

Ruled out: renewing leases less often, since ends of tasks come with renewals.

--- a/peers/net.go
+++ b/peers/net.go
@@ -169,7 +169,7 @@
 func (n *Net) Beat(ctx context.Context) {
 	state := n.State(time.Now())
 	var wg sync.WaitGroup
-	for _, addr := range n.table.targets(farTargets) {
+	for _, addr := range n.table.targets(farTargets, time.Now()) {
 		wg.Go(func() { n.beatOne(ctx, addr, state) })
 	}
 	wg.Wait()
--- a/peers/table.go
+++ b/peers/table.go
@@ -18,6 +18,8 @@
 	AliveFar  = 8 * time.Second
 	forgetAge = 10 * time.Minute
 	relayed   = 2
+	// calledLately is how long a near host with a lesser name may be silent before it is called.
+	calledLately = HeartbeatEvery * 3 / 2
 )
 
 // Member is another entry host as last heard of.
@@ -141,17 +143,19 @@
 	return t.Live(now, func(m Member) bool { return m.DataCenter == t.dataCenter })
 }
 
-// targets returns the addresses to send heartbeats to: all near ones and a few far ones.
-func (t *Table) targets(far int) []netip.AddrPort {
+// targets returns the addresses to send heartbeats to: near ones and a few far ones. A heartbeat and its answer carry both
+// states, so of two near hosts the one with the lesser name calls, and the other only when it has not been called lately.
+func (t *Table) targets(far int, now time.Time) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var near, others []netip.AddrPort
 	known := map[netip.AddrPort]bool{}
 	for _, m := range t.members {
 		known[m.Address] = true
-		if m.DataCenter == t.dataCenter {
+		switch {
+		case m.DataCenter == t.dataCenter && (t.name < m.Name || now.Sub(m.Current) > calledLately):
 			near = append(near, m.Address)
-		} else {
+		case m.DataCenter != t.dataCenter:
 			others = append(others, m.Address)
 		}
 	}
