--- a/jobs/gang_test.go
+++ b/jobs/gang_test.go
@@ -186,18 +186,25 @@
 	}
 }
 
-func TestAGangStartsAmongSmallWork(t *testing.T) {
+// inBubble runs a test by a clock of its own, on which every pause passes at once.
+func inBubble(t *testing.T, run func(ctx context.Context, c *qt.C)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
+		run(ctx, qt.New(t))
+	})
+}
+
+func TestAGangStartsAmongSmallWork(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C) {
 		r := newRoom(8, time.Second)
 		for i := range 12 {
 			go r.bulk(ctx, fmt.Sprintf("bulk-%d-", i), 3*time.Second)
 		}
 		b := newBook(ctx, r)
 		submitGang(ctx, c, b, "gang", 6)
-		t.Log(waitDone(ctx, c, b, "gang", 3*time.Minute))
+		c.Log(waitDone(ctx, c, b, "gang", 3*time.Minute))
 		for task, n := range r.starts {
 			c.Check(n, qt.Equals, 1, qt.Commentf("%s", task))
 		}
@@ -205,10 +212,7 @@
 }
 
 func TestGangsThatWaitForEachOthersRoomAllStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
+	inBubble(t, func(ctx context.Context, c *qt.C) {
 		// Together they want 18 slots of 8, and any two more than there are.
 		r := newRoom(8, time.Second)
 		b := newBook(ctx, r)
@@ -222,10 +226,7 @@
 }
 
 func TestAGangThatNeverFitsLeavesRoom(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
+	inBubble(t, func(ctx context.Context, c *qt.C) {
 		r := newRoom(8, time.Second)
 		b := newBook(ctx, r)
 		submitGang(ctx, c, b, "huge", 9)
--- a/node/node.go
+++ b/node/node.go
@@ -87,8 +87,11 @@
 	n.store = store.NewClient(cfg.Platform, dialer, n.metrics)
 	n.writer = store.NewBatcher(n.store)
 	n.quotas = quota.NewBook(quota.Config{
-		Self: n.id, DataCenter: cfg.DataCenter, Table: n.store, Writer: n.writer, Quota: n.quotaOf, Gone: n.gone, Settled: n.settled, Heard: n.heard, Awaited: func() map[string]bool { return n.table.Awaited() },
-		Kick: func() { n.pool.Kick() }, Log: log,
+		Self: n.id, DataCenter: cfg.DataCenter, Table: n.store, Writer: n.writer, Quota: n.quotaOf,
+		Gone: n.gone, Settled: n.settled, Heard: n.heard,
+		// The table of hosts is made later.
+		Awaited: func() map[string]bool { return n.table.Awaited() },
+		Kick:    func() { n.pool.Kick() }, Log: log,
 	})
 	n.pool = holder.NewPool(holder.Config{
 		Holder: n.id, LeaseTTL: cfg.LeaseTTL, TaskTTL: cfg.TaskTTL, ShortLimit: cfg.ShortLimit,
