--- /dev/null
+++ b/agent/groups.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderdrift/corianderdrift/cellpb"
+	"github.com/corianderdrift/corianderdrift/clock"
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/runner"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Times of running for groups.
+const (
+	// campaignEvery is how often a host looks for groups without a runner.
+	campaignEvery = 50 * time.Millisecond
+	// rankStep is by how much later each next host of a group's order takes a free lease.
+	rankStep = 120 * time.Millisecond
+	// rankMost bounds the hosts that wait for one another.
+	rankMost = 8
+	// busyRanks is by how many ranks a host that runs a group already comes later.
+	busyRanks = 4
+	// releaseTime bounds the giving back of a lease.
+	releaseTime = 600 * time.Millisecond
+)
+
+// groups runs the groups whose leases this host holds, and asks other hosts about the rest.
+type groups struct {
+	a *Agent
+
+	mu      sync.Mutex
+	running map[string]*runner.Runner
+	wg      sync.WaitGroup
+	leaving bool
+}
+
+func newGroups(a *Agent) *groups { return &groups{a: a, running: map[string]*runner.Runner{}} }
+
+func (g *groups) local(service string) *runner.Runner {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running[service]
+}
+
+// campaign takes the leases of groups that nobody runs, until ctx is done.
+func (g *groups) campaign(ctx context.Context) error {
+	for clock.Pause(ctx, campaignEvery) {
+		cfg := g.a.queues.Current()
+		if cfg == nil {
+			continue
+		}
+		for i := range cfg.Services {
+			g.consider(ctx, cfg.Services[i].Name)
+		}
+	}
+	return ctx.Err()
+}
+
+func (g *groups) consider(ctx context.Context, service string) {
+	g.mu.Lock()
+	_, mine := g.running[service]
+	busy, leaving := len(g.running), g.leaving
+	g.mu.Unlock()
+	if mine || leaving {
+		return
+	}
+	old, free := g.a.leases.Free(service, g.patience(service, busy), time.Now())
+	if !free {
+		return
+	}
+	sent := clock.Boot()
+	epoch, err := elect.Take(ctx, g.a.store, old, g.a.settings.Name, g.a.peerAddress())
+	if err != nil {
+		var conflict *table.ConflictError
+		if !errors.As(err, &conflict) {
+			g.a.log.WithError(err).WithField("group", service).Warn("group can't be taken over")
+			clock.Pause(ctx, rankStep)
+		}
+		return
+	}
+	g.run(ctx, epoch, sent)
+}
+
+// patience returns how long this host leaves a free lease to those before it in the group's order.
+func (g *groups) patience(service string, busy int) time.Duration {
+	own := xxhash.Sum64String(service + "/" + g.a.settings.Name)
+	rank := busy * busyRanks
+	for _, h := range g.a.hosts.usable(time.Now()) {
+		if h.Name != g.a.settings.Name && xxhash.Sum64String(service+"/"+h.Name) < own {
+			rank++
+		}
+	}
+	return time.Duration(min(rank, rankMost)) * rankStep
+}
+
+func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration) {
+	r := runner.New(runner.Config{
+		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), Log: g.a.log,
+	})
+	g.mu.Lock()
+	g.running[epoch.Part] = r
+	g.mu.Unlock()
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		err := r.Run(ctx, sent)
+		g.mu.Lock()
+		delete(g.running, epoch.Part)
+		g.mu.Unlock()
+		var lost *elect.LostError
+		if errors.As(err, &lost) {
+			return
+		}
+		g.release(epoch)
+	}()
+}
+
+func (g *groups) release(epoch elect.Epoch) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := elect.Release(ctx, g.a.store, epoch); err != nil {
+		g.a.log.WithError(err).WithField("group", epoch.Part).Warn("lease can't be given back; it runs out")
+	}
+}
+
+// leave makes the host take no more groups.
+func (g *groups) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// State implements intake.Groups.
+func (g *groups) State(ctx context.Context, service, queue, id string) (graph.State, bool) {
+	if r := g.local(service); r != nil {
+		return r.Cell().State(id, queue)
+	}
+	client, ok := g.remote(service)
+	if !ok {
+		return "", false
+	}
+	reply, err := client.State(ctx, &cellpb.StateRequest{Service: service, Job: id, Queue: queue})
+	if err != nil {
+		g.a.log.WithError(err).WithField("job", id).Debug("runner can't be asked")
+		return "", false
+	}
+	return graph.State(reply.GetState()), reply.GetKnown()
+}
+
+// Pending implements intake.Groups.
+func (g *groups) Pending(ctx context.Context, service, queue string) (int, bool) {
+	if r := g.local(service); r != nil {
+		return r.Cell().Pending(queue), true
+	}
+	client, ok := g.remote(service)
+	if !ok {
+		return 0, false
+	}
+	reply, err := client.Pending(ctx, &cellpb.PendingRequest{Service: service, Queue: queue})
+	if err != nil {
+		g.a.log.WithError(err).WithField("queue", queue).Debug("runner can't be asked")
+		return 0, false
+	}
+	return int(reply.GetJobs()), reply.GetKnown()
+}
+
+// Accepted implements intake.Groups.
+func (g *groups) Accepted(doc *graph.Job) {
+	if r := g.local(doc.Service); r != nil {
+		r.Take(doc)
+	}
+}
+
+func (g *groups) remote(service string) (cellpb.CellsClient, bool) {
+	epoch, ok := g.a.leases.Holder(service)
+	if !ok || epoch.Holder == g.a.settings.Name {
+		return nil, false
+	}
+	conn, err := g.a.hosts.conn(epoch.Address)
+	if err != nil {
+		g.a.log.WithError(err).WithField("host", epoch.Holder).Warn("host can't be reached")
+		return nil, false
+	}
+	return cellpb.NewCellsClient(conn), true
+}
--- /dev/null
+++ b/agent/hosts.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// partHosts is the part of the table of leases in which hosts tell their addresses.
+const partHosts = "hosts"
+
+// Times and sizes of connections between hosts.
+const (
+	peerKeepalive = 10 * time.Second
+	peerTimeout   = 2 * time.Second
+	peerBuffer    = 8 << 10
+	shunFor       = 4 * time.Second
+)
+
+// host is another entry host, as it tells of itself in the table.
+type host struct {
+	Name       string         `json:"-"`
+	Address    netip.AddrPort `json:"address"`
+	DataCenter string         `json:"data-center"`
+}
+
+// hosts knows the other entry hosts and the connections to them.
+type hosts struct {
+	mu    sync.Mutex
+	known map[string]host
+	conns map[netip.AddrPort]*grpc.ClientConn
+	// shunned are hosts that did not answer, with the end of that.
+	shunned map[string]time.Time
+}
+
+func newHosts() *hosts {
+	return &hosts{known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{}, shunned: map[string]time.Time{}}
+}
+
+func (h *hosts) apply(rows []table.Row) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var bad error
+	for _, r := range rows {
+		if r.Part != partHosts {
+			continue
+		}
+		if r.Deleted {
+			delete(h.known, r.Name)
+			continue
+		}
+		one := host{Name: r.Name}
+		if err := json.Unmarshal(r.Value, &one); err != nil {
+			bad = fmt.Errorf("host %s: %w", r.Name, err)
+			continue
+		}
+		h.known[r.Name] = one
+	}
+	return bad
+}
+
+// usable returns the hosts that are not shunned.
+func (h *hosts) usable(now time.Time) []host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]host, 0, len(h.known))
+	for name, one := range h.known {
+		if now.After(h.shunned[name]) {
+			list = append(list, one)
+		}
+	}
+	return list
+}
+
+func (h *hosts) shun(name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shunned[name] = now.Add(shunFor)
+}
+
+func (h *hosts) conn(addr netip.AddrPort) (*grpc.ClientConn, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c, ok := h.conns[addr]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+addr.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: peerKeepalive, Timeout: peerTimeout, PermitWithoutStream: false,
+		}),
+		grpc.WithReadBufferSize(peerBuffer), grpc.WithWriteBufferSize(peerBuffer),
+		grpc.WithDisableServiceConfig(),
+	)
+	if err != nil {
+		return nil, err
+	}
+	h.conns[addr] = c
+	return c, nil
+}
+
+func (h *hosts) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		_ = c.Close()
+	}
+}
+
+// announce writes this host's address to the table.
+func announce(ctx context.Context, s table.Store, self host) error {
+	raw, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = s.Commit(ctx, table.Tx{Writes: []table.Write{{Key: hostKey(self.Name), Value: raw}}})
+	return err
+}
+
+func withdraw(ctx context.Context, s table.Store, name string) error {
+	_, err := s.Commit(ctx, table.Tx{Removes: []table.Key{hostKey(name)}})
+	return err
+}
+
+func hostKey(name string) table.Key {
+	return table.Key{Table: elect.Table, Part: partHosts, Name: name}
+}
--- /dev/null
+++ b/cell/advice.go
@@ -0,0 +1,178 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+)
+
+// Figures of asking the advisor.
+const (
+	// maxAsked is the most workers that a call may name.
+	maxAsked = 100
+	// ticketMargin is taken off a ticket's life for the way of its answer and of the start.
+	ticketMargin = 150 * time.Millisecond
+	// askPause is the pause after a call that brought nothing to use.
+	askPause = 150 * time.Millisecond
+	// firstAllowed is the share of named workers that is expected to be allowed before any answer.
+	firstAllowed = 0.5
+	// spareAsked is how many more workers are named than the expected share asks for.
+	spareAsked = 3
+)
+
+// permit is what the advisor said of a step on a worker.
+type permit struct {
+	born    int64
+	allowed bool
+	ticket  string
+	until   time.Time
+}
+
+// adviceRate learns which share of named workers a queue's steps are allowed on.
+type adviceRate struct {
+	asked   float64
+	allowed float64
+}
+
+func (r *adviceRate) share() float64 {
+	return (r.allowed + firstAllowed*10) / (r.asked + 10)
+}
+
+// Ask is a call to the advisor that a step needs.
+type Ask struct {
+	Step    graph.StepID
+	Queue   string
+	Workers []string
+	Cost    time.Duration
+	s       *step
+}
+
+// usable reports whether a step may be started on a worker now, and with which ticket.
+func (s *step) usable(w *worker, needsTicket bool, now time.Time) (string, bool) {
+	if !needsTicket {
+		return "", true
+	}
+	p, ok := s.permits[w.info.ID]
+	if !ok || !p.allowed || p.born != w.info.Born.UnixMilli() || !now.Before(p.until) {
+		return "", false
+	}
+	return p.ticket, true
+}
+
+// denied reports whether the advisor has ruled a worker out for a step.
+func (s *step) denied(w *worker) bool {
+	p, ok := s.permits[w.info.ID]
+	return ok && !p.allowed
+}
+
+// ask returns the call that would let a step's waiting tasks start, if there is room on workers that may be allowed.
+func (c *Cell) ask(s *step, advice *queues.Advice, waiting int, now time.Time) (Ask, bool) {
+	if s.asking || now.Before(s.askAfter) {
+		return Ask{}, false
+	}
+	size := roomOf(s.doc)
+	type candidate struct {
+		w     *worker
+		known bool
+		fits  int
+		loss  float64
+	}
+	var list []candidate
+	for _, w := range c.workers {
+		if !c.eligible(w, s, now) || s.denied(w) {
+			continue
+		}
+		if _, ok := s.usable(w, true, now); ok {
+			continue
+		}
+		fits := c.fits(s, w, size)
+		if fits == 0 {
+			continue
+		}
+		p := s.permits[w.info.ID]
+		list = append(list, candidate{w, p.allowed, fits, c.score(s, w, size)})
+	}
+	if len(list) == 0 {
+		return Ask{}, false
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.known != b.known {
+			if a.known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.loss, b.loss)
+	})
+	rate := c.rate(s.job.doc.Queue).share()
+	var names []string
+	expected := 0.0
+	extra := 0
+	for _, cand := range list {
+		if len(names) >= maxAsked || extra > spareAsked {
+			break
+		}
+		if expected >= float64(waiting) {
+			extra++
+		}
+		names = append(names, cand.w.info.ID)
+		if cand.known {
+			expected += float64(cand.fits)
+		} else {
+			expected += rate * float64(cand.fits)
+		}
+	}
+	s.asking = true
+	return Ask{s.id, s.job.doc.Queue, names, advice.Cost(len(names)), s}, true
+}
+
+func (c *Cell) rate(queue string) *adviceRate {
+	r, ok := c.advice[queue]
+	if !ok {
+		r = &adviceRate{}
+		c.advice[queue] = r
+	}
+	return r
+}
+
+// Advised takes the advisor's answer to a call.
+func (c *Cell) Advised(a Ask, permits []order.Permit, validity time.Duration, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := a.s
+	s.asking = false
+	if err != nil {
+		s.askAfter = now.Add(askPause)
+		c.log.WithError(err).WithField("step", a.Step.String()).Warn("advice failed")
+		return
+	}
+	rate := c.rate(a.Queue)
+	for _, id := range a.Workers {
+		w, ok := c.workers[id]
+		if !ok {
+			continue
+		}
+		rate.asked++
+		s.permits[id] = permit{born: w.info.Born.UnixMilli()}
+	}
+	for _, p := range permits {
+		w, ok := c.workers[p.Worker]
+		if !ok {
+			continue
+		}
+		rate.allowed++
+		s.permits[p.Worker] = permit{w.info.Born.UnixMilli(), true, p.Ticket, now.Add(validity - ticketMargin)}
+	}
+	if len(permits) == 0 {
+		s.askAfter = now.Add(askPause / 10)
+	}
+	c.log.WithFields(logrus.Fields{
+		"job": a.Step.Job, "step": a.Step.String(), "asked": len(a.Workers), "allowed": len(permits),
+	}).Info("advised")
+}
--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,150 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// Settings are the times that the platform promises.
+type Settings struct {
+	// Lease is how long a worker's lease lasts at most after an order.
+	Lease time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// RunsPerToken leaves room for the runs that an earlier scheduler started and nobody reported.
+	RunsPerToken int
+}
+
+// Times of the group of workers.
+const (
+	// leaseSlack covers a worker's clock that is 2% slow over a lease of 6 s, and the way of an order.
+	leaseSlack = 350 * time.Millisecond
+	// forgetAfter is how long the state of a finished job is kept in memory.
+	forgetAfter = 10 * time.Minute
+)
+
+// Cell holds the workers and jobs of one service; all methods may be called at once.
+type Cell struct {
+	mu       sync.Mutex
+	settings Settings
+	log      logrus.FieldLogger
+	token    uint64
+	firstRun int
+
+	workers map[string]*worker
+	jobs    map[string]*job
+	// over holds the final states of jobs whose records are durable.
+	over map[string]finished
+	// dirty holds the jobs whose progress is not durable yet.
+	dirty map[string]*job
+	// open holds the steps that have tasks to place.
+	open map[graph.StepID]*step
+	// unknownUntil is when a task that an earlier scheduler may have started is surely over everywhere.
+	unknownUntil time.Time
+	learned      *learned
+	advice       map[string]*adviceRate
+	stats        Stats
+}
+
+// finished is what is remembered of a job that is over.
+type finished struct {
+	state graph.State
+	queue string
+	at    time.Time
+}
+
+// Stats counts what the group has done since it was taken over.
+type Stats struct {
+	Starts      uint64
+	Ends        map[order.EndKind]uint64
+	Preemptions uint64
+	Lost        uint64
+}
+
+// New returns an empty group that is scheduled under a fencing token.
+func New(settings Settings, token uint64, log logrus.FieldLogger) *Cell {
+	return &Cell{
+		settings: settings, log: log, token: token, firstRun: int(token-1)*settings.RunsPerToken + 1,
+		workers: map[string]*worker{}, jobs: map[string]*job{}, over: map[string]finished{},
+		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, learned: newLearned(),
+		advice: map[string]*adviceRate{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
+	}
+}
+
+// Token returns the fencing token of all orders.
+func (c *Cell) Token() uint64 { return c.token }
+
+// HoldUnknown keeps tasks of earlier jobs from being started until t, unless they are found.
+func (c *Cell) HoldUnknown(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unknownUntil = t
+}
+
+// State returns where a job stands; known is false for a job that is not held here.
+func (c *Cell) State(id, queue string) (state graph.State, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f, ok := c.over[id]; ok && f.queue == queue {
+		return f.state, true
+	}
+	j, ok := c.jobs[id]
+	if !ok || j.doc.Queue != queue {
+		return "", false
+	}
+	return j.visible(), true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (c *Cell) Pending(queue string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, j := range c.jobs {
+		if j.doc.Queue == queue && !j.started && !j.state.Over() {
+			n++
+		}
+	}
+	return n
+}
+
+// Counts returns the numbers of workers, unfinished jobs, and placements, for metrics.
+func (c *Cell) Counts() (workers, jobs, placed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		placed += len(w.placed)
+	}
+	return len(c.workers), len(c.jobs), placed
+}
+
+// Stats returns a copy of the counts.
+func (c *Cell) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stats
+	s.Ends = map[order.EndKind]uint64{}
+	for k, n := range c.stats.Ends {
+		s.Ends[k] = n
+	}
+	return s
+}
+
+// Sweep forgets jobs that ended long ago, and returns their ids, so that their rows can be removed.
+func (c *Cell) Sweep(now time.Time, most int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var old []string
+	for id, f := range c.over {
+		if len(old) < most && now.Sub(f.at) > forgetAfter {
+			old = append(old, id)
+			delete(c.over, id)
+		}
+	}
+	return old
+}
--- /dev/null
+++ b/cell/doc.go
@@ -0,0 +1,2 @@
+// Package cell decides which task of which job runs on which worker of a group, in memory and without a network.
+package cell
--- /dev/null
+++ b/cell/ends.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// Times of tasks and workers that fail.
+const (
+	// failPause keeps a task that failed from being tried again at once on the same fault.
+	failPause = 50 * time.Millisecond
+	// strikesUntilBench is how many failures in a row, of different jobs, bench a worker.
+	strikesUntilBench = 3
+	// benchTime is how long a benched worker gets no work.
+	benchTime = 4 * time.Second
+)
+
+func (c *Cell) sawEnd(w *worker, e *order.End, now time.Time) {
+	if e.Number <= w.seen {
+		return
+	}
+	w.seen = e.Number
+	c.stats.Ends[e.Kind]++
+	key := runKey{e.Task, e.Run}
+	if p, ok := w.placed[key]; ok {
+		p.over = now
+		c.logEnd(w, e, now.Sub(p.sent))
+		c.release(p, e.Kind, e.Saved, now)
+		return
+	}
+	c.lateEnd(w, e, now)
+}
+
+func (c *Cell) logEnd(w *worker, e *order.End, took time.Duration) {
+	c.log.WithFields(logrus.Fields{
+		"job": e.Task.Job, "task": e.Task.String(), "run": e.Run, "worker": w.info.ID, "end": e.Number, "how": e.Kind,
+		"took": took.Round(time.Millisecond),
+	}).Info("run ended")
+}
+
+// lateEnd takes the end of a run that is not placed here: one of an earlier scheduler, or one that was given up.
+func (c *Cell) lateEnd(w *worker, e *order.End, now time.Time) {
+	j := c.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(e.Task)
+	if t == nil || t.done {
+		return
+	}
+	c.logEnd(w, e, 0)
+	if !j.earlier && e.Kind != order.EndDone && e.Kind != order.EndFailed {
+		return
+	}
+	p := c.place(t, w, e.Run, now)
+	c.release(p, e.Kind, e.Saved, now)
+}
+
+// settle applies the end of a run to its task and job.
+func (c *Cell) settle(p *placement, kind order.EndKind, now time.Time) {
+	t, s := p.task, p.task.step
+	j := s.job
+	switch kind {
+	case order.EndDone:
+		p.w.strikes = 0
+		c.succeed(p, now)
+	case order.EndFailed:
+		c.fail(p, now)
+	default:
+		if !t.done {
+			t.notBefore = now
+		}
+	}
+	c.finishIfDone(j, now)
+}
+
+func (c *Cell) succeed(p *placement, now time.Time) {
+	s := p.task.step
+	if s.doc.Lasting {
+		return
+	}
+	if p.saved == "" && p.percent == 100 && !p.confirmed.IsZero() && p.task.run == p.run {
+		c.learned.observe(s.doc.Image, now.Sub(p.sent))
+	}
+	if !s.doc.Gang {
+		c.markDone(p.task)
+		for _, other := range p.task.placed {
+			other.unwanted = true
+		}
+		return
+	}
+	for _, t := range s.tasks {
+		c.markDone(t)
+	}
+}
+
+func (c *Cell) fail(p *placement, now time.Time) {
+	t, s := p.task, p.task.step
+	j := s.job
+	t.notBefore = now.Add(failPause)
+	c.strike(p.w, now)
+	if s.doc.Lasting || t.done {
+		return
+	}
+	if s.doc.Gang && s.failedRun == p.run {
+		return
+	}
+	s.failedRun = p.run
+	t.failed++
+	failed := t.failed
+	if s.doc.Gang {
+		failed = 0
+		for _, m := range s.tasks {
+			failed += m.failed
+		}
+	}
+	if failed >= j.doc.Attempts && !j.state.Over() {
+		c.end(j, graph.Failed, fmt.Sprintf("task %s failed %d times", t.id, failed), now)
+	}
+}
+
+// strike counts a failure against a worker, and benches one that fails all it starts.
+func (c *Cell) strike(w *worker, now time.Time) {
+	w.strikes++
+	if w.strikes >= strikesUntilBench && now.After(w.benched) {
+		w.benched = now.Add(benchTime)
+		c.log.WithFields(logrus.Fields{"worker": w.info.ID, "failures": w.strikes}).Warn("worker fails all that it starts")
+	}
+}
--- /dev/null
+++ b/cell/plan.go
@@ -0,0 +1,400 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// stopAgain is after how long a stop that did not bring an end is sent again.
+const stopAgain = 900 * time.Millisecond
+
+// StartOrder is a start to be sent.
+type StartOrder struct {
+	Worker order.Worker
+	Order  order.Start
+	p      *placement
+}
+
+// StopOrder is a stop to be sent.
+type StopOrder struct {
+	Worker order.Worker
+	Order  order.Stop
+	p      *placement
+}
+
+// Plan is what is to be done now.
+type Plan struct {
+	Starts []StartOrder
+	Stops  []StopOrder
+	Asks   []Ask
+	// Again is when to plan again at the latest; zero if only an event changes anything.
+	Again time.Time
+}
+
+// candidateStep is a step with tasks to place, with what orders it.
+type candidateStep struct {
+	s        *step
+	deadline time.Time
+}
+
+// Plan places waiting tasks and returns the orders and calls that follow; cfg may have changed since the last call.
+func (c *Cell) Plan(cfg *queues.Config, now time.Time) Plan {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var plan Plan
+	c.planStops(&plan, now)
+	for _, cand := range c.candidates(&plan, now) {
+		c.planStep(&plan, cand.s, cfg, now)
+	}
+	return plan
+}
+
+func (p *Plan) again(t time.Time) {
+	if p.Again.IsZero() || t.Before(p.Again) {
+		p.Again = t
+	}
+}
+
+func (c *Cell) planStops(plan *Plan, now time.Time) {
+	for _, w := range c.workers {
+		for key, p := range w.placed {
+			if !p.unwanted || w.misses >= missesUntilSuspect {
+				continue
+			}
+			if !p.stopSent.IsZero() && now.Sub(p.stopSent) < stopAgain {
+				plan.again(p.stopSent.Add(stopAgain))
+				continue
+			}
+			p.stopSent = now
+			plan.again(now.Add(stopAgain))
+			plan.Stops = append(plan.Stops, StopOrder{w.info, order.Stop{Task: key.task, Run: p.run, Token: c.token}, p})
+		}
+	}
+}
+
+func (c *Cell) candidates(plan *Plan, now time.Time) []candidateStep {
+	list := make([]candidateStep, 0, len(c.open))
+	for _, s := range c.open {
+		if !s.ready {
+			c.refresh(s, now)
+		}
+		if !s.ready {
+			plan.again(s.job.rounds[s.id.Occurrence].due)
+			continue
+		}
+		list = append(list, candidateStep{s, s.job.deadline(c.learned)})
+	}
+	slices.SortFunc(list, func(a, b candidateStep) int {
+		if o := cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority); o != 0 {
+			return o
+		}
+		if o := a.deadline.Compare(b.deadline); o != 0 {
+			return o
+		}
+		return cmp.Compare(a.s.id.String(), b.s.id.String())
+	})
+	return list
+}
+
+// eligible reports whether a step's tasks may be started on a worker, room and permission apart.
+func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
+	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 {
+		return false
+	}
+	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
+}
+
+// fits returns how many more tasks of a step a worker has room for.
+func (c *Cell) fits(s *step, w *worker, size unit.Size) int {
+	most := s.doc.Count
+	if s.doc.MaxPerWorker > 0 {
+		most = min(most, s.doc.MaxPerWorker-s.perWorker[w])
+	}
+	free, need := w.info.Capacity.Sub(w.used).Values(), size.Values()
+	for i := range need {
+		if need[i] > 0 {
+			most = min(most, int(free[i]/need[i]))
+		}
+	}
+	return max(0, most)
+}
+
+// score orders workers for a step, lower first: the worker that is left fullest, near the data, without disturbance.
+func (c *Cell) score(s *step, w *worker, size unit.Size) float64 {
+	left := w.info.Capacity.Sub(w.used).Sub(size)
+	score := left.Share(w.info.Capacity)
+	if s.doc.DataRack != "" && w.info.Rack != s.doc.DataRack {
+		score += 2
+	}
+	if s.doc.Target > 0 || s.doc.Fills {
+		score += c.disturbance(s, w)
+	}
+	return score + float64(w.strikes)
+}
+
+// disturbance counts the tasks on a worker beside which a filling or a serving task would do harm.
+func (c *Cell) disturbance(s *step, w *worker) float64 {
+	n := 0.0
+	for _, p := range w.placed {
+		other := p.task.step.doc
+		if (s.doc.Fills && other.Target > 0) || (s.doc.Target > 0 && other.Fills) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Cell) planStep(plan *Plan, s *step, cfg *queues.Config, now time.Time) {
+	var advice *queues.Advice
+	if q := cfg.Queue(s.job.doc.Queue); q != nil {
+		advice = q.Advice
+	}
+	if c.mayRunElsewhere(s, now) {
+		plan.again(c.unknownUntil)
+		return
+	}
+	if s.doc.Gang {
+		c.planGang(plan, s, advice, now)
+		return
+	}
+	waiting := 0
+	for _, t := range s.tasks {
+		if !t.waits() {
+			continue
+		}
+		if now.Before(t.notBefore) {
+			plan.again(t.notBefore)
+			continue
+		}
+		w, ticket := c.best(s, advice != nil, now)
+		if w == nil {
+			waiting++
+			continue
+		}
+		c.start(plan, t, w, ticket, c.nextRun(t), now)
+	}
+	c.askFor(plan, s, advice, waiting, now)
+}
+
+// mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker not yet heard of.
+func (c *Cell) mayRunElsewhere(s *step, now time.Time) bool {
+	return s.job.earlier && now.Before(c.unknownUntil)
+}
+
+func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) {
+	if waiting == 0 || advice == nil {
+		return
+	}
+	if a, ok := c.ask(s, advice, waiting, now); ok {
+		plan.Asks = append(plan.Asks, a)
+		return
+	}
+	if now.Before(s.askAfter) {
+		plan.again(s.askAfter)
+	}
+}
+
+func (c *Cell) best(s *step, needsTicket bool, now time.Time) (*worker, string) {
+	size := roomOf(s.doc)
+	var found *worker
+	var foundTicket string
+	var foundScore float64
+	for _, w := range c.workers {
+		if !c.eligible(w, s, now) || c.fits(s, w, size) == 0 {
+			continue
+		}
+		ticket, ok := s.usable(w, needsTicket, now)
+		if !ok {
+			continue
+		}
+		score := c.score(s, w, size)
+		if found == nil || score < foundScore || (score == foundScore && w.info.ID < found.info.ID) {
+			found, foundTicket, foundScore = w, ticket, score
+		}
+	}
+	return found, foundTicket
+}
+
+func (c *Cell) nextRun(t *task) int { return max(t.run+1, c.firstRun) }
+
+func (c *Cell) start(plan *Plan, t *task, w *worker, ticket string, run int, now time.Time) {
+	p := c.place(t, w, run, now)
+	c.stats.Starts++
+	plan.Starts = append(plan.Starts, StartOrder{
+		Worker: w.info, p: p,
+		Order: order.Start{Task: t.id, Run: run, Spec: t.step.job.doc.Spec, Saved: t.saved, Ticket: ticket, Token: c.token},
+	})
+	c.log.WithFields(logrus.Fields{
+		"job": t.id.Job, "task": t.id.String(), "run": run, "worker": w.info.ID, "free-cpu": w.info.Capacity.CPUMilli - w.used.CPUMilli,
+		"waited": now.Sub(t.step.readyAt).Round(time.Millisecond), "saved": t.saved != "",
+	}).Info("run placed")
+}
+
+// planGang places all tasks of a gang at once, or none.
+func (c *Cell) planGang(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
+	run := 0
+	for _, t := range s.tasks {
+		if len(t.placed) > 0 {
+			return
+		}
+		if now.Before(t.notBefore) {
+			plan.again(t.notBefore)
+			return
+		}
+		run = max(run, c.nextRun(t))
+	}
+	saved := ""
+	for _, t := range s.tasks {
+		if t.saved > saved {
+			saved = t.saved
+		}
+	}
+	seats := c.seats(s, advice != nil, now)
+	if len(seats) < len(s.tasks) {
+		c.askFor(plan, s, advice, len(s.tasks), now)
+		return
+	}
+	for i, t := range s.tasks {
+		t.saved = saved
+		c.start(plan, t, seats[i].w, seats[i].ticket, run, now)
+	}
+}
+
+type seat struct {
+	w      *worker
+	ticket string
+}
+
+// seats finds a worker for each member of a gang, one rack first if the members belong together.
+func (c *Cell) seats(s *step, needsTicket bool, now time.Time) []seat {
+	size := roomOf(s.doc)
+	type option struct {
+		seat
+		fits  int
+		score float64
+	}
+	var options []option
+	rackRoom := map[string]int{}
+	for _, w := range c.workers {
+		if !c.eligible(w, s, now) {
+			continue
+		}
+		ticket, ok := s.usable(w, needsTicket, now)
+		if !ok {
+			continue
+		}
+		if n := c.fits(s, w, size); n > 0 {
+			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size)})
+			rackRoom[w.info.Rack] += n
+		}
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		if s.doc.Colocate {
+			ra, rb := rackRoom[a.w.info.Rack] >= s.doc.Count, rackRoom[b.w.info.Rack] >= s.doc.Count
+			if ra != rb {
+				if ra {
+					return -1
+				}
+				return 1
+			}
+			if o := cmp.Compare(a.w.info.Rack, b.w.info.Rack); o != 0 {
+				return o
+			}
+		}
+		if o := cmp.Compare(a.score, b.score); o != 0 {
+			return o
+		}
+		return cmp.Compare(a.w.info.ID, b.w.info.ID)
+	})
+	var out []seat
+	for _, o := range options {
+		for range o.fits {
+			if len(out) == s.doc.Count {
+				return out
+			}
+			out = append(out, o.seat)
+		}
+	}
+	return out
+}
+
+// StartResult is what came of a start.
+type StartResult struct {
+	Sent  time.Time
+	Clock time.Duration
+	Err   error
+}
+
+// Started takes the outcome of a start; a run that surely did not start gives its room back.
+func (c *Cell) Started(o StartOrder, res StartResult, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := o.p
+	w := p.w
+	if w.placed[runKey{p.task.id, p.run}] != p {
+		return
+	}
+	p.sent = res.Sent
+	if res.Err == nil {
+		w.heard(res.Clock, now)
+		if p.confirmed.IsZero() {
+			p.confirmed = now
+		}
+		return
+	}
+	c.log.WithError(res.Err).WithFields(logrus.Fields{
+		"job": p.task.id.Job, "task": p.task.id.String(), "run": p.run, "worker": w.info.ID,
+	}).Warn("start failed")
+	if !certain(res.Err) {
+		// The start may still be carried out: the run is closed off on the worker before the task goes elsewhere.
+		p.unwanted = true
+		return
+	}
+	if rejectedAs(res.Err, order.RejectStale) && p.confirmed.IsZero() {
+		// The run was here before; its end will be listed.
+		p.confirmed = now
+		return
+	}
+	if rejectedAs(res.Err, order.RejectTicket) {
+		delete(p.task.step.permits, w.info.ID)
+	}
+	if rejectedAs(res.Err, order.RejectRoom) {
+		p.task.step.askAfter = now.Add(askPause)
+	}
+	p.task.notBefore = now.Add(failPause)
+	c.release(p, order.EndStopped, "", now)
+}
+
+// Stopped takes the outcome of a stop: after it the run is either listed as ended or will never start.
+func (c *Cell) Stopped(o StopOrder, clock time.Duration, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := o.p
+	w := p.w
+	if w.placed[runKey{p.task.id, p.run}] != p || err != nil {
+		return
+	}
+	w.heard(clock, now)
+	p.stopped = true
+	if p.confirmed.IsZero() {
+		p.confirmed = now
+	}
+	w.kick()
+}
+
+// roundTask returns the task of an id, for tests and views.
+func (c *Cell) roundTask(id graph.TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(id)
+}
--- /dev/null
+++ b/cell/worker.go
@@ -0,0 +1,501 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// Times of looking at workers.
+const (
+	// lookWait is how long a worker may hold its answer back when nothing ends.
+	lookWait = 1500 * time.Millisecond
+	// lookWaitServing is shorter, so that the gauges of serving tasks beside filling ones are fresh.
+	lookWaitServing = 400 * time.Millisecond
+	// missesUntilSuspect is how many looks may fail before a worker's leases are no longer renewed.
+	missesUntilSuspect = 2
+	// foreignGrace is how long a run of a job that is not known here is left alone.
+	foreignGrace = 1500 * time.Millisecond
+	// clockDrift is by how much of the time passed a worker's clock may be behind.
+	clockDrift = 0.02
+	// confirmAfter is how old a confirmed start must be before its absence from a report means that the run is gone.
+	confirmAfter = 300 * time.Millisecond
+)
+
+// runKey names a run.
+type runKey struct {
+	task graph.TaskID
+	run  int
+}
+
+// placement is a run that is on a worker, or may be.
+type placement struct {
+	task *task
+	w    *worker
+	run  int
+	size unit.Size
+	sent time.Time
+	// confirmed is when the worker answered for the run; zero while it may or may not have arrived.
+	confirmed time.Time
+	unwanted  bool
+	stopSent  time.Time
+	stopped   bool
+	saved     string
+	savedAt   time.Time
+	percent   int
+	paced     int
+	gauge     float64
+	gaugeAt   time.Time
+	over      time.Time
+}
+
+// worker is a worker of the group, with what is on it.
+type worker struct {
+	info   order.Worker
+	listed bool
+	used   unit.Size
+	placed map[runKey]*placement
+	// closeOff are runs whose start may still arrive and has to be refused.
+	closeOff []order.Stop
+	foreign  map[runKey]time.Time
+	seen     uint64
+	acked    uint64
+	ackSent  uint64
+	clock    time.Duration
+	clockAt  time.Time
+	// known says that this life was looked at under this scheduler's token.
+	known   bool
+	renewed time.Time
+	misses  int
+	missed  time.Time
+	strikes int
+	benched time.Time
+	wake    chan struct{}
+	first   time.Time
+}
+
+func (w *worker) kick() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// clockNow returns a time that the worker's clock has surely reached.
+func (w *worker) clockNow(now time.Time) time.Duration {
+	passed := max(0, now.Sub(w.clockAt))
+	return w.clock + passed - time.Duration(clockDrift*float64(passed))
+}
+
+func (w *worker) heard(clock time.Duration, now time.Time) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// SetWorkers replaces the list of the registry.
+func (c *Cell) SetWorkers(list []order.Worker, now time.Time) (added []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	named := map[string]bool{}
+	for i := range list {
+		named[list[i].ID] = true
+		if c.setWorker(list[i], now) {
+			added = append(added, list[i].ID)
+		}
+	}
+	for id, w := range c.workers {
+		if !named[id] {
+			c.unlist(w)
+		}
+	}
+	return added
+}
+
+// SetWorker takes one changed entry of the registry and reports whether the worker is new here.
+func (c *Cell) SetWorker(info order.Worker, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.setWorker(info, now)
+}
+
+// Unlist takes a worker out of those that get work.
+func (c *Cell) Unlist(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok {
+		c.unlist(w)
+	}
+}
+
+func (c *Cell) unlist(w *worker) {
+	if w.listed {
+		c.log.WithFields(logrus.Fields{"worker": w.info.ID, "placed": len(w.placed)}).Info("worker left the registry")
+	}
+	w.listed = false
+	w.kick()
+}
+
+func (c *Cell) setWorker(info order.Worker, now time.Time) bool {
+	w, ok := c.workers[info.ID]
+	if !ok {
+		w = &worker{
+			info: info, placed: map[runKey]*placement{}, foreign: map[runKey]time.Time{}, wake: make(chan struct{}, 1),
+			listed: true, first: now,
+		}
+		c.workers[info.ID] = w
+		c.log.WithFields(logrus.Fields{"worker": info.ID, "rack": info.Rack, "draining": info.Draining}).Info("worker listed")
+		return true
+	}
+	if !info.Born.Equal(w.info.Born) {
+		if info.Born.Before(w.info.Born) {
+			return false
+		}
+		c.reborn(w, info.Born, now)
+	}
+	if info.Draining != w.info.Draining {
+		c.log.WithFields(logrus.Fields{
+			"worker": info.ID, "draining": info.Draining, "remaining": info.Remaining, "placed": len(w.placed),
+		}).Info("worker changed its state")
+	}
+	w.info, w.listed = info, true
+	w.kick()
+	return false
+}
+
+// reborn starts a new life of a worker; nothing of the old one is left.
+func (c *Cell) reborn(w *worker, born, now time.Time) {
+	c.log.WithFields(logrus.Fields{"worker": w.info.ID, "placed": len(w.placed)}).Warn("worker has started anew")
+	c.loseAll(w, "its worker started anew", now)
+	w.info.Born = born
+	w.seen, w.acked, w.ackSent, w.known = 0, 0, 0, false
+	w.clock, w.clockAt = 0, time.Time{}
+	w.renewed = time.Time{}
+	w.misses = 0
+	clear(w.foreign)
+}
+
+// loseAll ends all placements of a worker on which surely nothing runs any more.
+func (c *Cell) loseAll(w *worker, why string, now time.Time) {
+	for key, p := range w.placed {
+		if p.confirmed.IsZero() {
+			w.closeOff = append(w.closeOff, order.Stop{Task: key.task, Run: key.run, Token: c.token})
+		}
+		c.log.WithFields(logrus.Fields{
+			"job": key.task.Job, "task": key.task.String(), "run": key.run, "worker": w.info.ID, "why": why,
+		}).Warn("run lost")
+		c.stats.Lost++
+		c.release(p, order.EndLapsed, p.saved, now)
+	}
+}
+
+// NextLook is what to ask of a worker next.
+type NextLook struct {
+	Worker order.Worker
+	Order  order.Look
+	// Needed says that the worker has to be looked at now.
+	Needed bool
+	// Pause is how long to wait before the look, after a miss.
+	Pause time.Duration
+	// Gone says that the worker is neither listed nor holds anything.
+	Gone bool
+	Wake <-chan struct{}
+	Stop []order.Stop
+}
+
+// Next returns the next look at a worker.
+func (c *Cell) Next(id string, now time.Time) NextLook {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok {
+		return NextLook{Gone: true}
+	}
+	c.expire(w, now)
+	n := NextLook{Worker: w.info, Wake: w.wake}
+	if !w.listed && len(w.placed) == 0 && len(w.foreign) == 0 {
+		delete(c.workers, id)
+		n.Gone = true
+		return n
+	}
+	n.Needed = !w.known || len(w.placed) > 0 || w.seen > w.ackSent || len(w.foreign) > 0
+	n.Order = order.Look{Token: c.token, Acked: w.acked}
+	if w.misses > 0 {
+		n.Pause = missPause
+	}
+	if !w.known && !w.listed {
+		n.Needed = len(w.placed) > 0
+	}
+	if w.misses < missesUntilSuspect {
+		n.Order.Until = w.until(now, c.settings.Lease)
+	}
+	if w.known && w.misses == 0 && w.acked <= w.ackSent {
+		n.Order.Wait = c.lookWait(w)
+	}
+	n.Stop = w.closeOff
+	w.closeOff = nil
+	return n
+}
+
+// missPause is the pause between looks at a worker that does not answer.
+const missPause = 250 * time.Millisecond
+
+func (c *Cell) lookWait(w *worker) time.Duration {
+	for _, p := range w.placed {
+		if p.task.step.doc.Target > 0 {
+			return lookWaitServing
+		}
+	}
+	return lookWait
+}
+
+// until returns when a lease that is renewed now ends on the worker's clock; 0 if that clock is not known.
+func (w *worker) until(now time.Time, lease time.Duration) time.Duration {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	return w.clockNow(now) + lease
+}
+
+// Sending notes that an order which renews leases is about to be sent.
+func (c *Cell) Sending(id string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok {
+		w.renewed = now
+	}
+}
+
+// expire ends what is on a worker whose leases have surely run out.
+func (c *Cell) expire(w *worker, now time.Time) {
+	if w.misses < missesUntilSuspect || len(w.placed) == 0 {
+		return
+	}
+	last := w.renewed
+	for _, p := range w.placed {
+		if p.sent.After(last) {
+			last = p.sent
+		}
+	}
+	if now.Sub(last) > c.settings.Lease+leaseSlack {
+		c.loseAll(w, "its lease has run out", now)
+	}
+}
+
+// Missed says that a look got no answer.
+func (c *Cell) Missed(id string, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	w.misses++
+	if w.misses == missesUntilSuspect {
+		w.missed = now
+		c.log.WithError(err).WithFields(logrus.Fields{"worker": id, "placed": len(w.placed)}).Warn("worker does not answer")
+	}
+	c.expire(w, now)
+}
+
+// Replaced says that another worker answers at a worker's address.
+func (c *Cell) Replaced(id string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok {
+		c.loseAll(w, "another worker has its address", now)
+		w.closeOff = nil
+		w.listed = false
+		w.known = false
+	}
+}
+
+// Looked takes a worker's report; sent is when the look was sent and acked what it acknowledged.
+func (c *Cell) Looked(id string, rep order.Report, acked uint64, sent, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	if !rep.Born.IsZero() && !rep.Born.Equal(w.info.Born) {
+		if rep.Born.Before(w.info.Born) {
+			return
+		}
+		c.reborn(w, rep.Born, now)
+	}
+	if w.misses >= missesUntilSuspect {
+		c.log.WithFields(logrus.Fields{"worker": id, "away": now.Sub(w.missed).Round(time.Millisecond)}).Info("worker answers again")
+	}
+	w.heard(rep.Clock, now)
+	w.misses = 0
+	w.ackSent = max(w.ackSent, acked)
+	w.known = true
+	running := make(map[runKey]bool, len(rep.Running))
+	for i := range rep.Running {
+		running[runKey{rep.Running[i].Task, rep.Running[i].Run}] = true
+		c.sawRun(w, &rep.Running[i], now)
+	}
+	for i := range rep.Ended {
+		c.sawEnd(w, &rep.Ended[i], now)
+	}
+	for key, p := range w.placed {
+		if running[key] || p.confirmed.IsZero() || sent.Sub(p.confirmed) < confirmAfter {
+			continue
+		}
+		c.log.WithFields(logrus.Fields{"task": key.task.String(), "run": key.run, "worker": id, "stopped": p.stopped}).
+			Info("run is no longer on its worker")
+		c.release(p, order.EndLapsed, p.saved, now)
+	}
+	for key := range w.foreign {
+		if !running[key] {
+			delete(w.foreign, key)
+		}
+	}
+}
+
+func (c *Cell) sawRun(w *worker, r *order.Run, now time.Time) {
+	key := runKey{r.Task, r.Run}
+	p, ok := w.placed[key]
+	if !ok {
+		if p = c.adopt(w, r, now); p == nil {
+			return
+		}
+	}
+	if p.confirmed.IsZero() {
+		p.confirmed = now
+	}
+	if r.Saved != p.saved {
+		p.saved, p.savedAt = r.Saved, now
+	}
+	p.percent, p.gauge, p.gaugeAt = r.Percent, r.Gauge, now
+}
+
+// adopt takes over a run that an earlier scheduler started.
+func (c *Cell) adopt(w *worker, r *order.Run, now time.Time) *placement {
+	key := runKey{r.Task, r.Run}
+	j := c.jobs[r.Task.Job]
+	var t *task
+	if j != nil {
+		t = j.task(r.Task)
+	}
+	if t == nil {
+		first, ok := w.foreign[key]
+		if !ok {
+			w.foreign[key] = now
+		} else if now.Sub(first) > foreignGrace {
+			w.closeOff = append(w.closeOff, order.Stop{Task: r.Task, Run: r.Run, Token: c.token})
+		}
+		return nil
+	}
+	delete(w.foreign, key)
+	if t.run >= r.Run && !t.done && len(t.placed) == 0 && t.run > r.Run {
+		c.log.WithFields(logrus.Fields{"task": r.Task.String(), "run": r.Run, "worker": w.info.ID}).Warn("older run found")
+	}
+	p := c.place(t, w, r.Run, now)
+	p.confirmed = now
+	p.unwanted = t.done || j.state.Over() || len(t.placed) > 1
+	c.log.WithFields(logrus.Fields{
+		"job": r.Task.Job, "task": r.Task.String(), "run": r.Run, "worker": w.info.ID, "unwanted": p.unwanted,
+	}).Info("run adopted")
+	return p
+}
+
+// place records a run on a worker, and takes its room.
+func (c *Cell) place(t *task, w *worker, run int, now time.Time) *placement {
+	p := &placement{task: t, w: w, run: run, size: roomOf(t.step.doc), sent: now, percent: 100, paced: 100}
+	if t.waits() {
+		t.step.free--
+	}
+	t.placed = append(t.placed, p)
+	t.run = max(t.run, run)
+	t.step.perWorker[w]++
+	t.step.job.placed++
+	t.step.job.started = true
+	w.used = w.used.Add(p.size)
+	w.placed[runKey{t.id, run}] = p
+	c.refresh(t.step, now)
+	w.kick()
+	return p
+}
+
+// roomOf returns what a task takes of a worker; filling tasks take no processors from others.
+func roomOf(s *graph.Step) unit.Size {
+	size := s.Size
+	if s.Fills {
+		size.CPUMilli = 0
+	}
+	return size
+}
+
+// release gives a run's room back and settles what its end means.
+func (c *Cell) release(p *placement, kind order.EndKind, saved string, now time.Time) {
+	t, w, s := p.task, p.w, p.task.step
+	j := s.job
+	delete(w.placed, runKey{t.id, p.run})
+	w.used = w.used.Sub(p.size)
+	if s.perWorker[w]--; s.perWorker[w] <= 0 {
+		delete(s.perWorker, w)
+	}
+	t.placed = slices.DeleteFunc(t.placed, func(o *placement) bool { return o == p })
+	j.placed--
+	if saved != "" {
+		t.saved = saved
+	}
+	if t.waits() {
+		s.free++
+	}
+	c.touch(j)
+	c.settle(p, kind, now)
+	if t.waits() && s.doc.Gang {
+		c.breakGang(s, p.run)
+	}
+	c.refresh(s, now)
+	for _, next := range s.unblocks {
+		c.refresh(next, now)
+	}
+	if j.state.Over() && j.placed == 0 {
+		if _, durable := c.over[j.doc.ID]; durable {
+			c.forget(j)
+		}
+	}
+}
+
+// breakGang asks for the end of the other members of a run that can no longer succeed.
+func (c *Cell) breakGang(s *step, run int) {
+	for _, t := range s.tasks {
+		for _, p := range t.placed {
+			if p.run <= run {
+				p.unwanted = true
+			}
+		}
+	}
+}
+
+// AllKnown reports whether every listed worker has been looked at under this scheduler's token.
+func (c *Cell) AllKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		if !w.known {
+			return false
+		}
+	}
+	return true
+}
+
+// Until returns when the lease of a task that is started now ends on the worker's clock.
+func (c *Cell) Until(id string, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok {
+		return 0
+	}
+	return w.until(now, c.settings.Lease)
+}
--- /dev/null
+++ b/cellpb/doc.go
@@ -0,0 +1,2 @@
+// Package cellpb holds the messages between hosts that run groups of workers, generated from cell.proto.
+package cellpb
--- /dev/null
+++ b/elect/doc.go
@@ -0,0 +1,2 @@
+// Package elect settles by rows of the table which host runs a group of workers.
+package elect
--- /dev/null
+++ b/elect/elect.go
@@ -0,0 +1,175 @@
+package elect
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Table is the table of the leases; each group is a part of it.
+const Table = "cells"
+
+// Rows of a part.
+const (
+	rowEpoch = "epoch"
+	rowBeat  = "beat"
+)
+
+// Times of a lease.
+const (
+	// BeatEvery is how often a holder renews its lease.
+	BeatEvery = 700 * time.Millisecond
+	// Hold is how long after the sending of its last good renewal a holder may give orders.
+	Hold = 2200 * time.Millisecond
+	// Takeover is how long others must have seen no renewal before they take a lease; Hold and a margin for slow clocks.
+	Takeover = 3000 * time.Millisecond
+	callTime = 650 * time.Millisecond
+)
+
+// Epoch is one holding of a lease; its token is higher than those of all before.
+type Epoch struct {
+	Part    string         `json:"-"`
+	Holder  string         `json:"holder"`
+	Address netip.AddrPort `json:"address"`
+	Token   uint64         `json:"token"`
+	// Version is the version of the lease's row, which every write of the holder checks.
+	Version uint64 `json:"-"`
+}
+
+// Check returns the check that ties a transaction to the epoch.
+func (e Epoch) Check() table.Check {
+	return table.Check{Key: table.Key{Table: Table, Part: e.Part, Name: rowEpoch}, Version: e.Version}
+}
+
+// LostError says that another host holds a lease.
+type LostError struct {
+	Part string
+}
+
+// Error names the group.
+func (e *LostError) Error() string { return fmt.Sprintf("another host runs group %s", e.Part) }
+
+// seen is what a host knows of a lease.
+type seen struct {
+	epoch   Epoch
+	changed time.Time
+}
+
+// Book knows the holders of all leases.
+type Book struct {
+	mu    sync.Mutex
+	parts map[string]seen
+	alive time.Time
+	since time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{parts: map[string]seen{}} }
+
+// Alive notes that the table has answered.
+func (b *Book) Alive(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.alive) > Takeover {
+		b.since = now
+	}
+	b.alive = now
+}
+
+// Apply takes changed rows of the table of leases.
+func (b *Book) Apply(rows []table.Row, now time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var bad error
+	for _, r := range rows {
+		s := b.parts[r.Part]
+		switch {
+		case r.Name == rowEpoch && r.Version > s.epoch.Version && !r.Deleted:
+			e := Epoch{}
+			if err := json.Unmarshal(r.Value, &e); err != nil {
+				bad = fmt.Errorf("lease of group %s: %w", r.Part, err)
+				continue
+			}
+			e.Part, e.Version = r.Part, r.Version
+			s.epoch, s.changed = e, now
+		case r.Name == rowBeat:
+			s.changed = now
+		default:
+			continue
+		}
+		b.parts[r.Part] = s
+	}
+	return bad
+}
+
+// Holder returns the last known holding of a lease.
+func (b *Book) Holder(part string) (Epoch, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.parts[part]
+	return s.epoch, ok && s.epoch.Holder != ""
+}
+
+// Free reports whether a lease may be taken, and the epoch that the taker replaces.
+func (b *Book) Free(part string, patience time.Duration, now time.Time) (Epoch, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.parts[part]
+	s.epoch.Part = part
+	if now.Sub(b.alive) > Takeover/2 || now.Sub(b.since) < patience {
+		return s.epoch, false
+	}
+	if s.epoch.Holder == "" {
+		return s.epoch, now.Sub(s.changed) >= patience
+	}
+	silent := now.Sub(s.changed)
+	return s.epoch, silent >= Takeover+patience && now.Sub(b.since) >= Takeover+patience
+}
+
+// Take takes a lease over from old.
+func Take(ctx context.Context, s table.Store, old Epoch, holder string, address netip.AddrPort) (Epoch, error) {
+	e := Epoch{Part: old.Part, Holder: holder, Address: address, Token: old.Token + 1}
+	v, err := write(ctx, s, old, e)
+	e.Version = v
+	return e, err
+}
+
+// Release gives a lease back, so that another host need not wait.
+func Release(ctx context.Context, s table.Store, e Epoch) error {
+	_, err := write(ctx, s, e, Epoch{Part: e.Part, Token: e.Token})
+	return err
+}
+
+func write(ctx context.Context, s table.Store, old, next Epoch) (uint64, error) {
+	raw, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return s.Commit(ctx, table.Tx{
+		Checks: []table.Check{old.Check()},
+		Writes: []table.Write{{Key: old.Check().Key, Value: raw}},
+	})
+}
+
+// Beat renews a lease; *LostError means that it is held by another.
+func Beat(ctx context.Context, s table.Store, e Epoch) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	_, err := s.Commit(ctx, table.Tx{
+		Checks: []table.Check{e.Check()},
+		Writes: []table.Write{{Key: table.Key{Table: Table, Part: e.Part, Name: rowBeat}, Value: []byte("1")}},
+	})
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		return &LostError{e.Part}
+	}
+	return err
+}
--- /dev/null
+++ b/runner/jobs.go
@@ -0,0 +1,229 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/clock"
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Tables of jobs; each group is a part of both.
+const (
+	// TableJobs holds accepted jobs, and marks of those that were cancelled.
+	TableJobs = "jobs"
+	// TableRuns holds the progress of jobs; only the runner of a group writes it.
+	TableRuns = "runs"
+	// CancelSuffix makes the name of a job's cancel mark.
+	CancelSuffix = "/cancel"
+)
+
+// Times of the table.
+const (
+	tableTimeout = 1200 * time.Millisecond
+	tableRetry   = 100 * time.Millisecond
+	// commitEvery spaces commits in which no job ends, so that many ends share one.
+	commitEvery = 30 * time.Millisecond
+	// commitMost bounds the jobs of a commit: a check and a write each, and the check of the lease, of 100 entries.
+	commitMost = 48
+	sweepEvery = 30 * time.Second
+)
+
+type savedRun struct {
+	progress *graph.Progress
+	version  uint64
+}
+
+func asLost(err error) (*elect.LostError, bool) {
+	var lost *elect.LostError
+	return lost, errors.As(err, &lost)
+}
+
+// loadRuns reads the progress of all jobs of the group.
+func (r *Runner) loadRuns(ctx context.Context) (map[string]savedRun, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		rows, _, err := table.ReadAll(call, r.cfg.Store, table.Range{Table: TableRuns, Part: r.cfg.Epoch.Part})
+		cancel()
+		if err != nil {
+			r.log.WithError(err).Warn("progress can't be read")
+			if !clock.Pause(ctx, tableRetry) {
+				return nil, ctx.Err()
+			}
+			continue
+		}
+		runs := make(map[string]savedRun, len(rows))
+		for _, row := range rows {
+			p, err := graph.DecodeProgress(row.Value)
+			if err != nil {
+				r.log.WithError(err).WithField("job", row.Name).Error("progress is unreadable")
+				continue
+			}
+			runs[row.Name] = savedRun{p, row.Version}
+		}
+		return runs, nil
+	}
+}
+
+func (r *Runner) followJobs(ctx context.Context, runs map[string]savedRun) {
+	first := true
+	take := func(rows []table.Row, earlier bool) {
+		now := time.Now()
+		for _, row := range rows {
+			if row.Part != r.cfg.Epoch.Part || row.Deleted {
+				continue
+			}
+			if id, ok := strings.CutSuffix(row.Name, CancelSuffix); ok {
+				defer r.cell.Cancel(id, now)
+				continue
+			}
+			doc, err := graph.DecodeJob(row.Value)
+			if err != nil {
+				r.log.WithError(err).WithField("job", row.Name).Error("job is unreadable")
+				continue
+			}
+			saved := runs[row.Name]
+			r.cell.Add(doc, saved.progress, saved.version, earlier, now)
+		}
+		r.kickPlan()
+		r.kickCommit()
+	}
+	f := table.Follower{
+		Store: r.cfg.Store, Table: TableJobs, Log: r.log, Parts: func() []string { return []string{r.cfg.Epoch.Part} },
+		Load: func(rows []table.Row) {
+			take(rows, first)
+			first = false
+		},
+		Apply: func(rows []table.Row) { take(rows, false) },
+	}
+	f.Run(ctx)
+}
+
+// Take hands a job over that this host has just accepted, before the table's changes bring it.
+func (r *Runner) Take(doc *graph.Job) {
+	r.cell.Add(doc, nil, 0, false, time.Now())
+	r.kickPlan()
+}
+
+func (r *Runner) commitLoop(ctx context.Context) error {
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.commit:
+		case <-time.After(sweepEvery):
+		}
+		for ctx.Err() == nil {
+			some, ended := r.cell.Dirty()
+			if !some {
+				break
+			}
+			if !ended {
+				clock.Pause(ctx, commitEvery)
+			}
+			if err := r.commitOnce(ctx); err != nil {
+				return err
+			}
+		}
+		if time.Since(swept) > sweepEvery {
+			swept = time.Now()
+			r.sweep(ctx)
+		}
+	}
+}
+
+// commitOnce makes one batch durable, however often it has to be tried.
+func (r *Runner) commitOnce(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		b := r.cell.Collect(commitMost)
+		if len(b.Changes) == 0 {
+			return nil
+		}
+		tx, err := r.tx(b.Changes)
+		if err != nil {
+			return err
+		}
+		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		version, err := r.cfg.Store.Commit(call, tx)
+		cancel()
+		if err == nil {
+			r.cell.Committed(b, version, time.Now())
+			r.kickPlan()
+			return nil
+		}
+		var conflict *table.ConflictError
+		if errors.As(err, &conflict) {
+			if lost := r.conflicted(conflict); lost != nil {
+				r.cancel(lost)
+				return lost
+			}
+			continue
+		}
+		if !failing && ctx.Err() == nil {
+			r.log.WithError(err).WithField("jobs", len(b.Changes)).Warn("progress can't be written")
+			failing = true
+		}
+		clock.Pause(ctx, tableRetry)
+	}
+	return ctx.Err()
+}
+
+func (r *Runner) tx(changes []cell.Change) (table.Tx, error) {
+	tx := table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}}
+	for _, ch := range changes {
+		raw, err := ch.Progress.Encode()
+		if err != nil {
+			return tx, err
+		}
+		key := table.Key{Table: TableRuns, Part: r.cfg.Epoch.Part, Name: ch.Job}
+		tx.Checks = append(tx.Checks, table.Check{Key: key, Version: ch.Version})
+		tx.Writes = append(tx.Writes, table.Write{Key: key, Value: raw})
+	}
+	return tx, nil
+}
+
+// conflicted takes over the versions that a commit with a lost answer has left, unless the lease itself is lost.
+func (r *Runner) conflicted(conflict *table.ConflictError) error {
+	lease := r.cfg.Epoch.Check()
+	for _, row := range conflict.Rows {
+		if row.Table == lease.Table {
+			if row.Version != lease.Version {
+				return &elect.LostError{Part: r.cfg.Epoch.Part}
+			}
+			continue
+		}
+		r.cell.Conflicted(row.Name, row.Version)
+	}
+	return nil
+}
+
+// sweep removes the rows of jobs that ended long ago.
+func (r *Runner) sweep(ctx context.Context) {
+	const most = 30
+	ids := r.cell.Sweep(time.Now(), most)
+	if len(ids) == 0 {
+		return
+	}
+	tx := table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}}
+	for _, id := range ids {
+		for _, key := range []table.Key{
+			{Table: TableJobs, Part: r.cfg.Epoch.Part, Name: id},
+			{Table: TableJobs, Part: r.cfg.Epoch.Part, Name: id + CancelSuffix},
+			{Table: TableRuns, Part: r.cfg.Epoch.Part, Name: id},
+		} {
+			tx.Removes = append(tx.Removes, key)
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if _, err := r.cfg.Store.Commit(call, tx); err != nil {
+		r.log.WithError(err).Warn("rows of old jobs can't be removed")
+	}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,179 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/clock"
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Registry tells which workers there are.
+type Registry interface {
+	// Follow calls list with all workers at a start, and then changed and gone, until ctx is done.
+	Follow(ctx context.Context, list func([]order.Worker), changed func(order.Worker), gone func(id string))
+}
+
+// Config is what a runner works with.
+type Config struct {
+	Epoch    elect.Epoch
+	Store    table.Store
+	Workers  order.Workers
+	Registry Registry
+	Advisors Advisors
+	Queues   *queues.Book
+	Settings cell.Settings
+	Log      logrus.FieldLogger
+}
+
+// Runner runs the group of one service as long as it holds the group's lease.
+type Runner struct {
+	cfg  Config
+	cell *cell.Cell
+	log  logrus.FieldLogger
+	// holdUntil is until when orders may be given, on the clock that also counts suspended time.
+	holdUntil atomic.Int64
+	plan      chan struct{}
+	commit    chan struct{}
+	cancel    context.CancelCauseFunc
+
+	mu      sync.Mutex
+	workers map[string]bool
+	listed  bool
+	sends   sync.WaitGroup
+	sending map[string]chan struct{}
+}
+
+// New returns a runner of the group whose lease was taken.
+func New(cfg Config) *Runner {
+	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Part, "token": cfg.Epoch.Token})
+	return &Runner{
+		cfg: cfg, cell: cell.New(cfg.Settings, cfg.Epoch.Token, log), log: log,
+		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1), workers: map[string]bool{},
+		sending: map[string]chan struct{}{},
+	}
+}
+
+// Cell returns the group's state.
+func (r *Runner) Cell() *cell.Cell { return r.cell }
+
+// Run runs the group until ctx is done or the lease is lost; taken is when the taking of the lease was sent.
+func (r *Runner) Run(ctx context.Context, taken time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.cancel = cancel
+	r.holdUntil.Store(int64(taken + elect.Hold))
+	r.log.Info("group taken over")
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.Go(func() error { return r.beat(ctx) })
+	eg.Go(func() error { return r.work(ctx) })
+	err := eg.Wait()
+	r.sends.Wait()
+	if cause := context.Cause(ctx); cause != nil && err == nil {
+		err = cause
+	}
+	r.log.WithError(err).Info("group given up")
+	return err
+}
+
+// work loads the jobs and then runs the loops of the group.
+func (r *Runner) work(ctx context.Context) error {
+	earlier, err := r.loadRuns(ctx)
+	if err != nil {
+		return err
+	}
+	r.cell.HoldUnknown(time.Now().Add(r.cfg.Settings.Lease + unknownSlack))
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.Go(func() error { r.followJobs(ctx, earlier); return nil })
+	eg.Go(func() error {
+		r.cfg.Registry.Follow(ctx, func(l []order.Worker) { r.list(ctx, l) },
+			func(w order.Worker) { r.changed(ctx, w) }, r.gone)
+		return nil
+	})
+	eg.Go(func() error { return r.planLoop(ctx) })
+	eg.Go(func() error { return r.commitLoop(ctx) })
+	eg.Go(func() error { r.settleUnknown(ctx); return nil })
+	return eg.Wait()
+}
+
+// unknownSlack covers clocks that are slow and orders on their way at a take-over.
+const unknownSlack = 400 * time.Millisecond
+
+// settleUnknown releases tasks of earlier jobs as soon as every worker has told what runs on it.
+func (r *Runner) settleUnknown(ctx context.Context) {
+	const every = 20 * time.Millisecond
+	for clock.Pause(ctx, every) {
+		r.mu.Lock()
+		listed := r.listed
+		r.mu.Unlock()
+		if listed && r.cell.AllKnown() {
+			r.cell.HoldUnknown(time.Time{})
+			r.log.Info("all workers have told what runs on them")
+			r.kickPlan()
+			return
+		}
+	}
+}
+
+// holds reports whether orders may be given.
+func (r *Runner) holds() bool { return int64(clock.Boot()) < r.holdUntil.Load() }
+
+func (r *Runner) beat(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		sent := clock.Boot()
+		err := elect.Beat(ctx, r.cfg.Store, r.cfg.Epoch)
+		if lost, ok := asLost(err); ok {
+			r.cancel(lost)
+			return lost
+		}
+		pause := elect.BeatEvery
+		if err == nil {
+			was := r.holds()
+			r.holdUntil.Store(int64(sent + elect.Hold))
+			if failing || !was {
+				r.log.Info("lease renewed again")
+				r.kickPlan()
+			}
+			failing = false
+		} else {
+			pause = beatRetry
+			if !failing && ctx.Err() == nil {
+				r.log.WithError(err).Warn("lease can't be renewed")
+			}
+			failing = true
+		}
+		clock.Pause(ctx, pause)
+	}
+	return nil
+}
+
+// beatRetry is the pause after a renewal that failed.
+const beatRetry = 150 * time.Millisecond
+
+func kick(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) kickPlan()   { kick(r.plan) }
+func (r *Runner) kickCommit() { kick(r.commit) }
+
+// fenced gives the group up after a worker has seen a higher token.
+func (r *Runner) fenced(err error) {
+	if cell.Fenced(err) {
+		r.log.WithError(err).Warn("a worker has seen a higher token")
+		r.cancel(&elect.LostError{Part: r.cfg.Epoch.Part})
+	}
+}
