--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,8 @@
 	maxBody        = 4 << 20
 	maxHeader      = 64 << 10
 	idleTimeout    = 60 * time.Second
+	// leasePause spaces the readings of the leases, each of which changes every 0.7 s.
+	leasePause = 300 * time.Millisecond
 	// runsPerToken is more runs of one task than a scheduler starts without a durable record of any.
 	runsPerToken = 1000
 )
@@ -184,7 +186,7 @@
 	}
 	f := table.Follower{
 		Store: a.store, Table: elect.Table, Log: a.log, Load: apply, Apply: apply,
-		Alive: func() { a.leases.Alive(time.Now()) },
+		Pause: leasePause, Alive: func() { a.leases.Alive(time.Now()) },
 		Parts: func() []string {
 			parts := []string{partHosts}
 			if cfg := a.queues.Current(); cfg != nil {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -23,6 +23,10 @@
 	foreignGrace = 1500 * time.Millisecond
 	// clockDrift is by how much of the time passed a worker's clock may be behind.
 	clockDrift = 0.02
+	// idlePause is how long a worker with nothing on it is left alone at most.
+	idlePause = 5 * time.Second
+	// unackedPause is how long a worker is left alone while an end that it told is made durable.
+	unackedPause = 500 * time.Millisecond
 	// confirmAfter is how old a confirmed start must be before its absence from a report means that the run is gone.
 	confirmAfter = 300 * time.Millisecond
 )
@@ -71,6 +75,8 @@
 	// known says that this life was looked at under this scheduler's token.
 	known   bool
 	renewed time.Time
+	// heardAt is when the last report came.
+	heardAt time.Time
 	misses  int
 	missed  time.Time
 	strikes int
@@ -204,6 +210,8 @@
 	Pause time.Duration
 	// Gone says that the worker is neither listed nor holds anything.
 	Gone bool
+	// Idle is how long to wait for Wake if no look is needed.
+	Idle time.Duration
 	Wake <-chan struct{}
 	Stop []order.Stop
 }
@@ -217,13 +225,17 @@
 		return NextLook{Gone: true}
 	}
 	c.expire(w, now)
-	n := NextLook{Worker: w.info, Wake: w.wake}
+	n := NextLook{Worker: w.info, Wake: w.wake, Idle: idlePause}
 	if !w.listed && len(w.placed) == 0 && len(w.foreign) == 0 {
 		delete(c.workers, id)
 		n.Gone = true
 		return n
 	}
 	n.Needed = !w.known || len(w.placed) > 0 || w.seen > w.ackSent || len(w.foreign) > 0
+	if w.known && w.seen > w.acked && now.Sub(w.heardAt) < unackedPause {
+		// An end that is not acknowledged would be told again at once.
+		n.Needed, n.Idle = false, unackedPause
+	}
 	n.Order = order.Look{Token: c.token, Acked: w.acked}
 	if w.misses > 0 {
 		n.Pause = missPause
@@ -333,7 +345,7 @@
 		c.log.WithFields(logrus.Fields{"worker": id, "away": now.Sub(w.missed).Round(time.Millisecond)}).Info("worker answers again")
 	}
 	w.heard(rep.Clock, now)
-	w.misses = 0
+	w.misses, w.heardAt = 0, now
 	w.ackSent = max(w.ackSent, acked)
 	w.known = true
 	running := make(map[runKey]bool, len(rep.Running))
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -81,7 +81,7 @@
 }
 
 func jobKey(service, id string) table.Key {
-	return table.Key{Table: runner.TableJobs, Part: service, Name: id}
+	return table.Key{Table: runner.TableJobs(service), Part: service, Name: id}
 }
 
 // Submit makes a job durable; the same id again is the same job.
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	page, err := i.Store.Read(ctx, table.Range{
-		Table: runner.TableJobs, Part: q.Service, From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
+		Table: runner.TableJobs(q.Service), Part: q.Service, From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
 	})
 	if err != nil {
 		return stored{}, &RefusedError{"store-away", backAfter, err}
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/elect"
@@ -15,14 +18,21 @@
 
 // Tables of jobs; each group is a part of both.
 const (
-	// TableJobs holds accepted jobs, and marks of those that were cancelled.
-	TableJobs = "jobs"
 	// TableRuns holds the progress of jobs; only the runner of a group writes it.
 	TableRuns = "runs"
 	// CancelSuffix makes the name of a job's cancel mark.
 	CancelSuffix = "/cancel"
 )
 
+// jobTables bounds the number of tables of accepted jobs, since the platform limits that of all tables.
+const jobTables = 32
+
+// TableJobs returns the table that holds the accepted jobs of a service, and marks of those that were cancelled; services
+// mostly have one each, so that a runner hears of its own jobs only.
+func TableJobs(service string) string {
+	return "jobs-" + strconv.FormatUint(xxhash.Sum64String(service)%jobTables, 10)
+}
+
 // Times of the table.
 const (
 	tableTimeout = 1200 * time.Millisecond
@@ -94,7 +104,7 @@
 		r.kickCommit()
 	}
 	f := table.Follower{
-		Store: r.cfg.Store, Table: TableJobs, Log: r.log, Parts: func() []string { return []string{r.cfg.Epoch.Part} },
+		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Part), Log: r.log, Parts: func() []string { return []string{r.cfg.Epoch.Part} },
 		Load: func(rows []table.Row) {
 			take(rows, first)
 			first = false
@@ -214,8 +224,8 @@
 	tx := table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}}
 	for _, id := range ids {
 		for _, key := range []table.Key{
-			{Table: TableJobs, Part: r.cfg.Epoch.Part, Name: id},
-			{Table: TableJobs, Part: r.cfg.Epoch.Part, Name: id + CancelSuffix},
+			{Table: TableJobs(r.cfg.Epoch.Part), Part: r.cfg.Epoch.Part, Name: id},
+			{Table: TableJobs(r.cfg.Epoch.Part), Part: r.cfg.Epoch.Part, Name: id + CancelSuffix},
 			{Table: TableRuns, Part: r.cfg.Epoch.Part, Name: id},
 		} {
 			tx.Removes = append(tx.Removes, key)
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -20,8 +20,6 @@
 	startTries = 3
 	// sendsPerWorker bounds the orders on their way to one worker, and with them its connections.
 	sendsPerWorker = 3
-	// idlePause is how long a worker with nothing on it is left alone at most.
-	idlePause = 5 * time.Second
 	// idleCheck is how soon a host that may give no orders looks whether it may again.
 	idleCheck = 50 * time.Millisecond
 )
@@ -90,7 +88,7 @@
 		}
 		r.closeOff(ctx, &next.Worker, next.Stop)
 		if !next.Needed {
-			wait(ctx, next.Wake, idlePause)
+			wait(ctx, next.Wake, next.Idle)
 			continue
 		}
 		if next.Pause > 0 {
