Load a group's jobs before its workers are looked at

Cause: a new runner that heard of an end before its job was known dropped the end and later acknowledged it, so that finished tasks were started again.

--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -80,7 +80,8 @@
 	}
 }
 
-func (r *Runner) followJobs(ctx context.Context, runs map[string]savedRun) {
+// followJobs takes the group's jobs, and closes loaded once those are known that were accepted before.
+func (r *Runner) followJobs(ctx context.Context, runs map[string]savedRun, loaded chan<- struct{}) {
 	first := true
 	take := func(rows []table.Row, earlier bool) {
 		now := time.Now()
@@ -107,6 +108,9 @@
 		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Part), Log: r.log, Parts: func() []string { return []string{r.cfg.Epoch.Part} },
 		Load: func(rows []table.Row) {
 			take(rows, first)
+			if first {
+				close(loaded)
+			}
 			first = false
 		},
 		Apply: func(rows []table.Row) { take(rows, false) },
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -93,8 +93,15 @@
 	}
 	r.cell.HoldUnknown(time.Now().Add(r.cfg.Settings.Lease + unknownSlack))
 	eg, ctx := errgroup.WithContext(ctx)
-	eg.Go(func() error { r.followJobs(ctx, earlier); return nil })
+	loaded := make(chan struct{})
+	eg.Go(func() error { r.followJobs(ctx, earlier, loaded); return nil })
 	eg.Go(func() error {
+		// An end can be settled only if its job is known.
+		select {
+		case <-loaded:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		r.cfg.Registry.Follow(ctx, func(l []order.Worker) { r.list(ctx, l) },
 			func(w order.Worker) { r.changed(ctx, w) }, r.gone)
 		return nil
