Record the workers in use, tell lives of hosts apart, and refuse at once without the store

Cause: a take-over during a zone cut counted workers that had left the registry as heard of, and restarted what still ran there. A runner now records the workers it uses before it starts anything on them. A restarted host's leases are free at once. Hosts that can't reach the store are unready and refuse before anything is sent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
@@ -34,7 +35,7 @@
 	maxHeader      = 64 << 10
 	idleTimeout    = 60 * time.Second
 	// leasePause spaces the readings of the leases, each of which changes every 0.7 s.
-	leasePause = 300 * time.Millisecond
+	leasePause = 200 * time.Millisecond
 	// runsPerToken is more runs of one task than a scheduler starts without a durable record of any.
 	runsPerToken = 1000
 )
@@ -51,6 +52,9 @@
 // Agent is one entry host.
 type Agent struct {
 	settings platform.Settings
+	// life tells this process from an earlier one on the same host.
+	life     string
+	health   *table.Health
 	log      logrus.FieldLogger
 	store    table.Store
 	workers  order.Workers
@@ -75,9 +79,10 @@
 
 // New returns an entry host on the users' platform.
 func New(s platform.Settings, log logrus.FieldLogger) *Agent {
-	store := platform.NewStore(s.Table)
+	health := table.NewHealth(platform.NewStore(s.Table))
+	store := table.Store(health)
 	a := &Agent{
-		settings: s, log: log, store: store, workers: platform.NewWorkers(),
+		settings: s, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
 		registry: &platform.Registry{Store: store, Log: log}, advisor: platform.NewAdvisor(s.Advisor),
 		operator: &platform.Operator{Store: store, Log: log}, queues: &queues.Book{}, leases: elect.NewBook(),
 		hosts: newHosts(),
@@ -85,7 +90,7 @@
 	a.spread = &spread{self: s.Name, advisor: a.advisor, hosts: a.hosts, busy: map[string]time.Time{}}
 	a.groups = newGroups(a)
 	a.front = &platform.Front{
-		Jobs: &intake.Intake{Store: store, Groups: a.groups, Log: log}, Queues: a.queues, Ready: a.ready,
+		Jobs: &intake.Intake{Store: store, Health: health, Groups: a.groups, Log: log}, Queues: a.queues, Ready: a.ready,
 		Refused: func(string) { a.refused.Add(1) },
 	}
 	return a
@@ -99,7 +104,10 @@
 	return netip.AddrPortFrom(a.settings.IP, a.settings.FirstPort)
 }
 
-func (a *Agent) ready() bool { return !a.leaving.Load() && a.queues.Current() != nil }
+// ready reports whether the balancer should send callers here: a host without the table could only refuse them.
+func (a *Agent) ready() bool {
+	return !a.leaving.Load() && a.queues.Current() != nil && a.health.Reachable(time.Now())
+}
 
 // Run serves until ctx is done and then stops without cutting requests off; hard ends the stop at once.
 func (a *Agent) Run(ctx, hard context.Context) error {
@@ -180,7 +188,7 @@
 		if err := a.leases.Apply(rows, time.Now()); err != nil {
 			a.log.WithError(err).Error("lease is unreadable")
 		}
-		if err := a.hosts.apply(rows); err != nil {
+		if err := a.hosts.apply(rows, a.leases.Started); err != nil {
 			a.log.WithError(err).Error("host is unreadable")
 		}
 	}
@@ -203,7 +211,7 @@
 }
 
 func (a *Agent) announce(ctx context.Context) {
-	self := host{Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter}
+	self := host{Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Life: a.life}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, releaseTime)
 		err := announce(call, a.store, self)
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -75,7 +75,9 @@
 		return
 	}
 	sent := clock.Boot()
-	epoch, err := elect.Take(ctx, g.a.store, old, g.a.settings.Name, g.a.peerAddress())
+	epoch, err := elect.Take(ctx, g.a.store, old, elect.Taker{
+		Name: g.a.settings.Name, Life: g.a.life, Address: g.a.peerAddress(),
+	})
 	if err != nil {
 		var conflict *table.ConflictError
 		if !errors.As(err, &conflict) {
@@ -139,7 +141,7 @@
 
 // State implements intake.Groups.
 func (g *groups) State(ctx context.Context, service, queue, id string) (graph.State, bool) {
-	if r := g.local(service); r != nil {
+	if r := g.local(service); r != nil && r.Ready() {
 		return r.Cell().State(id, queue)
 	}
 	client, ok := g.remote(service)
@@ -156,7 +158,7 @@
 
 // Pending implements intake.Groups.
 func (g *groups) Pending(ctx context.Context, service, queue string) (int, bool) {
-	if r := g.local(service); r != nil {
+	if r := g.local(service); r != nil && r.Ready() {
 		return r.Cell().Pending(queue), true
 	}
 	client, ok := g.remote(service)
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -32,6 +32,8 @@
 	Name       string         `json:"-"`
 	Address    netip.AddrPort `json:"address"`
 	DataCenter string         `json:"data-center"`
+	// Life tells this process from an earlier one of the same name.
+	Life string `json:"life"`
 }
 
 // hosts knows the other entry hosts and the connections to them.
@@ -47,7 +49,7 @@
 	return &hosts{known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{}, shunned: map[string]time.Time{}}
 }
 
-func (h *hosts) apply(rows []table.Row) error {
+func (h *hosts) apply(rows []table.Row, started func(name, life string)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var bad error
@@ -65,6 +67,7 @@
 			continue
 		}
 		h.known[r.Name] = one
+		started(r.Name, one.Life)
 	}
 	return bad
 }
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -18,7 +18,7 @@
 // State implements cellpb.CellsServer.
 func (p *peerServer) State(_ context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
 	run := p.a.groups.local(r.GetService())
-	if run == nil {
+	if run == nil || !run.Ready() {
 		return &cellpb.StateReply{}, nil
 	}
 	state, known := run.Cell().State(r.GetJob(), r.GetQueue())
@@ -28,7 +28,7 @@
 // Pending implements cellpb.CellsServer.
 func (p *peerServer) Pending(_ context.Context, r *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
 	run := p.a.groups.local(r.GetService())
-	if run == nil {
+	if run == nil || !run.Ready() {
 		return &cellpb.PendingReply{}, nil
 	}
 	return &cellpb.PendingReply{Known: true, Jobs: int64(run.Cell().Pending(r.GetQueue()))}, nil
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -46,9 +46,12 @@
 	open map[graph.StepID]*step
 	// unknownUntil is when a task that an earlier scheduler may have started is surely over everywhere.
 	unknownUntil time.Time
-	learned      *learned
-	advice       map[string]*adviceRate
-	stats        Stats
+	// expected are the workers that an earlier scheduler used, and recorded those on durable record.
+	expected map[string]bool
+	recorded map[string]bool
+	learned  *learned
+	advice   map[string]*adviceRate
+	stats    Stats
 }
 
 // finished is what is remembered of a job that is over.
@@ -72,6 +75,7 @@
 		settings: settings, log: log, token: token, firstRun: int(token-1)*settings.RunsPerToken + 1,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, over: map[string]finished{},
 		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, learned: newLearned(),
+		expected: map[string]bool{}, recorded: map[string]bool{},
 		advice: map[string]*adviceRate{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -106,7 +106,8 @@
 
 // eligible reports whether a step's tasks may be started on a worker, room and permission apart.
 func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
-	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 {
+	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 ||
+		!c.recorded[w.info.ID] {
 		return false
 	}
 	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -489,18 +489,6 @@
 	}
 }
 
-// AllKnown reports whether every listed worker has been looked at under this scheduler's token.
-func (c *Cell) AllKnown() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, w := range c.workers {
-		if !w.known {
-			return false
-		}
-	}
-	return true
-}
-
 // Until returns when the lease of a task that is started now ends on the worker's clock.
 func (c *Cell) Until(id string, now time.Time) time.Duration {
 	c.mu.Lock()
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -24,18 +24,20 @@
 // Times of a lease.
 const (
 	// BeatEvery is how often a holder renews its lease.
-	BeatEvery = 700 * time.Millisecond
+	BeatEvery = 450 * time.Millisecond
 	// Hold is how long after the sending of its last good renewal a holder may give orders.
-	Hold = 2200 * time.Millisecond
+	Hold = 1700 * time.Millisecond
 	// Takeover is how long others must have seen no renewal before they take a lease; Hold and a margin for slow clocks.
-	Takeover = 3000 * time.Millisecond
+	Takeover = 2300 * time.Millisecond
 	callTime = 650 * time.Millisecond
 )
 
 // Epoch is one holding of a lease; its token is higher than those of all before.
 type Epoch struct {
-	Part    string         `json:"-"`
-	Holder  string         `json:"holder"`
+	Part   string `json:"-"`
+	Holder string `json:"holder"`
+	// Life tells the holder's process from an earlier one of the same name.
+	Life    string         `json:"life,omitempty"`
 	Address netip.AddrPort `json:"address"`
 	Token   uint64         `json:"token"`
 	// Version is the version of the lease's row, which every write of the holder checks.
@@ -67,10 +69,12 @@
 	parts map[string]seen
 	alive time.Time
 	since time.Time
+	// lives holds the newest process of each host.
+	lives map[string]string
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{parts: map[string]seen{}} }
+func NewBook() *Book { return &Book{parts: map[string]seen{}, lives: map[string]string{}} }
 
 // Alive notes that the table has answered.
 func (b *Book) Alive(now time.Time) {
@@ -108,6 +112,13 @@
 	return bad
 }
 
+// Started notes the newest process of a host; leases of earlier ones are free.
+func (b *Book) Started(host, life string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lives[host] = life
+}
+
 // Holder returns the last known holding of a lease.
 func (b *Book) Holder(part string) (Epoch, bool) {
 	b.mu.Lock()
@@ -125,16 +136,29 @@
 	if now.Sub(b.alive) > Takeover/2 || now.Sub(b.since) < patience {
 		return s.epoch, false
 	}
-	if s.epoch.Holder == "" {
+	if s.epoch.Holder == "" || b.ended(s.epoch) {
 		return s.epoch, now.Sub(s.changed) >= patience
 	}
 	silent := now.Sub(s.changed)
 	return s.epoch, silent >= Takeover+patience && now.Sub(b.since) >= Takeover+patience
 }
 
+// ended reports whether the process that holds a lease was followed by another on its host.
+func (b *Book) ended(e Epoch) bool {
+	life, ok := b.lives[e.Holder]
+	return ok && life != e.Life
+}
+
+// Taker is who takes a lease.
+type Taker struct {
+	Name    string
+	Life    string
+	Address netip.AddrPort
+}
+
 // Take takes a lease over from old.
-func Take(ctx context.Context, s table.Store, old Epoch, holder string, address netip.AddrPort) (Epoch, error) {
-	e := Epoch{Part: old.Part, Holder: holder, Address: address, Token: old.Token + 1}
+func Take(ctx context.Context, s table.Store, old Epoch, by Taker) (Epoch, error) {
+	e := Epoch{Part: old.Part, Holder: by.Name, Life: by.Life, Address: by.Address, Token: old.Token + 1}
 	v, err := write(ctx, s, old, e)
 	e.Version = v
 	return e, err
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -76,6 +76,7 @@
 // Intake takes jobs.
 type Intake struct {
 	Store  table.Store
+	Health *table.Health
 	Groups Groups
 	Log    logrus.FieldLogger
 }
@@ -112,6 +113,9 @@
 
 // write commits a transaction that creates one row; that the row exists already is no error.
 func (i *Intake) write(ctx context.Context, tx table.Tx) error {
+	if !i.Health.Reachable(time.Now()) {
+		return &RefusedError{"store-away", backAfter, &table.RefusedError{Op: "commit"}}
+	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
 	unsure := false
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -109,6 +109,7 @@
 		Load: func(rows []table.Row) {
 			take(rows, first)
 			if first {
+				r.loaded.Store(true)
 				close(loaded)
 			}
 			first = false
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -42,6 +42,7 @@
 	log  logrus.FieldLogger
 	// holdUntil is until when orders may be given, on the clock that also counts suspended time.
 	holdUntil atomic.Int64
+	loaded    atomic.Bool
 	plan      chan struct{}
 	commit    chan struct{}
 	cancel    context.CancelCauseFunc
@@ -66,6 +67,9 @@
 // Cell returns the group's state.
 func (r *Runner) Cell() *cell.Cell { return r.cell }
 
+// Ready reports whether the group's jobs are known and this host still runs it.
+func (r *Runner) Ready() bool { return r.loaded.Load() && r.holds() }
+
 // Run runs the group until ctx is done or the lease is lost; taken is when the taking of the lease was sent.
 func (r *Runner) Run(ctx context.Context, taken time.Duration) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -93,6 +97,9 @@
 	}
 	r.cell.HoldUnknown(time.Now().Add(r.cfg.Settings.Lease + unknownSlack))
 	eg, ctx := errgroup.WithContext(ctx)
+	if err := r.loadRecord(ctx); err != nil {
+		return err
+	}
 	loaded := make(chan struct{})
 	eg.Go(func() error { r.followJobs(ctx, earlier, loaded); return nil })
 	eg.Go(func() error {
@@ -108,6 +115,7 @@
 	})
 	eg.Go(func() error { return r.planLoop(ctx) })
 	eg.Go(func() error { return r.commitLoop(ctx) })
+	eg.Go(func() error { return r.recordLoop(ctx) })
 	eg.Go(func() error { r.settleUnknown(ctx); return nil })
 	return eg.Wait()
 }
--- a/table/table.go
+++ b/table/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -123,6 +124,13 @@
 	return fmt.Sprintf("table: the changes of %s after version %d are no longer known", e.Table, e.After)
 }
 
+// away reports whether an error shows that the table does not serve this host.
+func away(err error) bool {
+	var refused *RefusedError
+	var unanswered *UnansweredError
+	return errors.As(err, &refused) || errors.As(err, &unanswered)
+}
+
 // ReadAll reads all pages of a range and returns the version of the first, from which changes can be followed.
 func ReadAll(ctx context.Context, s Store, r Range) ([]Row, uint64, error) {
 	var rows []Row
