Spread accepted jobs over parts, pace advice by host, survive SIGHUP, count each failed run once

Causes: with the store slow, one part for all jobs took 4 transactions a second; advice calls beyond 32 a host were refused and retried in a storm; SIGHUP ended the process; an end told to two runners in turn was counted twice against a task's attempts, so that a job ended as failed too soon.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -18,6 +18,8 @@
 	shortCall = 100 * time.Millisecond
 	// shortShare is the part of the hosts that is kept for short calls.
 	shortShare = 3
+	// shortQueue is how many short calls may be out at one host, so that the way of one hides behind another.
+	shortQueue = 2
 	// adviseSlack is added to a call's expected time before it is given up.
 	adviseSlack = 1200 * time.Millisecond
 )
@@ -28,19 +30,28 @@
 	advisor order.Advisor
 	hosts   *hosts
 
-	mu   sync.Mutex
-	busy map[string]time.Time
+	mu sync.Mutex
+	// out counts the calls on their way from each host.
+	out  map[string]int
+	turn int
 }
 
 // Advise implements runner.Advisors.
 func (s *spread) Advise(ctx context.Context, a cell.Ask) ([]order.Permit, time.Duration, error) {
-	now := time.Now()
-	h, wait := s.pick(a.Cost, now)
-	ctx, cancel := context.WithTimeout(ctx, wait+a.Cost+adviseSlack)
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.out[a.Host]--
+	}()
+	ctx, cancel := context.WithTimeout(ctx, a.Cost+adviseSlack)
 	defer cancel()
-	if h.Name == s.self || h.Name == "" {
+	if a.Host == s.self {
 		return s.advisor.Advise(ctx, a.Step, a.Workers)
 	}
+	h, ok := s.hosts.find(a.Host)
+	if !ok {
+		return nil, 0, &order.AdvisorBusyError{}
+	}
 	permits, validity, err := s.remote(ctx, h, a)
 	if err != nil {
 		s.hosts.shun(h.Name, time.Now())
@@ -48,30 +59,54 @@
 	return permits, validity, err
 }
 
-// pick returns the host that would be done first, and how long its earlier calls take; long calls leave some hosts alone.
-func (s *spread) pick(cost time.Duration, now time.Time) (host, time.Duration) {
-	list := s.hosts.usable(now)
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	if keep := len(list) / shortShare; cost > shortCall && len(list) > 1 {
-		list = list[max(1, keep):]
-	}
+// Free implements runner.Advisors.
+func (s *spread) Free(cost time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.pick(cost, time.Now())
+	return ok
+}
+
+// Reserve implements runner.Advisors.
+func (s *spread) Reserve(cost time.Duration) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	name, ok := s.pick(cost, time.Now())
+	if ok {
+		s.out[name]++
+	}
+	return name, ok
+}
+
+// pick returns a host with no call of this host out; long calls leave some hosts alone, where short ones may queue.
+func (s *spread) pick(cost time.Duration, now time.Time) (string, bool) {
+	list := s.hosts.usable(now)
 	if len(list) == 0 {
-		return host{}, 0
+		return s.self, s.out[s.self] == 0
 	}
-	best := list[0]
-	for _, h := range list[1:] {
-		if s.busy[h.Name].Before(s.busy[best.Name]) {
-			best = h
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	keep := 0
+	if len(list) > 1 {
+		keep = max(1, len(list)/shortShare)
+	}
+	kept, rest := list[:keep], list[keep:]
+	if cost <= shortCall {
+		for n := range shortQueue {
+			for _, h := range kept {
+				if s.out[h.Name] <= n {
+					return h.Name, true
+				}
+			}
 		}
 	}
-	from := s.busy[best.Name]
-	if from.Before(now) {
-		from = now
+	for i := range rest {
+		h := rest[(s.turn+i)%len(rest)]
+		if s.out[h.Name] == 0 {
+			s.turn = (s.turn + i + 1) % len(rest)
+			return h.Name, true
+		}
 	}
-	s.busy[best.Name] = from.Add(cost)
-	return best, from.Sub(now)
+	return "", false
 }
 
 func (s *spread) remote(ctx context.Context, h host, a cell.Ask) ([]order.Permit, time.Duration, error) {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +52,10 @@
 
 // Agent is one entry host.
 type Agent struct {
-	settings platform.Settings
+	// mu guards the settings that may change.
+	mu           sync.Mutex
+	settings     platform.Settings
+	settingsPath string
 	// life tells this process from an earlier one on the same host.
 	life     string
 	health   *table.Health
@@ -77,17 +81,17 @@
 	refused  atomic.Int64
 }
 
-// New returns an entry host on the users' platform.
-func New(s platform.Settings, log logrus.FieldLogger) *Agent {
+// New returns an entry host on the users' platform, with the settings that were read from path.
+func New(s platform.Settings, path string, log logrus.FieldLogger) *Agent {
 	health := table.NewHealth(platform.NewStore(s.Table))
 	store := table.Store(health)
 	a := &Agent{
-		settings: s, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
+		settings: s, settingsPath: path, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
 		registry: &platform.Registry{Store: store, Log: log}, advisor: platform.NewAdvisor(s.Advisor),
 		operator: &platform.Operator{Store: store, Log: log}, queues: &queues.Book{}, leases: elect.NewBook(),
 		hosts: newHosts(),
 	}
-	a.spread = &spread{self: s.Name, advisor: a.advisor, hosts: a.hosts, busy: map[string]time.Time{}}
+	a.spread = &spread{self: s.Name, advisor: a.advisor, hosts: a.hosts, out: map[string]int{}}
 	a.groups = newGroups(a)
 	a.front = &platform.Front{
 		Jobs: &intake.Intake{Store: store, Health: health, Groups: a.groups, Log: log}, Queues: a.queues, Ready: a.ready,
@@ -122,6 +126,7 @@
 	eg.Go(func() error { a.follow(serving); return nil })
 	eg.Go(func() error { a.followLeases(serving); return nil })
 	eg.Go(func() error { a.announce(serving); return nil })
+	eg.Go(func() error { a.watchSettings(serving); return nil })
 	eg.Go(func() error { _ = a.groups.campaign(campaign); return nil })
 	select {
 	case <-ctx.Done():
@@ -231,7 +236,7 @@
 	a.leaving.Store(true)
 	a.groups.leave()
 	endCampaign()
-	ctx, cancel := context.WithTimeout(hard, a.settings.StopLimit-stopReserve)
+	ctx, cancel := context.WithTimeout(hard, a.stopLimit()-stopReserve)
 	defer cancel()
 	withdrawn, done := context.WithTimeout(ctx, releaseTime)
 	if err := withdraw(withdrawn, a.store, a.settings.Name); err != nil {
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -85,6 +85,13 @@
 	return list
 }
 
+func (h *hosts) find(name string) (host, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	one, ok := h.known[name]
+	return one, ok
+}
+
 func (h *hosts) shun(name string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -50,7 +50,17 @@
 	Queue   string
 	Workers []string
 	Cost    time.Duration
-	s       *step
+	// Host makes the call.
+	Host string
+	s    *step
+}
+
+// Desks are the hosts from which the advisor can be called; it takes one call at a time from each.
+type Desks interface {
+	// Free reports whether a host could make a call of a cost now.
+	Free(cost time.Duration) bool
+	// Reserve takes a host for a call; it is free again once the call has been made.
+	Reserve(cost time.Duration) (host string, ok bool)
 }
 
 // usable reports whether a step may be started on a worker now, and with which ticket.
@@ -128,8 +138,7 @@
 			expected += rate * float64(cand.fits)
 		}
 	}
-	s.asking = true
-	return Ask{s.id, s.job.doc.Queue, names, advice.Cost(len(names)), s}, true
+	return Ask{Step: s.id, Queue: s.job.doc.Queue, Workers: names, Cost: advice.Cost(len(names)), s: s}, true
 }
 
 func (c *Cell) rate(queue string) *adviceRate {
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -104,26 +105,30 @@
 	j := s.job
 	t.notBefore = now.Add(failPause)
 	c.strike(p.w, now)
-	if s.doc.Lasting || t.done {
+	if s.doc.Lasting || t.done || slices.Contains(t.failed, p.run) {
 		return
 	}
-	if s.doc.Gang && s.failedRun == p.run {
-		return
-	}
-	s.failedRun = p.run
-	t.failed++
-	failed := t.failed
-	if s.doc.Gang {
-		failed = 0
-		for _, m := range s.tasks {
-			failed += m.failed
-		}
-	}
+	t.failed = append(t.failed, p.run)
+	failed := s.failures(t)
 	if failed >= j.doc.Attempts && !j.state.Over() {
 		c.end(j, graph.Failed, fmt.Sprintf("task %s failed %d times", t.id, failed), now)
 	}
 }
 
+// failures returns how many runs of a task have failed; a run of a gang counts once however many members report it.
+func (s *step) failures(t *task) int {
+	if !s.doc.Gang {
+		return len(t.failed)
+	}
+	runs := map[int]bool{}
+	for _, m := range s.tasks {
+		for _, run := range m.failed {
+			runs[run] = true
+		}
+	}
+	return len(runs)
+}
+
 // strike counts a failure against a worker, and benches one that fails all it starts.
 func (c *Cell) strike(w *worker, now time.Time) {
 	w.strikes++
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -52,19 +52,18 @@
 	askAfter  time.Time
 	unblocks  []*step
 	readyAt   time.Time
-	// failedRun is the last run of a gang that failed, which counts once however many members report it.
-	failedRun int
 	// preempted is until when room that was asked of others is awaited.
 	preempted time.Time
 }
 
 // task is one task of a step.
 type task struct {
-	id     graph.TaskID
-	step   *step
-	done   bool
-	run    int
-	failed int
+	id   graph.TaskID
+	step *step
+	done bool
+	run  int
+	// failed lists the runs that failed.
+	failed []int
 	saved  string
 	// placed are the runs that may be on workers; more than one only for copies.
 	placed []*placement
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 	Asks   []Ask
 	// Again is when to plan again at the latest; zero if only an event changes anything.
 	Again time.Time
+	desks Desks
 }
 
 // candidateStep is a step with tasks to place, with what orders it.
@@ -46,10 +48,10 @@
 }
 
 // Plan places waiting tasks and returns the orders and calls that follow; cfg may have changed since the last call.
-func (c *Cell) Plan(cfg *queues.Config, now time.Time) Plan {
+func (c *Cell) Plan(cfg *queues.Config, desks Desks, now time.Time) Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var plan Plan
+	plan := Plan{desks: desks}
 	c.planStops(&plan, now)
 	for _, cand := range c.candidates(&plan, now) {
 		c.planStep(&plan, cand.s, cfg, now)
@@ -194,8 +196,14 @@
 	if waiting == 0 || advice == nil {
 		return
 	}
+	if !plan.desks.Free(advice.Cost(1)) {
+		return
+	}
 	if a, ok := c.ask(s, advice, waiting, now); ok {
-		plan.Asks = append(plan.Asks, a)
+		if a.Host, ok = plan.desks.Reserve(a.Cost); ok {
+			s.asking = true
+			plan.Asks = append(plan.Asks, a)
+		}
 		return
 	}
 	if now.Before(s.askAfter) {
@@ -380,7 +388,8 @@
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
-	if w.placed[runKey{p.task.id, p.run}] != p || err != nil {
+	var rejected *order.RejectedError
+	if w.placed[runKey{p.task.id, p.run}] != p || (err != nil && !errors.As(err, &rejected)) {
 		return
 	}
 	w.heard(clock, now)
--- a/cmds/cmd_serve.go
+++ b/cmds/cmd_serve.go
@@ -54,14 +54,15 @@
 
 // servePlatform runs a host on the users' platform, which tells its settings in a file.
 func servePlatform(in call) error {
-	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
 	log := logrus.New()
 	log.SetOutput(os.Stdout)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	return agent.New(s, log.WithField("host", s.Name)).Run(in.ctx, in.hard)
+	return agent.New(s, path, log.WithField("host", s.Name)).Run(in.ctx, in.hard)
 }
 
 func serveOwn(in call) error {
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -183,13 +183,18 @@
 	})
 }
 
+// BeatWrite returns the write that shows others that a lease is renewed.
+func BeatWrite(part string) table.Write {
+	return table.Write{Key: table.Key{Table: Table, Part: part, Name: rowBeat}, Value: []byte("1")}
+}
+
 // Beat renews a lease; *LostError means that it is held by another.
 func Beat(ctx context.Context, s table.Store, e Epoch) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	_, err := s.Commit(ctx, table.Tx{
 		Checks: []table.Check{e.Check()},
-		Writes: []table.Write{{Key: table.Key{Table: Table, Part: e.Part, Name: rowBeat}, Value: []byte("1")}},
+		Writes: []table.Write{BeatWrite(e.Part)},
 	})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -27,8 +27,9 @@
 	Step       int `json:"s,omitempty"`
 	Index      int `json:"i,omitempty"`
 	// Run is the highest run known to have been started.
-	Run    int    `json:"r,omitempty"`
-	Failed int    `json:"f,omitempty"`
+	Run int `json:"r,omitempty"`
+	// Failed lists the runs that failed, so that an end that is told again is not counted again.
+	Failed []int  `json:"f,omitempty"`
 	Saved  string `json:"c,omitempty"`
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -82,7 +82,7 @@
 }
 
 func jobKey(service, id string) table.Key {
-	return table.Key{Table: runner.TableJobs(service), Part: service, Name: id}
+	return table.Key{Table: runner.TableJobs(service), Part: runner.JobPart(service, id), Name: id}
 }
 
 // Submit makes a job durable; the same id again is the same job.
@@ -167,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	page, err := i.Store.Read(ctx, table.Range{
-		Table: runner.TableJobs(q.Service), Part: q.Service, From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
+		Table: runner.TableJobs(q.Service), Part: runner.JobPart(q.Service, id), From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
 	})
 	if err != nil {
 		return stored{}, &RefusedError{"store-away", backAfter, err}
@@ -214,7 +214,8 @@
 func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
 	found, err := i.stored(ctx, q, id)
 	if err == nil && !found.cancelled && !found.state.Over() {
-		key := jobKey(q.Service, id+runner.CancelSuffix)
+		key := jobKey(q.Service, id)
+		key.Name += runner.CancelSuffix
 		err = i.write(ctx, table.Tx{
 			Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: []byte("1")}},
 		})
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -33,6 +33,25 @@
 	return "jobs-" + strconv.FormatUint(xxhash.Sum64String(service)%jobTables, 10)
 }
 
+// jobParts is over how many parts the accepted jobs of a service are spread, since a part takes one transaction at a time.
+const jobParts = 16
+
+// JobPart returns the part that holds an accepted job.
+func JobPart(service, id string) string {
+	return partName(service, int(xxhash.Sum64String(id)%jobParts))
+}
+
+func partName(service string, n int) string { return service + "/" + strconv.Itoa(n) }
+
+// partNames returns the parts of all accepted jobs of a service.
+func partNames(service string) []string {
+	parts := make([]string, jobParts)
+	for n := range parts {
+		parts[n] = partName(service, n)
+	}
+	return parts
+}
+
 // Times of the table.
 const (
 	tableTimeout = 1200 * time.Millisecond
@@ -86,7 +105,7 @@
 	take := func(rows []table.Row, earlier bool) {
 		now := time.Now()
 		for _, row := range rows {
-			if row.Part != r.cfg.Epoch.Part || row.Deleted {
+			if !strings.HasPrefix(row.Part, r.cfg.Epoch.Part+"/") || row.Deleted {
 				continue
 			}
 			if id, ok := strings.CutSuffix(row.Name, CancelSuffix); ok {
@@ -105,7 +124,7 @@
 		r.kickCommit()
 	}
 	f := table.Follower{
-		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Part), Log: r.log, Parts: func() []string { return []string{r.cfg.Epoch.Part} },
+		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Part), Log: r.log, Parts: func() []string { return partNames(r.cfg.Epoch.Part) },
 		Load: func(rows []table.Row) {
 			take(rows, first)
 			if first {
@@ -165,10 +184,13 @@
 		if err != nil {
 			return err
 		}
+		beats := r.addBeat(&tx)
+		sent := clock.Boot()
 		call, cancel := context.WithTimeout(ctx, tableTimeout)
 		version, err := r.cfg.Store.Commit(call, tx)
 		cancel()
 		if err == nil {
+			r.renewed(sent, beats)
 			r.cell.Committed(b, version, time.Now())
 			r.kickPlan()
 			return nil
@@ -219,26 +241,38 @@
 	return nil
 }
 
-// sweep removes the rows of jobs that ended long ago.
+// sweep removes the rows of jobs that ended long ago; the progress goes last, since without it a job would run again.
 func (r *Runner) sweep(ctx context.Context) {
 	const most = 30
 	ids := r.cell.Sweep(time.Now(), most)
 	if len(ids) == 0 {
 		return
 	}
-	tx := table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}}
-	for _, id := range ids {
-		for _, key := range []table.Key{
-			{Table: TableJobs(r.cfg.Epoch.Part), Part: r.cfg.Epoch.Part, Name: id},
-			{Table: TableJobs(r.cfg.Epoch.Part), Part: r.cfg.Epoch.Part, Name: id + CancelSuffix},
-			{Table: TableRuns, Part: r.cfg.Epoch.Part, Name: id},
-		} {
-			tx.Removes = append(tx.Removes, key)
+	service := r.cfg.Epoch.Part
+	byPart := map[string][]table.Key{}
+	runs := make([]table.Key, len(ids))
+	for i, id := range ids {
+		part := JobPart(service, id)
+		job := table.Key{Table: TableJobs(service), Part: part, Name: id}
+		mark := job
+		mark.Name += CancelSuffix
+		byPart[part] = append(byPart[part], job, mark)
+		runs[i] = table.Key{Table: TableRuns, Part: service, Name: id}
+	}
+	for _, keys := range byPart {
+		if !r.remove(ctx, table.Tx{Removes: keys}) {
+			return
 		}
 	}
+	r.remove(ctx, table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}, Removes: runs})
+}
+
+func (r *Runner) remove(ctx context.Context, tx table.Tx) bool {
 	call, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	if _, err := r.cfg.Store.Commit(call, tx); err != nil {
 		r.log.WithError(err).Warn("rows of old jobs can't be removed")
+		return false
 	}
+	return true
 }
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -19,6 +19,7 @@
 
 // Advisors carries calls to the advisor out, on whichever host has least to do.
 type Advisors interface {
+	cell.Desks
 	Advise(ctx context.Context, a cell.Ask) ([]order.Permit, time.Duration, error)
 }
 
@@ -36,7 +37,7 @@
 		cfg := r.cfg.Queues.Current()
 		if r.holds() && cfg != nil {
 			now := time.Now()
-			plan := r.cell.Plan(cfg, now)
+			plan := r.cell.Plan(cfg, r.cfg.Advisors, now)
 			r.carryOut(ctx, plan)
 			if !plan.Again.IsZero() {
 				next = min(next, max(planEvery, plan.Again.Sub(now)))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -42,10 +42,12 @@
 	log  logrus.FieldLogger
 	// holdUntil is until when orders may be given, on the clock that also counts suspended time.
 	holdUntil atomic.Int64
-	loaded    atomic.Bool
-	plan      chan struct{}
-	commit    chan struct{}
-	cancel    context.CancelCauseFunc
+	// beaten is when the last renewal was sent that others could see.
+	beaten atomic.Int64
+	loaded atomic.Bool
+	plan   chan struct{}
+	commit chan struct{}
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
 	workers map[string]bool
@@ -76,6 +78,7 @@
 	defer cancel(nil)
 	r.cancel = cancel
 	r.holdUntil.Store(int64(taken + elect.Hold))
+	r.beaten.Store(int64(taken))
 	r.log.Info("group taken over")
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return r.beat(ctx) })
@@ -142,32 +145,50 @@
 // holds reports whether orders may be given.
 func (r *Runner) holds() bool { return int64(clock.Boot()) < r.holdUntil.Load() }
 
+// addBeat renews the lease with a commit, if that is due soon.
+func (r *Runner) addBeat(tx *table.Tx) bool {
+	if clock.Boot()-time.Duration(r.beaten.Load()) < elect.BeatEvery/2 {
+		return false
+	}
+	tx.Writes = append(tx.Writes, elect.BeatWrite(r.cfg.Epoch.Part))
+	return true
+}
+
+// renewed notes a renewal, or another write that proved the lease.
+func (r *Runner) renewed(sent time.Duration, beats bool) {
+	if !r.holds() {
+		r.log.Info("lease renewed again")
+		r.kickPlan()
+	}
+	r.holdUntil.Store(max(r.holdUntil.Load(), int64(sent+elect.Hold)))
+	if beats {
+		r.beaten.Store(max(r.beaten.Load(), int64(sent)))
+	}
+}
+
 func (r *Runner) beat(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
+		if due := time.Duration(r.beaten.Load()) + elect.BeatEvery - clock.Boot(); due > 0 {
+			clock.Pause(ctx, due)
+			continue
+		}
 		sent := clock.Boot()
 		err := elect.Beat(ctx, r.cfg.Store, r.cfg.Epoch)
 		if lost, ok := asLost(err); ok {
 			r.cancel(lost)
 			return lost
 		}
-		pause := elect.BeatEvery
 		if err == nil {
-			was := r.holds()
-			r.holdUntil.Store(int64(sent + elect.Hold))
-			if failing || !was {
-				r.log.Info("lease renewed again")
-				r.kickPlan()
-			}
+			r.renewed(sent, true)
 			failing = false
-		} else {
-			pause = beatRetry
-			if !failing && ctx.Err() == nil {
-				r.log.WithError(err).Warn("lease can't be renewed")
-			}
-			failing = true
+			continue
+		}
+		if !failing && ctx.Err() == nil {
+			r.log.WithError(err).Warn("lease can't be renewed")
 		}
-		clock.Pause(ctx, pause)
+		failing = true
+		clock.Pause(ctx, beatRetry)
 	}
 	return nil
 }
--- a/table/follow.go
+++ b/table/follow.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/corianderdrift/corianderdrift/clock"
 )
@@ -16,6 +18,8 @@
 	followWait = 1000 * time.Millisecond
 	// followSlack is added to followWait before the call is given up.
 	followSlack = 600 * time.Millisecond
+	// readsAtOnce bounds the parts that are read at a time.
+	readsAtOnce = 8
 	// followRetry is the pause after a failed call.
 	followRetry = 150 * time.Millisecond
 )
@@ -67,18 +71,22 @@
 func (f *Follower) load(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
 	defer cancel()
-	var rows []Row
-	var version uint64
-	for _, part := range f.Parts() {
-		some, v, err := ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
-		if err != nil {
-			return 0, err
-		}
-		if version == 0 || v < version {
-			version = v
-		}
-		rows = append(rows, some...)
+	parts := f.Parts()
+	found := make([][]Row, len(parts))
+	versions := make([]uint64, len(parts))
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.SetLimit(readsAtOnce)
+	for i, part := range parts {
+		eg.Go(func() error {
+			var err error
+			found[i], versions[i], err = ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
+			return err
+		})
+	}
+	if err := eg.Wait(); err != nil {
+		return 0, err
 	}
+	rows, version := slices.Concat(found...), slices.Min(versions)
 	f.answered()
 	f.Load(rows)
 	return version, nil
