--- a/agent/groups.go
+++ b/agent/groups.go
@@ -104,7 +104,7 @@
 func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration) {
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), Log: g.a.log,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), Boot: clock.Boot, Log: g.a.log,
 	})
 	g.mu.Lock()
 	g.running[epoch.Part] = r
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -185,7 +185,7 @@
 			return err
 		}
 		beats := r.addBeat(&tx)
-		sent := clock.Boot()
+		sent := r.cfg.Boot()
 		call, cancel := context.WithTimeout(ctx, tableTimeout)
 		version, err := r.cfg.Store.Commit(call, tx)
 		cancel()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,7 +32,9 @@
 	Advisors Advisors
 	Queues   *queues.Book
 	Settings cell.Settings
-	Log      logrus.FieldLogger
+	// Boot returns the time since the machine started, the time that it was suspended included.
+	Boot func() time.Duration
+	Log  logrus.FieldLogger
 }
 
 // Runner runs the group of one service as long as it holds the group's lease.
@@ -143,11 +145,11 @@
 }
 
 // holds reports whether orders may be given.
-func (r *Runner) holds() bool { return int64(clock.Boot()) < r.holdUntil.Load() }
+func (r *Runner) holds() bool { return int64(r.cfg.Boot()) < r.holdUntil.Load() }
 
 // addBeat renews the lease with a commit, if that is due soon.
 func (r *Runner) addBeat(tx *table.Tx) bool {
-	if clock.Boot()-time.Duration(r.beaten.Load()) < elect.BeatEvery/2 {
+	if r.cfg.Boot()-time.Duration(r.beaten.Load()) < elect.BeatEvery/2 {
 		return false
 	}
 	tx.Writes = append(tx.Writes, elect.BeatWrite(r.cfg.Epoch.Part))
@@ -169,11 +171,11 @@
 func (r *Runner) beat(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		if due := time.Duration(r.beaten.Load()) + elect.BeatEvery - clock.Boot(); due > 0 {
+		if due := time.Duration(r.beaten.Load()) + elect.BeatEvery - r.cfg.Boot(); due > 0 {
 			clock.Pause(ctx, due)
 			continue
 		}
-		sent := clock.Boot()
+		sent := r.cfg.Boot()
 		err := elect.Beat(ctx, r.cfg.Store, r.cfg.Epoch)
 		if lost, ok := asLost(err); ok {
 			r.cancel(lost)
