Hand a job over to its group only if this request created it

Also: order by what can still be in time, run times by queue, moving from workers that leave, preemption of saved work, avoiding slow and standing workers.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		p := s.permits[w.info.ID]
-		list = append(list, candidate{w, p.allowed, fits, c.score(s, w, size)})
+		list = append(list, candidate{w, p.allowed, fits, c.score(s, w, size, now)})
 	}
 	if len(list) == 0 {
 		return Ask{}, false
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -86,7 +86,8 @@
 		return
 	}
 	if p.saved == "" && p.percent == 100 && !p.confirmed.IsZero() && p.task.run == p.run {
-		c.learned.observe(s.doc.Image, now.Sub(p.sent))
+		c.learned.observe(s.job.doc.Queue, s.doc, now.Sub(p.sent))
+		c.paceOf(p, now)
 	}
 	if !s.doc.Gang {
 		c.markDone(p.task)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -54,6 +54,8 @@
 	readyAt   time.Time
 	// preempted is until when room that was asked of others is awaited.
 	preempted time.Time
+	// took holds the run times of tasks that are done.
+	took []time.Duration
 }
 
 // task is one task of a step.
@@ -85,8 +87,8 @@
 	}
 }
 
-// deadline is when the job should be completed to be worth its full value.
-func (j *job) deadline(l *learned) time.Time {
+// chain returns the longest chain of work of a job, from the steps that are left if only those count.
+func (j *job) chain(l *learned, r *round) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(j.doc.Steps))
 	for i := range j.doc.Steps {
@@ -95,10 +97,26 @@
 		for _, dep := range s.After {
 			start = max(start, ends[dep])
 		}
-		ends[i] = start + l.expected(s)
+		ends[i] = start
+		if r == nil || r.steps[i].left > 0 {
+			ends[i] += l.expected(j.doc.Queue, s)
+		}
 		longest = max(longest, ends[i])
 	}
-	return j.doc.Accepted.Add(time.Duration(j.doc.Stretch*float64(longest)) + j.doc.Objective)
+	return longest
+}
+
+// objective returns how soon the job should be completed to be worth its full value.
+func (j *job) objective(l *learned) time.Duration {
+	return time.Duration(j.doc.Stretch*float64(j.chain(l, nil))) + j.doc.Objective
+}
+
+// begin returns from when the time of a round counts.
+func (j *job) begin(r *round) time.Time {
+	if !r.due.IsZero() {
+		return r.due
+	}
+	return j.doc.Accepted
 }
 
 // Add takes an accepted job, with its durable progress if there is any; a job that is known is left as it is.
--- a/cell/learn.go
+++ b/cell/learn.go
@@ -6,34 +6,46 @@
 	"github.com/corianderdrift/corianderdrift/graph"
 )
 
-// learnWeight is the weight of a new run time in the moving mean of its image.
-const learnWeight = 0.2
+// learnWeight is the weight of a new run time in the moving mean of its kind.
+const learnWeight = 0.1
 
-// learned holds mean run times by image.
+// learned holds mean run times by kind of task.
 type learned struct {
 	mean map[string]time.Duration
 }
 
 func newLearned() *learned { return &learned{mean: map[string]time.Duration{}} }
 
-func (l *learned) expected(s *graph.Step) time.Duration {
+// expected returns the likely run time of a task: declared times may be far off, so that what its kind took counts half.
+func (l *learned) expected(queue string, s *graph.Step) time.Duration {
 	if s.Lasting {
 		return 0
 	}
-	if d, ok := l.mean[s.Image]; ok && s.Image != "" {
-		return (d + s.Estimate) / 2
+	mean, ok := l.mean[kindOf(queue, s)]
+	switch {
+	case !ok:
+		return s.Estimate
+	case s.Estimate <= 0:
+		return mean
+	default:
+		return (mean + s.Estimate) / 2
 	}
-	return s.Estimate
 }
 
-func (l *learned) observe(image string, took time.Duration) {
-	if image == "" {
-		return
+// kindOf names the tasks that behave alike: those of an image, or else of a queue.
+func kindOf(queue string, s *graph.Step) string {
+	if s.Image != "" {
+		return "image/" + s.Image
 	}
-	old, ok := l.mean[image]
+	return "queue/" + queue
+}
+
+func (l *learned) observe(queue string, s *graph.Step, took time.Duration) {
+	kind := kindOf(queue, s)
+	old, ok := l.mean[kind]
 	if !ok {
-		l.mean[image] = took
+		l.mean[kind] = took
 		return
 	}
-	l.mean[image] = old + time.Duration(learnWeight*float64(took-old))
+	l.mean[kind] = old + time.Duration(learnWeight*float64(took-old))
 }
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -41,17 +41,12 @@
 	desks Desks
 }
 
-// candidateStep is a step with tasks to place, with what orders it.
-type candidateStep struct {
-	s        *step
-	deadline time.Time
-}
-
 // Plan places waiting tasks and returns the orders and calls that follow; cfg may have changed since the last call.
 func (c *Cell) Plan(cfg *queues.Config, desks Desks, now time.Time) Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	plan := Plan{desks: desks}
+	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
 	for _, cand := range c.candidates(&plan, now) {
 		c.planStep(&plan, cand.s, cfg, now)
@@ -82,30 +77,6 @@
 	}
 }
 
-func (c *Cell) candidates(plan *Plan, now time.Time) []candidateStep {
-	list := make([]candidateStep, 0, len(c.open))
-	for _, s := range c.open {
-		if !s.ready {
-			c.refresh(s, now)
-		}
-		if !s.ready {
-			plan.again(s.job.rounds[s.id.Occurrence].due)
-			continue
-		}
-		list = append(list, candidateStep{s, s.job.deadline(c.learned)})
-	}
-	slices.SortFunc(list, func(a, b candidateStep) int {
-		if o := cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority); o != 0 {
-			return o
-		}
-		if o := a.deadline.Compare(b.deadline); o != 0 {
-			return o
-		}
-		return cmp.Compare(a.s.id.String(), b.s.id.String())
-	})
-	return list
-}
-
 // eligible reports whether a step's tasks may be started on a worker, room and permission apart.
 func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
 	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 ||
@@ -131,7 +102,7 @@
 }
 
 // score orders workers for a step, lower first: the worker that is left fullest, near the data, without disturbance.
-func (c *Cell) score(s *step, w *worker, size unit.Size) float64 {
+func (c *Cell) score(s *step, w *worker, size unit.Size, now time.Time) float64 {
 	left := w.info.Capacity.Sub(w.used).Sub(size)
 	score := left.Share(w.info.Capacity)
 	if s.doc.DataRack != "" && w.info.Rack != s.doc.DataRack {
@@ -140,7 +111,7 @@
 	if s.doc.Target > 0 || s.doc.Fills {
 		score += c.disturbance(s, w)
 	}
-	return score + float64(w.strikes)
+	return score + float64(w.strikes) + w.slowness(now)
 }
 
 // disturbance counts the tasks on a worker beside which a filling or a serving task would do harm.
@@ -184,6 +155,9 @@
 		}
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 	}
+	if waiting > 0 {
+		waiting -= c.preempt(plan, s, advice != nil, waiting, now)
+	}
 	c.askFor(plan, s, advice, waiting, now)
 }
 
@@ -224,7 +198,7 @@
 		if !ok {
 			continue
 		}
-		score := c.score(s, w, size)
+		score := c.score(s, w, size, now)
 		if found == nil || score < foundScore || (score == foundScore && w.info.ID < found.info.ID) {
 			found, foundTicket, foundScore = w, ticket, score
 		}
@@ -301,7 +275,7 @@
 			continue
 		}
 		if n := c.fits(s, w, size); n > 0 {
-			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size)})
+			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size, now)})
 			rackRoom[w.info.Rack] += n
 		}
 	}
--- /dev/null
+++ b/cell/preempt.go
@@ -0,0 +1,123 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// Times of making room.
+const (
+	// preemptPause is how long a step waits for the room that it was promised before it asks for more.
+	preemptPause = 600 * time.Millisecond
+	// preemptLeast spares runs that have only just begun, so that work is not moved around without end.
+	preemptLeast = 400 * time.Millisecond
+)
+
+// victim is a run that may be stopped for more urgent work, with what is lost by that.
+type victim struct {
+	p    *placement
+	loss time.Duration
+}
+
+// preempt asks for the end of less urgent runs on workers where a step may run, and returns for how many tasks.
+func (c *Cell) preempt(plan *Plan, s *step, needsTicket bool, waiting int, now time.Time) int {
+	if s.doc.Gang || now.Before(s.preempted) {
+		return 0
+	}
+	size := roomOf(s.doc)
+	made := 0
+	for _, w := range c.workers {
+		if made >= waiting {
+			break
+		}
+		if !c.eligible(w, s, now) {
+			continue
+		}
+		if _, ok := s.usable(w, needsTicket, now); !ok {
+			continue
+		}
+		made += c.makeRoom(s, w, size, waiting-made, now)
+	}
+	if made > 0 {
+		s.preempted = now.Add(preemptPause)
+		plan.again(s.preempted)
+		c.planStops(plan, now)
+	}
+	return made
+}
+
+// makeRoom stops as many less urgent runs on a worker as let up to most tasks of a step start there.
+func (c *Cell) makeRoom(s *step, w *worker, size unit.Size, most int, now time.Time) int {
+	if s.doc.MaxPerWorker > 0 {
+		most = min(most, s.doc.MaxPerWorker-s.perWorker[w])
+	}
+	free := w.info.Capacity.Sub(w.used)
+	for _, p := range w.placed {
+		if p.unwanted {
+			// Its room is on the way to whoever asked for it.
+			return 0
+		}
+	}
+	made := 0
+	var chosen []*placement
+	for _, v := range c.victims(s, w, now) {
+		if made >= most {
+			break
+		}
+		free = free.Add(v.p.size)
+		chosen = append(chosen, v.p)
+		for made < most && size.Fits(free) {
+			free = free.Sub(size)
+			made++
+			for _, p := range chosen {
+				c.evict(p, "more urgent work", now)
+			}
+			chosen = chosen[:0]
+		}
+	}
+	return made
+}
+
+// victims returns the runs on a worker that must yield to a step, the cheapest first.
+func (c *Cell) victims(s *step, w *worker, now time.Time) []victim {
+	var list []victim
+	for _, p := range w.placed {
+		other := p.task.step
+		if other.job.doc.Priority <= s.job.doc.Priority || other.doc.Gang || other.doc.Lasting || now.Sub(p.sent) < preemptLeast {
+			continue
+		}
+		if !other.doc.Checkpoint {
+			continue
+		}
+		loss := now.Sub(p.sent)
+		if !p.savedAt.IsZero() {
+			loss = now.Sub(p.savedAt)
+		}
+		list = append(list, victim{p, loss})
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(
+			cmp.Compare(b.p.task.step.job.doc.Priority, a.p.task.step.job.doc.Priority),
+			cmp.Compare(a.loss, b.loss),
+		)
+	})
+	return list
+}
+
+// evict asks for the end of a run, whose task is placed again.
+func (c *Cell) evict(p *placement, why string, now time.Time) {
+	if p.unwanted {
+		return
+	}
+	p.unwanted = true
+	c.stats.Preemptions++
+	c.log.WithFields(logrus.Fields{
+		"job": p.task.id.Job, "task": p.task.id.String(), "run": p.run, "worker": p.w.info.ID, "why": why,
+		"ran": now.Sub(p.sent).Round(time.Millisecond),
+	}).Info("run evicted")
+}
--- /dev/null
+++ b/cell/slow.go
@@ -0,0 +1,71 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Figures of workers that are slow or stand still.
+const (
+	// slowFactor is how many times the median of its step a run takes on a worker that counts as slow.
+	slowFactor = 2.5
+	// slowSamples is how many ended tasks of a step make a median to compare with.
+	slowSamples = 3
+	// slowMemory is how long a slow run speaks against its worker.
+	slowMemory = 5 * time.Second
+	// stillAfter is how long a run may stand still before it is moved.
+	stillAfter = 900 * time.Millisecond
+	// stillShare is the share of its processors below which a run stands still.
+	stillShare = 0.05
+	// stillBench is how long a worker on which runs stand still gets no work.
+	stillBench = 4 * time.Second
+)
+
+// slowness returns by how much a worker is to be avoided for runs that were slow there.
+func (w *worker) slowness(now time.Time) float64 {
+	if now.Sub(w.slowAt) > slowMemory {
+		return 0
+	}
+	return float64(w.slow)
+}
+
+// paceOf compares a run that succeeded with the others of its step.
+func (c *Cell) paceOf(p *placement, now time.Time) {
+	s := p.task.step
+	took := now.Sub(p.sent)
+	if len(s.took) >= slowSamples {
+		sorted := slices.Sorted(slices.Values(s.took))
+		median := sorted[len(sorted)/2]
+		if float64(took) > slowFactor*float64(median) {
+			p.w.slow, p.w.slowAt = p.w.slow+1, now
+		} else if p.w.slow > 0 {
+			p.w.slow--
+		}
+	}
+	s.took = append(s.took, took)
+}
+
+// standsStill notes what a report says of a run's progress, and moves one that makes none.
+func (c *Cell) standsStill(p *placement, now time.Time) {
+	s := p.task.step
+	need := float64(s.doc.Size.CPUMilli)
+	if s.doc.Lasting || s.doc.Target > 0 || s.doc.Fills || need == 0 || p.paced < 100 || p.gauge > stillShare*need {
+		p.stillSince = time.Time{}
+		return
+	}
+	if p.stillSince.IsZero() {
+		p.stillSince = now
+		return
+	}
+	if now.Sub(p.stillSince) < stillAfter || now.Sub(p.sent) < 2*stillAfter {
+		return
+	}
+	c.evict(p, "it stands still", now)
+	if now.After(p.w.benched) {
+		p.w.benched = now.Add(stillBench)
+		c.log.WithFields(logrus.Fields{"worker": p.w.info.ID, "gauge": p.gauge, "task": p.task.id.String()}).
+			Warn("runs stand still on a worker")
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -14,7 +14,7 @@
 // Times of looking at workers.
 const (
 	// lookWait is how long a worker may hold its answer back when nothing ends.
-	lookWait = 1500 * time.Millisecond
+	lookWait = 1000 * time.Millisecond
 	// lookWaitServing is shorter, so that the gauges of serving tasks beside filling ones are fresh.
 	lookWaitServing = 400 * time.Millisecond
 	// missesUntilSuspect is how many looks may fail before a worker's leases are no longer renewed.
@@ -54,8 +54,9 @@
 	percent   int
 	paced     int
 	gauge     float64
-	gaugeAt   time.Time
-	over      time.Time
+	// stillSince is since when the run has used no processor.
+	stillSince time.Time
+	over       time.Time
 }
 
 // worker is a worker of the group, with what is on it.
@@ -81,8 +82,12 @@
 	missed  time.Time
 	strikes int
 	benched time.Time
-	wake    chan struct{}
-	first   time.Time
+	slow    int
+	slowAt  time.Time
+	// leaves is when a draining worker may be gone.
+	leaves time.Time
+	wake   chan struct{}
+	first  time.Time
 }
 
 func (w *worker) kick() {
@@ -154,6 +159,7 @@
 			info: info, placed: map[runKey]*placement{}, foreign: map[runKey]time.Time{}, wake: make(chan struct{}, 1),
 			listed: true, first: now,
 		}
+		w.noteDrain(now)
 		c.workers[info.ID] = w
 		c.log.WithFields(logrus.Fields{"worker": info.ID, "rack": info.Rack, "draining": info.Draining}).Info("worker listed")
 		return true
@@ -170,6 +176,7 @@
 		}).Info("worker changed its state")
 	}
 	w.info, w.listed = info, true
+	w.noteDrain(now)
 	w.kick()
 	return false
 }
@@ -385,7 +392,8 @@
 	if r.Saved != p.saved {
 		p.saved, p.savedAt = r.Saved, now
 	}
-	p.percent, p.gauge, p.gaugeAt = r.Percent, r.Gauge, now
+	p.percent, p.gauge = r.Percent, r.Gauge
+	c.standsStill(p, now)
 }
 
 // adopt takes over a run that an earlier scheduler started.
--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -340,7 +340,9 @@
 	}
 	rep := order.Report{Clock: m.clock(), Born: m.info.Born, Ended: append([]order.End(nil), m.ended...)}
 	for key, r := range m.runs {
-		rep.Running = append(rep.Running, order.Run{Task: key.task, Run: key.run, Saved: r.saved, Percent: 100})
+		rep.Running = append(rep.Running, order.Run{
+			Task: key.task, Run: key.run, Saved: r.saved, Percent: 100, Gauge: float64(c.size[key.task.StepID].CPUMilli),
+		})
 	}
 	return rep, m.change, nil
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -92,10 +92,11 @@
 		return err
 	}
 	key := jobKey(doc.Service, doc.ID)
-	err = i.write(ctx, table.Tx{
+	created, err := i.write(ctx, table.Tx{
 		Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: raw}},
 	})
-	if err == nil {
+	if created {
+		// A repeated request is not handed over: its job may have run already.
 		i.Groups.Accepted(doc)
 	}
 	i.logged("submit", doc.Queue, doc.ID, err)
@@ -111,10 +112,11 @@
 	log.Info("call done")
 }
 
-// write commits a transaction that creates one row; that the row exists already is no error.
-func (i *Intake) write(ctx context.Context, tx table.Tx) error {
+// write commits a transaction that creates one row, and reports whether this call surely created it; that the row exists
+// already is no error.
+func (i *Intake) write(ctx context.Context, tx table.Tx) (created bool, err error) {
 	if !i.Health.Reachable(time.Now()) {
-		return &RefusedError{"store-away", backAfter, &table.RefusedError{Op: "commit"}}
+		return false, &RefusedError{"store-away", backAfter, &table.RefusedError{Op: "commit"}}
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
@@ -126,15 +128,17 @@
 		var conflict *table.ConflictError
 		var refused *table.RefusedError
 		switch {
-		case err == nil, errors.As(err, &conflict):
-			return nil
+		case err == nil:
+			return true, nil
+		case errors.As(err, &conflict):
+			return false, nil
 		case errors.As(err, &refused) && !unsure:
-			return &RefusedError{"store-away", backAfter, err}
+			return false, &RefusedError{"store-away", backAfter, err}
 		case !errors.As(err, &refused):
 			unsure = true
 		}
 		if !clock.Pause(ctx, retryPause) || ctx.Err() != nil {
-			return &UnknownError{err}
+			return false, &UnknownError{err}
 		}
 	}
 }
@@ -216,7 +220,7 @@
 	if err == nil && !found.cancelled && !found.state.Over() {
 		key := jobKey(q.Service, id)
 		key.Name += runner.CancelSuffix
-		err = i.write(ctx, table.Tx{
+		_, err = i.write(ctx, table.Tx{
 			Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: []byte("1")}},
 		})
 	}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,138 @@
+package intake_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/intake"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+const id = "00000000000000aa"
+
+// nobody runs no group, and counts the jobs that are handed over.
+type nobody struct {
+	accepted int
+}
+
+// State implements intake.Groups.
+func (*nobody) State(context.Context, string, string, string) (graph.State, bool) { return "", false }
+
+// Pending implements intake.Groups.
+func (*nobody) Pending(context.Context, string, string) (int, bool) { return 0, false }
+
+// Accepted implements intake.Groups.
+func (n *nobody) Accepted(*graph.Job) { n.accepted++ }
+
+func newIntake() (*intake.Intake, *fakes.Rows, *nobody) {
+	rows, groups := fakes.NewRows(), &nobody{}
+	rows.Latency = 4 * time.Millisecond
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	health := table.NewHealth(rows)
+	return &intake.Intake{Store: health, Health: health, Groups: groups, Log: log}, rows, groups
+}
+
+func doc() *graph.Job {
+	return &graph.Job{ID: id, Queue: "checks", Service: "desk", Steps: []graph.Step{{Count: 1}}, Attempts: 1}
+}
+
+var queue = &queues.Queue{Name: "checks", Service: "desk"}
+
+// A repeated request may arrive at a host that has just taken the group over and knows nothing of the job's progress.
+func TestARepeatedJobIsHandedOverOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		in, _, groups := newIntake()
+		c.Assert(in.Submit(context.Background(), doc()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), doc()), qt.IsNil)
+		c.Assert(groups.accepted, qt.Equals, 1)
+	})
+}
+
+func TestWhatACallerIsTold(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(n int, op string) fakes.RowsFault
+		// refused and unknown say which error is expected; neither means that the job is accepted.
+		refused bool
+		unknown bool
+		stored  bool
+	}{
+		{"served", func(int, string) fakes.RowsFault { return fakes.RowsOK }, false, false, true},
+		{"refused", func(int, string) fakes.RowsFault { return fakes.RowsRefuse }, true, false, false},
+		{"answer lost once", func(n int, _ string) fakes.RowsFault {
+			if n == 1 {
+				return fakes.RowsLost
+			}
+			return fakes.RowsOK
+		}, false, false, true},
+		{"answer lost, then refused", func(n int, _ string) fakes.RowsFault {
+			if n == 1 {
+				return fakes.RowsLost
+			}
+			return fakes.RowsRefuse
+		}, false, true, true},
+		{"silent", func(int, string) fakes.RowsFault { return fakes.RowsSilent }, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				in, rows, _ := newIntake()
+				n := 0
+				rows.Fail(func(op string) fakes.RowsFault { n++; return test.fault(n, op) })
+				err := in.Submit(context.Background(), doc())
+				var refused *intake.RefusedError
+				var unknown *intake.UnknownError
+				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
+				c.Assert(errors.As(err, &unknown), qt.Equals, test.unknown)
+				rows.Fail(nil)
+				_, err = in.State(context.Background(), queue, id)
+				var missing *intake.NotFoundError
+				c.Assert(errors.As(err, &missing), qt.Equals, !test.stored)
+			})
+		})
+	}
+}
+
+// A host that knows the table to be away refuses before it sends anything, so that the refusal is surely true.
+func TestAHostWithoutTheTableRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		in, rows, _ := newIntake()
+		rows.Fail(func(string) fakes.RowsFault { return fakes.RowsSilent })
+		_, err := in.State(context.Background(), queue, id)
+		c.Assert(err, qt.IsNotNil)
+		begun := time.Now()
+		err = in.Submit(context.Background(), doc())
+		var refused *intake.RefusedError
+		c.Assert(errors.As(err, &refused), qt.IsTrue)
+		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+		c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+	})
+}
+
+func TestCancelling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		in, _, _ := newIntake()
+		var missing *intake.NotFoundError
+		c.Assert(errors.As(in.Cancel(context.Background(), queue, id), &missing), qt.IsTrue)
+		c.Assert(in.Submit(context.Background(), doc()), qt.IsNil)
+		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
+		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
+		state, err := in.State(context.Background(), queue, id)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, graph.Cancelled)
+	})
+}
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -140,6 +140,9 @@
 
 // Take hands a job over that this host has just accepted, before the table's changes bring it.
 func (r *Runner) Take(doc *graph.Job) {
+	if !r.loaded.Load() {
+		return
+	}
 	r.cell.Add(doc, nil, 0, false, time.Now())
 	r.kickPlan()
 }
