--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,7 @@
 type Agent struct {
 	// mu guards the settings that may change.
 	mu           sync.Mutex
+	started      time.Time
 	settings     platform.Settings
 	settingsPath string
 	// life tells this process from an earlier one on the same host.
@@ -86,7 +87,7 @@
 	health := table.NewHealth(platform.NewStore(s.Table))
 	store := table.Store(health)
 	a := &Agent{
-		settings: s, settingsPath: path, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
+		started: time.Now(), settings: s, settingsPath: path, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
 		registry: &platform.Registry{Store: store, Log: log}, advisor: platform.NewAdvisor(s.Advisor),
 		operator: &platform.Operator{Store: store, Log: log}, queues: &queues.Book{}, leases: elect.NewBook(),
 		hosts: newHosts(),
@@ -216,7 +217,7 @@
 }
 
 func (a *Agent) announce(ctx context.Context) {
-	self := host{Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Life: a.life}
+	self := host{Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Life: a.life, Cores: a.settings.CPUShare}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, releaseTime)
 		err := announce(call, a.store, self)
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -26,6 +26,14 @@
 	rankMost = 8
 	// busyRanks is by how many ranks a host that runs a group already comes later.
 	busyRanks = 4
+	// strongerBy is how many times the processor time of another host makes a host clearly stronger.
+	strongerBy = 1.5
+	// strongCores is the processor time from which a host that has just started need not wait to hear of stronger ones.
+	strongCores = 0.3
+	// meetTime is how long after its start a weak host assumes that there are stronger ones.
+	meetTime = time.Second
+	// weakDelay is how long weak hosts leave a free lease to stronger ones.
+	weakDelay = 1500 * time.Millisecond
 	// releaseTime bounds the giving back of a lease.
 	releaseTime = 600 * time.Millisecond
 )
@@ -89,16 +97,27 @@
 	g.run(ctx, epoch, sent)
 }
 
-// patience returns how long this host leaves a free lease to those before it in the group's order.
+// patience returns how long this host leaves a free lease to those before it in the group's order: hosts with clearly more
+// processor time come first, since running a group is most of the work.
 func (g *groups) patience(service string, busy int) time.Duration {
-	own := xxhash.Sum64String(service + "/" + g.a.settings.Name)
+	self := g.a.settings
+	own := xxhash.Sum64String(service + "/" + self.Name)
 	rank := busy * busyRanks
+	weak := self.CPUShare < strongCores && time.Since(g.a.started) < meetTime
 	for _, h := range g.a.hosts.usable(time.Now()) {
-		if h.Name != g.a.settings.Name && xxhash.Sum64String(service+"/"+h.Name) < own {
+		switch {
+		case h.Name == self.Name:
+		case h.Cores > strongerBy*self.CPUShare:
+			weak = true
+		case self.CPUShare <= strongerBy*h.Cores && xxhash.Sum64String(service+"/"+h.Name) < own:
 			rank++
 		}
 	}
-	return time.Duration(min(rank, rankMost)) * rankStep
+	wait := time.Duration(min(rank, rankMost)) * rankStep
+	if weak {
+		wait += weakDelay
+	}
+	return wait
 }
 
 func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration) {
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -34,6 +34,8 @@
 	DataCenter string         `json:"data-center"`
 	// Life tells this process from an earlier one of the same name.
 	Life string `json:"life"`
+	// Cores is the share of a processor that the host has.
+	Cores float64 `json:"cores"`
 }
 
 // hosts knows the other entry hosts and the connections to them.
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -92,7 +92,7 @@
 	if !s.doc.Gang {
 		c.markDone(p.task)
 		for _, other := range p.task.placed {
-			other.unwanted = true
+			c.unwant(other)
 		}
 		return
 	}
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -272,7 +272,7 @@
 			c.refresh(s, now)
 			for _, t := range s.tasks {
 				for _, p := range t.placed {
-					p.unwanted = true
+					c.unwant(p)
 				}
 			}
 		}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"iter"
 	"slices"
 	"time"
 
@@ -61,19 +62,17 @@
 }
 
 func (c *Cell) planStops(plan *Plan, now time.Time) {
-	for _, w := range c.workers {
-		for key, p := range w.placed {
-			if !p.unwanted || w.misses >= missesUntilSuspect {
-				continue
-			}
-			if !p.stopSent.IsZero() && now.Sub(p.stopSent) < stopAgain {
-				plan.again(p.stopSent.Add(stopAgain))
-				continue
-			}
-			p.stopSent = now
-			plan.again(now.Add(stopAgain))
-			plan.Stops = append(plan.Stops, StopOrder{w.info, order.Stop{Task: key.task, Run: p.run, Token: c.token}, p})
+	for p := range c.unwanted {
+		if p.w.misses >= missesUntilSuspect {
+			continue
+		}
+		if !p.stopSent.IsZero() && now.Sub(p.stopSent) < stopAgain {
+			plan.again(p.stopSent.Add(stopAgain))
+			continue
 		}
+		p.stopSent = now
+		plan.again(now.Add(stopAgain))
+		plan.Stops = append(plan.Stops, StopOrder{p.w.info, order.Stop{Task: p.task.id, Run: p.run, Token: c.token}, p})
 	}
 }
 
@@ -86,6 +85,29 @@
 	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
 }
 
+// options yields the workers on which a step's tasks may be started, room apart, with the tickets for that.
+func (c *Cell) options(s *step, needsTicket bool, now time.Time) iter.Seq2[*worker, string] {
+	return func(yield func(*worker, string) bool) {
+		if !needsTicket {
+			for _, w := range c.workers {
+				if c.eligible(w, s, now) && !yield(w, "") {
+					return
+				}
+			}
+			return
+		}
+		for id := range s.permits {
+			w, ok := c.workers[id]
+			if !ok || !c.eligible(w, s, now) {
+				continue
+			}
+			if ticket, ok := s.usable(w, true, now); ok && !yield(w, ticket) {
+				return
+			}
+		}
+	}
+}
+
 // fits returns how many more tasks of a step a worker has room for.
 func (c *Cell) fits(s *step, w *worker, size unit.Size) int {
 	most := s.doc.Count
@@ -148,6 +170,11 @@
 			plan.again(t.notBefore)
 			continue
 		}
+		if waiting > 0 {
+			// The tasks of a step are equal: where one found no worker the others find none.
+			waiting++
+			continue
+		}
 		w, ticket := c.best(s, advice != nil, now)
 		if w == nil {
 			waiting++
@@ -190,12 +217,8 @@
 	var found *worker
 	var foundTicket string
 	var foundScore float64
-	for _, w := range c.workers {
-		if !c.eligible(w, s, now) || c.fits(s, w, size) == 0 {
-			continue
-		}
-		ticket, ok := s.usable(w, needsTicket, now)
-		if !ok {
+	for w, ticket := range c.options(s, needsTicket, now) {
+		if c.fits(s, w, size) == 0 {
 			continue
 		}
 		score := c.score(s, w, size, now)
@@ -266,14 +289,7 @@
 	}
 	var options []option
 	rackRoom := map[string]int{}
-	for _, w := range c.workers {
-		if !c.eligible(w, s, now) {
-			continue
-		}
-		ticket, ok := s.usable(w, needsTicket, now)
-		if !ok {
-			continue
-		}
+	for w, ticket := range c.options(s, needsTicket, now) {
 		if n := c.fits(s, w, size); n > 0 {
 			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size, now)})
 			rackRoom[w.info.Rack] += n
@@ -338,7 +354,7 @@
 	}).Warn("start failed")
 	if !certain(res.Err) {
 		// The start may still be carried out: the run is closed off on the worker before the task goes elsewhere.
-		p.unwanted = true
+		c.unwant(p)
 		return
 	}
 	if rejectedAs(res.Err, order.RejectStale) && p.confirmed.IsZero() {
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -31,16 +31,10 @@
 	}
 	size := roomOf(s.doc)
 	made := 0
-	for _, w := range c.workers {
+	for w := range c.options(s, needsTicket, now) {
 		if made >= waiting {
 			break
 		}
-		if !c.eligible(w, s, now) {
-			continue
-		}
-		if _, ok := s.usable(w, needsTicket, now); !ok {
-			continue
-		}
 		made += c.makeRoom(s, w, size, waiting-made, now)
 	}
 	if made > 0 {
@@ -109,12 +103,18 @@
 	return list
 }
 
+// unwant marks a run to be stopped.
+func (c *Cell) unwant(p *placement) {
+	p.unwanted = true
+	c.unwanted[p] = struct{}{}
+}
+
 // evict asks for the end of a run, whose task is placed again.
 func (c *Cell) evict(p *placement, why string, now time.Time) {
 	if p.unwanted {
 		return
 	}
-	p.unwanted = true
+	c.unwant(p)
 	c.stats.Preemptions++
 	c.log.WithFields(logrus.Fields{
 		"job": p.task.id.Job, "task": p.task.id.String(), "run": p.run, "worker": p.w.info.ID, "why": why,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -419,7 +419,9 @@
 	}
 	p := c.place(t, w, r.Run, now)
 	p.confirmed = now
-	p.unwanted = t.done || j.state.Over() || len(t.placed) > 1
+	if t.done || j.state.Over() || len(t.placed) > 1 {
+		c.unwant(p)
+	}
 	c.log.WithFields(logrus.Fields{
 		"job": r.Task.Job, "task": r.Task.String(), "run": r.Run, "worker": w.info.ID, "unwanted": p.unwanted,
 	}).Info("run adopted")
@@ -458,6 +460,7 @@
 	t, w, s := p.task, p.w, p.task.step
 	j := s.job
 	delete(w.placed, runKey{t.id, p.run})
+	delete(c.unwanted, p)
 	w.used = w.used.Sub(p.size)
 	if s.perWorker[w]--; s.perWorker[w] <= 0 {
 		delete(s.perWorker, w)
@@ -491,7 +494,7 @@
 	for _, t := range s.tasks {
 		for _, p := range t.placed {
 			if p.run <= run {
-				p.unwanted = true
+				c.unwant(p)
 			}
 		}
 	}
