--- a/cell/advice.go
+++ b/cell/advice.go
@@ -83,9 +83,6 @@
 
 // ask returns the call that would let a step's waiting tasks start, if there is room on workers that may be allowed.
 func (c *Cell) ask(s *step, advice *queues.Advice, waiting int, now time.Time) (Ask, bool) {
-	if s.asking || now.Before(s.askAfter) {
-		return Ask{}, false
-	}
 	size := roomOf(s.doc)
 	type candidate struct {
 		w     *worker
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -182,10 +182,9 @@
 		}
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 	}
-	if waiting > 0 {
-		waiting -= c.preempt(plan, s, advice != nil, waiting, now)
+	if waiting > 0 && !c.askFor(plan, s, advice, waiting, now) {
+		c.preempt(plan, s, advice != nil, waiting, now)
 	}
-	c.askFor(plan, s, advice, waiting, now)
 }
 
 // mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker not yet heard of.
@@ -193,23 +192,27 @@
 	return s.job.earlier && now.Before(c.unknownUntil)
 }
 
-func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) {
-	if waiting == 0 || advice == nil {
-		return
+// askFor asks the advisor about more workers, and reports whether there are any with room to ask about.
+func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) bool {
+	if advice == nil {
+		return false
 	}
-	if !plan.desks.Free(advice.Cost(1)) {
-		return
-	}
-	if a, ok := c.ask(s, advice, waiting, now); ok {
-		if a.Host, ok = plan.desks.Reserve(a.Cost); ok {
-			s.asking = true
-			plan.Asks = append(plan.Asks, a)
-		}
-		return
+	if s.asking || !plan.desks.Free(advice.Cost(1)) {
+		return true
 	}
 	if now.Before(s.askAfter) {
 		plan.again(s.askAfter)
+		return true
+	}
+	a, ok := c.ask(s, advice, waiting, now)
+	if !ok {
+		return false
+	}
+	if a.Host, ok = plan.desks.Reserve(a.Cost); ok {
+		s.asking = true
+		plan.Asks = append(plan.Asks, a)
 	}
+	return true
 }
 
 func (c *Cell) best(s *step, needsTicket bool, now time.Time) (*worker, string) {
