--- a/cell/cell.go
+++ b/cell/cell.go
@@ -46,6 +46,8 @@
 	open map[graph.StepID]*step
 	// unwanted holds the runs to be stopped.
 	unwanted map[*placement]struct{}
+	// repace holds the runs whose pace has changed and was not sent.
+	repace map[*placement]struct{}
 	// unknownUntil is when a task that an earlier scheduler may have started is surely over everywhere.
 	unknownUntil time.Time
 	// expected are the workers that an earlier scheduler used, and recorded those on durable record.
@@ -76,7 +78,8 @@
 	return &Cell{
 		settings: settings, log: log, token: token, firstRun: int(token-1)*settings.RunsPerToken + 1,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, over: map[string]finished{},
-		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, unwanted: map[*placement]struct{}{}, learned: newLearned(),
+		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, unwanted: map[*placement]struct{}{},
+		repace: map[*placement]struct{}{}, learned: newLearned(),
 		expected: map[string]bool{}, recorded: map[string]bool{},
 		advice: map[string]*adviceRate{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -37,6 +37,7 @@
 	Starts []StartOrder
 	Stops  []StopOrder
 	Asks   []Ask
+	Paces  []PaceOrder
 	// Again is when to plan again at the latest; zero if only an event changes anything.
 	Again time.Time
 	desks Desks
@@ -49,6 +50,7 @@
 	plan := Plan{desks: desks}
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
+	c.planPaces(&plan)
 	for _, cand := range c.candidates(&plan, now) {
 		c.planStep(&plan, cand.s, cfg, now)
 	}
--- /dev/null
+++ b/cell/policy_test.go
@@ -0,0 +1,345 @@
+package cell_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// desks lets every call to the advisor be made.
+type desks struct{}
+
+// Free implements cell.Desks.
+func (desks) Free(time.Duration) bool { return true }
+
+// Reserve implements cell.Desks.
+func (desks) Reserve(time.Duration) (string, bool) { return "here", true }
+
+// world drives a group by hand, at times that it sets.
+type world struct {
+	c    *qt.C
+	cell *cell.Cell
+	cfg  *queues.Config
+	now  time.Time
+	// running holds what each worker reports, and ends what it lists.
+	running map[string][]order.Run
+	ends    map[string][]order.End
+	workers map[string]order.Worker
+}
+
+func newWorld(t *testing.T, workers int, cores int64) *world {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &world{
+		c: qt.New(t), cell: cell.New(cell.Settings{Lease: 6 * time.Second, RunsPerToken: 1000}, 1, log), now: epoch,
+		running: map[string][]order.Run{}, ends: map[string][]order.End{}, workers: map[string]order.Worker{},
+		cfg: &queues.Config{Version: 1, Queues: []queues.Queue{{Name: "short"}, {Name: "long"}}},
+	}
+	ids := make([]string, workers)
+	for i := range workers {
+		ids[i] = fmt.Sprintf("w%d", i)
+		w.list(order.Worker{
+			ID: ids[i], Capacity: unit.Size{CPUMilli: 1000 * cores, MemoryMiB: 1 << 20}, Born: epoch.Add(-time.Minute),
+		})
+	}
+	w.cell.Recorded(ids)
+	w.look()
+	return w
+}
+
+func (w *world) list(info order.Worker) {
+	w.workers[info.ID] = info
+	w.cell.SetWorker(info, w.now)
+}
+
+// look lets every worker report.
+func (w *world) look() {
+	for id, info := range w.workers {
+		w.cell.Looked(id, order.Report{
+			Clock: time.Minute + w.now.Sub(epoch), Born: info.Born, Running: w.running[id], Ended: w.ends[id],
+		}, 0, w.now, w.now)
+	}
+}
+
+// pass lets time pass, with a look at its end.
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.look()
+}
+
+// plan plans and carries the starts out at once.
+func (w *world) plan() cell.Plan {
+	plan := w.cell.Plan(w.cfg, desks{}, w.now)
+	for _, o := range plan.Starts {
+		w.cell.Started(o, cell.StartResult{Sent: w.now, Clock: time.Minute}, w.now)
+		w.running[o.Worker.ID] = append(w.running[o.Worker.ID], order.Run{
+			Task: o.Order.Task, Run: o.Order.Run, Percent: 100, Gauge: 1000,
+		})
+	}
+	return plan
+}
+
+// finish lets a run end on its worker.
+func (w *world) finish(id string, task graph.TaskID, kind order.EndKind) {
+	kept := w.running[id][:0]
+	for _, r := range w.running[id] {
+		if r.Task != task {
+			kept = append(kept, r)
+			continue
+		}
+		n := uint64(len(w.ends[id]) + 1)
+		w.ends[id] = append(w.ends[id], order.End{Number: n, Task: r.Task, Run: r.Run, Kind: kind, Saved: r.Saved})
+	}
+	w.running[id] = kept
+}
+
+func (w *world) add(doc *graph.Job) {
+	if doc.Accepted.IsZero() {
+		doc.Accepted = w.now
+	}
+	if doc.Attempts == 0 {
+		doc.Attempts = 3
+	}
+	doc.Stretch, doc.Objective = 1.5, 300*time.Millisecond
+	w.cell.Add(doc, nil, 0, false, w.now)
+}
+
+func long(id string, count int) *graph.Job {
+	return &graph.Job{ID: id, Queue: "long", Priority: 2, Steps: []graph.Step{{
+		Count: count, Size: unit.Size{CPUMilli: 1000}, Estimate: 20 * time.Second, Checkpoint: true, MayMiss: -1,
+	}}}
+}
+
+func short(id string, count int) *graph.Job {
+	return &graph.Job{ID: id, Queue: "short", Steps: []graph.Step{{
+		Count: count, Size: unit.Size{CPUMilli: 1000}, Estimate: 500 * time.Millisecond, MayMiss: -1,
+	}}}
+}
+
+// Pattern: a burst of short work over long work that has filled the group.
+func TestABurstOfShortWorkGetsRoomFromLongWork(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.add(long("l", 8))
+	w.c.Assert(w.plan().Starts, qt.HasLen, 8)
+	w.pass(2 * time.Second)
+	w.add(short("s", 3))
+	plan := w.plan()
+	w.c.Assert(plan.Starts, qt.HasLen, 0)
+	w.c.Assert(plan.Stops, qt.HasLen, 3)
+	for _, o := range plan.Stops {
+		w.c.Assert(o.Order.Task.Job, qt.Equals, "l")
+		w.finish(o.Worker.ID, o.Order.Task, order.EndStopped)
+	}
+	w.pass(100 * time.Millisecond)
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 3)
+	for _, o := range started {
+		w.c.Assert(o.Order.Task.Job, qt.Equals, "s")
+	}
+}
+
+// Pattern: a backlog after an outage, in which everything would be late if it were served in the order of arrival.
+func TestABacklogServesWhatCanStillBeInTime(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	old := short("old", 1)
+	old.Accepted = w.now.Add(-1200 * time.Millisecond)
+	w.add(old)
+	w.add(short("new", 1))
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 1)
+	w.c.Assert(started[0].Order.Task.Job, qt.Equals, "new")
+}
+
+// Pattern: urgent work whose permitted workers are full, while others have room that nobody has asked about.
+func TestOtherWorkersAreAskedAboutBeforeWorkIsStopped(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
+	w.add(long("l", 2))
+	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
+	w.pass(2 * time.Second)
+	w.add(short("s", 1))
+	plan := w.plan()
+	w.c.Assert(plan.Stops, qt.HasLen, 0)
+	w.c.Assert(plan.Asks, qt.HasLen, 1)
+	w.c.Assert(plan.Asks[0].Workers, qt.HasLen, 1)
+	permits := []order.Permit{{Worker: plan.Asks[0].Workers[0], Ticket: "t"}}
+	w.cell.Advised(plan.Asks[0], permits, 2*time.Second, nil, w.now)
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 1)
+	w.c.Assert(started[0].Order.Ticket, qt.Equals, "t")
+}
+
+// Pattern: a worker is taken away at short notice.
+func TestALeavingWorkerIsEmptied(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.add(&graph.Job{ID: "kept", Queue: "long", Priority: 1, Steps: []graph.Step{{
+		Count: 2, Size: unit.Size{CPUMilli: 1000}, Lasting: true, MayMiss: 1, MaxPerWorker: 1,
+	}}})
+	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
+	leaving := w.workers["w0"]
+	leaving.Draining, leaving.Remaining = true, 2*time.Second
+	w.list(leaving)
+	w.add(long("l", 4))
+	plan := w.plan()
+	for _, o := range plan.Starts {
+		w.c.Assert(o.Worker.ID, qt.Equals, "w1")
+	}
+	w.c.Assert(plan.Stops, qt.HasLen, 1)
+	w.c.Assert(plan.Stops[0].Worker.ID, qt.Equals, "w0")
+	w.c.Assert(plan.Stops[0].Order.Task.Job, qt.Equals, "kept")
+}
+
+// Pattern: urgent work arrives where only lasting tasks run; they are not taken away for it.
+func TestLastingTasksKeepWhatMayBeMissed(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.add(&graph.Job{ID: "kept", Queue: "long", Priority: 2, Steps: []graph.Step{{
+		Count: 2, Size: unit.Size{CPUMilli: 1000}, Lasting: true, MayMiss: 0, Checkpoint: true,
+	}}})
+	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
+	w.pass(2 * time.Second)
+	w.add(short("s", 1))
+	w.c.Assert(w.plan().Stops, qt.HasLen, 0)
+}
+
+// Pattern: tasks that fill the room disturb tasks that serve, until those miss their target.
+func TestFillingTasksAreSlowedForServingOnes(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.add(&graph.Job{ID: "serving", Queue: "long", Priority: 1, Steps: []graph.Step{{
+		Count: 1, Size: unit.Size{CPUMilli: 2000}, Lasting: true, Target: 100 * time.Millisecond, MayMiss: 1,
+	}}})
+	w.add(&graph.Job{ID: "filling", Queue: "long", Priority: 2, Steps: []graph.Step{{
+		Count: 1, Size: unit.Size{CPUMilli: 4000}, Estimate: time.Minute, Fills: true, MayMiss: -1,
+	}}})
+	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
+	gauge := func(tail float64) {
+		for i := range w.running["w0"] {
+			if w.running["w0"][i].Task.Job == "serving" {
+				w.running["w0"][i].Gauge = tail
+			}
+		}
+		w.pass(time.Second)
+	}
+	gauge(150)
+	slowed := w.plan().Paces
+	w.c.Assert(slowed, qt.HasLen, 1)
+	w.c.Assert(slowed[0].Order.Task.Job, qt.Equals, "filling")
+	w.c.Assert(slowed[0].Order.Percent < 100, qt.IsTrue)
+	gauge(150)
+	again := w.plan().Paces
+	w.c.Assert(again, qt.HasLen, 1)
+	w.c.Assert(again[0].Order.Percent < slowed[0].Order.Percent, qt.IsTrue)
+	gauge(20)
+	faster := w.plan().Paces
+	w.c.Assert(faster, qt.HasLen, 1)
+	w.c.Assert(faster[0].Order.Percent > again[0].Order.Percent, qt.IsTrue)
+}
+
+// Pattern: tasks on some workers stand still although their health check is good.
+func TestRunsThatStandStillAreMoved(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.add(long("l", 1))
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 1)
+	on := started[0].Worker.ID
+	w.running[on][0].Gauge = 0
+	for range 4 {
+		w.pass(time.Second)
+	}
+	plan := w.plan()
+	w.c.Assert(plan.Stops, qt.HasLen, 1)
+	w.finish(on, started[0].Order.Task, order.EndStopped)
+	w.pass(100 * time.Millisecond)
+	moved := w.plan().Starts
+	w.c.Assert(moved, qt.HasLen, 1)
+	w.c.Assert(moved[0].Worker.ID, qt.Not(qt.Equals), on)
+}
+
+// Pattern: a worker fails all that it starts.
+func TestAWorkerThatFailsAllIsBenched(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	for i := range 3 {
+		w.add(short(fmt.Sprintf("j%d", i), 1))
+		for _, o := range w.plan().Starts {
+			if o.Worker.ID == "w0" {
+				w.finish("w0", o.Order.Task, order.EndFailed)
+			} else {
+				w.finish("w1", o.Order.Task, order.EndDone)
+			}
+		}
+		w.pass(100 * time.Millisecond)
+	}
+	for range 6 {
+		for _, o := range w.plan().Starts {
+			kind := order.EndDone
+			if o.Worker.ID == "w0" {
+				kind = order.EndFailed
+			}
+			w.finish(o.Worker.ID, o.Order.Task, kind)
+		}
+		w.pass(100 * time.Millisecond)
+	}
+	for i := range 3 {
+		state, _ := w.cell.State(fmt.Sprintf("j%d", i), "short")
+		w.c.Assert(state, qt.Not(qt.Equals), graph.Failed)
+	}
+	failed := 0
+	for _, e := range w.ends["w0"] {
+		if e.Kind == order.EndFailed {
+			failed++
+		}
+	}
+	w.c.Assert(failed <= 3, qt.IsTrue)
+}
+
+// Pattern: a gang whose members do not fit all at once, beside small work that would take the room bit by bit.
+func TestAGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		cores int64
+		want  int
+	}{
+		{"all fit", 4, 8},
+		{"one too many", 3, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 2, test.cores)
+			w.add(&graph.Job{ID: "g", Queue: "long", Steps: []graph.Step{{
+				Count: 8, Size: unit.Size{CPUMilli: 1000}, Gang: true, MayMiss: -1,
+			}}})
+			started := w.plan().Starts
+			w.c.Assert(started, qt.HasLen, test.want)
+			for _, o := range started {
+				w.c.Assert(o.Order.Run, qt.Equals, started[0].Order.Run)
+			}
+		})
+	}
+}
+
+// Occurrences of a job start when they are due, not before.
+func TestOccurrencesWaitForTheirTime(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	doc := short("timed", 1)
+	doc.Times, doc.First, doc.Every = 2, w.now.Add(time.Second), 3*time.Second
+	w.add(doc)
+	plan := w.plan()
+	w.c.Assert(plan.Starts, qt.HasLen, 0)
+	w.c.Assert(plan.Again.Equal(doc.First), qt.IsTrue)
+	w.pass(time.Second)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 1)
+	w.pass(2 * time.Second)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 0)
+	w.pass(time.Second)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 1)
+}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -114,6 +114,9 @@
 	if p.unwanted {
 		return
 	}
+	if serves(p.task.step.doc) && !p.w.info.Draining && !p.task.step.mayMiss() {
+		return
+	}
 	c.unwant(p)
 	c.stats.Preemptions++
 	c.log.WithFields(logrus.Fields{
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -54,6 +54,8 @@
 	percent   int
 	paced     int
 	gauge     float64
+	// zeroSince is since when the run's pace is 0.
+	zeroSince time.Time
 	// stillSince is since when the run has used no processor.
 	stillSince time.Time
 	over       time.Time
@@ -82,6 +84,8 @@
 	missed  time.Time
 	strikes int
 	benched time.Time
+	// pacedAt is when the pace of filling tasks was last considered.
+	pacedAt time.Time
 	slow    int
 	slowAt  time.Time
 	// leaves is when a draining worker may be gone.
@@ -266,7 +270,7 @@
 
 func (c *Cell) lookWait(w *worker) time.Duration {
 	for _, p := range w.placed {
-		if p.task.step.doc.Target > 0 {
+		if p.task.step.doc.Target > 0 || p.task.step.doc.Fills {
 			return lookWaitServing
 		}
 	}
@@ -363,6 +367,7 @@
 	for i := range rep.Ended {
 		c.sawEnd(w, &rep.Ended[i], now)
 	}
+	c.share(w, now)
 	for key, p := range w.placed {
 		if running[key] || p.confirmed.IsZero() || sent.Sub(p.confirmed) < confirmAfter {
 			continue
@@ -430,7 +435,7 @@
 
 // place records a run on a worker, and takes its room.
 func (c *Cell) place(t *task, w *worker, run int, now time.Time) *placement {
-	p := &placement{task: t, w: w, run: run, size: roomOf(t.step.doc), sent: now, percent: 100, paced: 100}
+	p := &placement{task: t, w: w, run: run, size: roomOf(t.step.doc), sent: now, percent: fullPace, paced: fullPace}
 	if t.waits() {
 		t.step.free--
 	}
@@ -461,6 +466,7 @@
 	j := s.job
 	delete(w.placed, runKey{t.id, p.run})
 	delete(c.unwanted, p)
+	delete(c.repace, p)
 	w.used = w.used.Sub(p.size)
 	if s.perWorker[w]--; s.perWorker[w] <= 0 {
 		delete(s.perWorker, w)
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -55,6 +55,9 @@
 	for _, o := range plan.Starts {
 		r.send(func() { r.sendStart(ctx, o) })
 	}
+	for _, o := range plan.Paces {
+		r.send(func() { r.sendPace(ctx, o) })
+	}
 	for _, a := range plan.Asks {
 		r.send(func() {
 			permits, validity, err := r.cfg.Advisors.Advise(ctx, a)
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -207,3 +207,17 @@
 	r.fenced(err)
 	r.cell.Stopped(o, at, err, time.Now())
 }
+
+func (r *Runner) sendPace(ctx context.Context, o cell.PaceOrder) {
+	slot := r.slot(o.Worker.ID)
+	slot <- struct{}{}
+	defer func() { <-slot }()
+	if ctx.Err() != nil || !r.holds() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := r.cfg.Workers.Pace(call, &o.Worker, o.Order)
+	r.fenced(err)
+	r.cell.Paced(o, err)
+}
