--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,7 @@
 	maxBody        = 4 << 20
 	maxHeader      = 64 << 10
 	idleTimeout    = 60 * time.Second
+	metricsPath    = "/metrics"
 	// leasePause spaces the readings of the leases, each of which changes every 0.7 s.
 	leasePause = 200 * time.Millisecond
 	// runsPerToken is more runs of one task than a scheduler starts without a durable record of any.
@@ -79,24 +82,26 @@
 	arrived  atomic.Int64
 	leaving  atomic.Bool
 	closing  atomic.Bool
-	refused  atomic.Int64
+	metrics  *metrics
 }
 
 // New returns an entry host on the users' platform, with the settings that were read from path.
 func New(s platform.Settings, path string, log logrus.FieldLogger) *Agent {
-	health := table.NewHealth(platform.NewStore(s.Table))
-	store := table.Store(health)
 	a := &Agent{
-		started: time.Now(), settings: s, settingsPath: path, life: uuid.NewString(), health: health, log: log, store: store, workers: platform.NewWorkers(),
-		registry: &platform.Registry{Store: store, Log: log}, advisor: platform.NewAdvisor(s.Advisor),
-		operator: &platform.Operator{Store: store, Log: log}, queues: &queues.Book{}, leases: elect.NewBook(),
-		hosts: newHosts(),
+		started: time.Now(), settings: s, settingsPath: path, life: uuid.NewString(), log: log, queues: &queues.Book{},
+		leases: elect.NewBook(), hosts: newHosts(), advisor: platform.NewAdvisor(s.Advisor),
 	}
-	a.spread = &spread{self: s.Name, advisor: a.advisor, hosts: a.hosts, out: map[string]int{}}
 	a.groups = newGroups(a)
+	a.metrics = newMetrics(a)
+	a.health = table.NewHealth(&countedStore{platform.NewStore(s.Table), a.metrics})
+	a.store, a.workers = a.health, &countedWorkers{platform.NewWorkers(), a.metrics}
+	a.registry = &platform.Registry{Store: a.store, Log: log}
+	a.operator = &platform.Operator{Store: a.store, Log: log}
+	a.spread = &spread{self: s.Name, advisor: a.advisor, hosts: a.hosts, out: map[string]int{}}
 	a.front = &platform.Front{
-		Jobs: &intake.Intake{Store: store, Health: health, Groups: a.groups, Log: log}, Queues: a.queues, Ready: a.ready,
-		Refused: func(string) { a.refused.Add(1) },
+		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
+		Queues: a.queues, Ready: a.ready,
+		Refused: func(reason string) { a.metrics.refused.WithLabelValues(reason).Inc() },
 	}
 	return a
 }
@@ -116,7 +121,9 @@
 
 // Run serves until ctx is done and then stops without cutting requests off; hard ends the stop at once.
 func (a *Agent) Run(ctx, hard context.Context) error {
-	a.log.WithField("data-center", a.settings.DataCenter).Info("host started")
+	a.log.WithFields(logrus.Fields{
+		"data-center": a.settings.DataCenter, "hosts": a.peerAddress(), "metrics": a.metricsAddress(), "life": a.life,
+	}).Info("host started")
 	if err := a.listen(); err != nil {
 		return err
 	}
@@ -155,7 +162,8 @@
 		}
 	}()
 	a.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Addrs: []string{a.settings.Front.String(), a.settings.Ready.String()}, Handler: a,
+		Network: "tcp", Handler: a,
+		Addrs:   []string{a.settings.Front.String(), a.settings.Ready.String(), a.metricsAddress().String()},
 		MaxLoad: maxConnections, KeepaliveTime: idleTimeout, ReadLimit: maxBody + maxHeader, MaxHTTPBodySize: maxBody,
 		IOMod: nbhttp.IOModMixed, MaxBlockingOnline: maxConnections, ServerExecutor: func(f func()) { go f() },
 	})
@@ -176,7 +184,17 @@
 		// The library then closes the connection after the answer.
 		r.Close = true
 	}
+	if r.URL.Path == metricsPath && strings.HasSuffix(r.Host, ":"+strconv.Itoa(int(a.metricsAddress().Port()))) {
+		a.metrics.ServeHTTP(w, r)
+		return
+	}
+	since := time.Now()
 	a.front.ServeHTTP(w, r)
+	a.metrics.times.WithLabelValues("request-" + strings.ToLower(r.Method)).Observe(time.Since(since).Seconds())
+}
+
+func (a *Agent) metricsAddress() netip.AddrPort {
+	return netip.AddrPortFrom(a.settings.IP, a.settings.FirstPort+1)
 }
 
 func (a *Agent) follow(ctx context.Context) {
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +58,13 @@
 	return g.running[service]
 }
 
+// all returns the runners of the groups that this host runs.
+func (g *groups) all() []*runner.Runner {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.running))
+}
+
 // campaign takes the leases of groups that nobody runs, until ctx is done.
 func (g *groups) campaign(ctx context.Context) error {
 	for clock.Pause(ctx, campaignEvery) {
--- a/cmds/cmd_serve.go
+++ b/cmds/cmd_serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
 
 	"github.com/corianderdrift/corianderdrift/agent"
 	"github.com/corianderdrift/corianderdrift/conf"
+	"github.com/corianderdrift/corianderdrift/lines"
 	"github.com/corianderdrift/corianderdrift/node"
 	"github.com/corianderdrift/corianderdrift/platform"
 )
@@ -60,8 +62,10 @@
 		return err
 	}
 	log := logrus.New()
-	log.SetOutput(os.Stdout)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	out := lines.NewWriter(os.Stdout)
+	defer out.Close()
+	log.SetOutput(out)
+	log.SetFormatter(&lines.Budget{Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, Lost: out.Dropped})
 	return agent.New(s, path, log.WithField("host", s.Name)).Run(in.ctx, in.hard)
 }
 
--- /dev/null
+++ b/lines/lines_test.go
@@ -0,0 +1,61 @@
+package lines_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/lines"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	got     bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.got.Write(p)
+}
+
+func TestAStuckOutputMakesNobodyWait(t *testing.T) {
+	c := qt.New(t)
+	out := &stuck{release: make(chan struct{})}
+	w := lines.NewWriter(out)
+	for range 10000 {
+		_, err := w.Write([]byte("line\n"))
+		c.Assert(err, qt.IsNil)
+	}
+	close(out.release)
+	c.Assert(w.Close(), qt.IsNil)
+	dropped := int(w.Dropped())
+	c.Assert(dropped > 0, qt.IsTrue)
+	c.Assert(strings.Count(out.got.String(), "line\n")+dropped, qt.Equals, 10000)
+}
+
+func TestLinesBeyondTheBudgetAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&out)
+		log.SetFormatter(&lines.Budget{Formatter: &logrus.JSONFormatter{}})
+		for range 1000 {
+			log.Info("run placed")
+		}
+		log.Info("host started")
+		time.Sleep(2 * time.Second)
+		log.Info("run placed")
+		text := out.String()
+		c.Assert(strings.Count(text, `"msg":"run placed"`), qt.Equals, 401)
+		c.Assert(strings.Contains(text, `"msg":"lines left out","run placed":600`), qt.IsTrue)
+		c.Assert(strings.Contains(text, "host started"), qt.IsTrue)
+	})
+}
