--- a/agent/agent.go
+++ b/agent/agent.go
@@ -124,7 +124,7 @@
 	a.log.WithFields(logrus.Fields{
 		"data-center": a.settings.DataCenter, "hosts": a.peerAddress(), "metrics": a.metricsAddress(), "life": a.life,
 	}).Info("host started")
-	if err := a.listen(); err != nil {
+	if err := a.listen(ctx); err != nil {
 		return err
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -148,9 +148,9 @@
 	return err
 }
 
-func (a *Agent) listen() error {
+func (a *Agent) listen(ctx context.Context) error {
 	logging.SetLevel(logging.LevelError)
-	l, err := net.Listen("tcp", a.peerAddress().String())
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.peerAddress().String())
 	if err != nil {
 		return fmt.Errorf("listen for hosts: %w", err)
 	}
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -179,6 +179,6 @@
 		s.askAfter = now.Add(askPause / 10)
 	}
 	c.log.WithFields(logrus.Fields{
-		"job": a.Step.Job, "step": a.Step.String(), "asked": len(a.Workers), "allowed": len(permits),
+		fieldJob: a.Step.Job, "step": a.Step.String(), "asked": len(a.Workers), "allowed": len(permits),
 	}).Info("advised")
 }
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -84,8 +84,8 @@
 		if ch.Progress.State.Over() {
 			c.over[ch.Job] = finished{ch.Progress.State, j.doc.Queue, now}
 			c.log.WithFields(logrus.Fields{
-				"job": ch.Job, "queue": j.doc.Queue, "state": ch.Progress.State, "reason": ch.Progress.Reason,
-				"took": now.Sub(j.doc.Accepted).Round(time.Millisecond),
+				fieldJob: ch.Job, "queue": j.doc.Queue, "state": ch.Progress.State, "reason": ch.Progress.Reason,
+				fieldTook: now.Sub(j.doc.Accepted).Round(time.Millisecond),
 			}).Info("job over")
 			if j.placed == 0 {
 				c.forget(j)
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -39,8 +39,8 @@
 
 func (c *Cell) logEnd(w *worker, e *order.End, took time.Duration) {
 	c.log.WithFields(logrus.Fields{
-		"job": e.Task.Job, "task": e.Task.String(), "run": e.Run, "worker": w.info.ID, "end": e.Number, "how": e.Kind,
-		"took": took.Round(time.Millisecond),
+		fieldJob: e.Task.Job, fieldTask: e.Task.String(), fieldRun: e.Run, fieldWorker: w.info.ID, "end": e.Number, "how": e.Kind,
+		fieldTook: took.Round(time.Millisecond),
 	}).Info("run ended")
 }
 
@@ -135,6 +135,6 @@
 	w.strikes++
 	if w.strikes >= strikesUntilBench && now.After(w.benched) {
 		w.benched = now.Add(benchTime)
-		c.log.WithFields(logrus.Fields{"worker": w.info.ID, "failures": w.strikes}).Warn("worker fails all that it starts")
+		c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, "failures": w.strikes}).Warn("worker fails all that it starts")
 	}
 }
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -22,7 +22,6 @@
 	rounds    []*round
 	left      int
 	placed    int
-	adviceQ   *adviceRate
 	// earlier says that another scheduler may have started tasks of the job.
 	earlier bool
 }
@@ -145,7 +144,7 @@
 		}
 	}
 	c.log.WithFields(logrus.Fields{
-		"job": doc.ID, "queue": doc.Queue, "steps": len(doc.Steps), "age": now.Sub(doc.Accepted).Round(time.Millisecond),
+		fieldJob: doc.ID, "queue": doc.Queue, "steps": len(doc.Steps), "age": now.Sub(doc.Accepted).Round(time.Millisecond),
 		"restored": progress != nil,
 	}).Info("job taken")
 	c.finishIfDone(j, now)
@@ -159,7 +158,7 @@
 	if !ok || j.cancelled || j.state.Over() {
 		return
 	}
-	c.log.WithFields(logrus.Fields{"job": id, "placed": j.placed}).Info("job cancelled")
+	c.log.WithFields(logrus.Fields{fieldJob: id, fieldPlaced: j.placed}).Info("job cancelled")
 	j.cancelled = true
 	c.end(j, graph.Cancelled, "cancelled by its caller", now)
 }
--- a/cell/order.go
+++ b/cell/order.go
@@ -68,7 +68,7 @@
 	j := s.job
 	r := j.rounds[s.id.Occurrence]
 	objective := j.objective(c.learned)
-	cand := candidateStep{s: s, deadline: j.begin(r).Add(objective)}
+	cand := candidateStep{s: s, urgency: inTime, deadline: j.begin(r).Add(objective)}
 	if j.doc.Lasts() {
 		return cand
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
@@ -244,7 +243,7 @@
 		Order: order.Start{Task: t.id, Run: run, Spec: t.step.job.doc.Spec, Saved: t.saved, Ticket: ticket, Token: c.token},
 	})
 	c.log.WithFields(logrus.Fields{
-		"job": t.id.Job, "task": t.id.String(), "run": run, "worker": w.info.ID, "free-cpu": w.info.Capacity.CPUMilli - w.used.CPUMilli,
+		fieldJob: t.id.Job, fieldTask: t.id.String(), fieldRun: run, fieldWorker: w.info.ID, "free-cpu": w.info.Capacity.CPUMilli - w.used.CPUMilli,
 		"waited": now.Sub(t.step.readyAt).Round(time.Millisecond), "saved": t.saved != "",
 	}).Info("run placed")
 }
@@ -355,7 +354,7 @@
 		return
 	}
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
-		"job": p.task.id.Job, "task": p.task.id.String(), "run": p.run, "worker": w.info.ID,
+		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID,
 	}).Warn("start failed")
 	if !certain(res.Err) {
 		// The start may still be carried out: the run is closed off on the worker before the task goes elsewhere.
@@ -394,12 +393,3 @@
 	}
 	w.kick()
 }
-
-// roundTask returns the task of an id, for tests and views.
-func (c *Cell) roundTask(id graph.TaskID) *task {
-	j := c.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	return j.task(id)
-}
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -40,6 +40,7 @@
 }
 
 func newWorld(t *testing.T, workers int, cores int64) *world {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w := &world{
@@ -116,8 +117,8 @@
 	w.cell.Add(doc, nil, 0, false, w.now)
 }
 
-func long(id string, count int) *graph.Job {
-	return &graph.Job{ID: id, Queue: "long", Priority: 2, Steps: []graph.Step{{
+func long(count int) *graph.Job {
+	return &graph.Job{ID: "l", Queue: "long", Priority: 2, Steps: []graph.Step{{
 		Count: count, Size: unit.Size{CPUMilli: 1000}, Estimate: 20 * time.Second, Checkpoint: true, MayMiss: -1,
 	}}}
 }
@@ -131,7 +132,7 @@
 // Pattern: a burst of short work over long work that has filled the group.
 func TestABurstOfShortWorkGetsRoomFromLongWork(t *testing.T) {
 	w := newWorld(t, 2, 4)
-	w.add(long("l", 8))
+	w.add(long(8))
 	w.c.Assert(w.plan().Starts, qt.HasLen, 8)
 	w.pass(2 * time.Second)
 	w.add(short("s", 3))
@@ -166,7 +167,7 @@
 func TestOtherWorkersAreAskedAboutBeforeWorkIsStopped(t *testing.T) {
 	w := newWorld(t, 2, 2)
 	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
-	w.add(long("l", 2))
+	w.add(long(2))
 	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
 	w.pass(2 * time.Second)
 	w.add(short("s", 1))
@@ -191,7 +192,7 @@
 	leaving := w.workers["w0"]
 	leaving.Draining, leaving.Remaining = true, 2*time.Second
 	w.list(leaving)
-	w.add(long("l", 4))
+	w.add(long(4))
 	plan := w.plan()
 	for _, o := range plan.Starts {
 		w.c.Assert(o.Worker.ID, qt.Equals, "w1")
@@ -249,7 +250,7 @@
 // Pattern: tasks on some workers stand still although their health check is good.
 func TestRunsThatStandStillAreMoved(t *testing.T) {
 	w := newWorld(t, 2, 1)
-	w.add(long("l", 1))
+	w.add(long(1))
 	started := w.plan().Starts
 	w.c.Assert(started, qt.HasLen, 1)
 	on := started[0].Worker.ID
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -120,7 +120,7 @@
 	c.unwant(p)
 	c.stats.Preemptions++
 	c.log.WithFields(logrus.Fields{
-		"job": p.task.id.Job, "task": p.task.id.String(), "run": p.run, "worker": p.w.info.ID, "why": why,
+		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: p.w.info.ID, fieldWhy: why,
 		"ran": now.Sub(p.sent).Round(time.Millisecond),
 	}).Info("run evicted")
 }
--- a/cell/share.go
+++ b/cell/share.go
@@ -85,7 +85,7 @@
 		p.zeroSince = now
 	}
 	c.log.WithFields(logrus.Fields{
-		"task": p.task.id.String(), "worker": p.w.info.ID, "from": p.paced, "to": next, "worst-share-of-target": worst,
+		fieldTask: p.task.id.String(), fieldWorker: p.w.info.ID, "from": p.paced, "to": next, "worst-share-of-target": worst,
 	}).Info("pace changed")
 	p.paced = next
 	c.repace[p] = struct{}{}
--- a/cell/slow.go
+++ b/cell/slow.go
@@ -65,7 +65,7 @@
 	c.evict(p, "it stands still", now)
 	if now.After(p.w.benched) {
 		p.w.benched = now.Add(stillBench)
-		c.log.WithFields(logrus.Fields{"worker": p.w.info.ID, "gauge": p.gauge, "task": p.task.id.String()}).
+		c.log.WithFields(logrus.Fields{fieldWorker: p.w.info.ID, "gauge": p.gauge, fieldTask: p.task.id.String()}).
 			Warn("runs stand still on a worker")
 	}
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -150,7 +150,7 @@
 
 func (c *Cell) unlist(w *worker) {
 	if w.listed {
-		c.log.WithFields(logrus.Fields{"worker": w.info.ID, "placed": len(w.placed)}).Info("worker left the registry")
+		c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, fieldPlaced: len(w.placed)}).Info("worker left the registry")
 	}
 	w.listed = false
 	w.kick()
@@ -165,7 +165,7 @@
 		}
 		w.noteDrain(now)
 		c.workers[info.ID] = w
-		c.log.WithFields(logrus.Fields{"worker": info.ID, "rack": info.Rack, "draining": info.Draining}).Info("worker listed")
+		c.log.WithFields(logrus.Fields{fieldWorker: info.ID, "rack": info.Rack, "draining": info.Draining}).Info("worker listed")
 		return true
 	}
 	if !info.Born.Equal(w.info.Born) {
@@ -176,7 +176,7 @@
 	}
 	if info.Draining != w.info.Draining {
 		c.log.WithFields(logrus.Fields{
-			"worker": info.ID, "draining": info.Draining, "remaining": info.Remaining, "placed": len(w.placed),
+			fieldWorker: info.ID, "draining": info.Draining, "remaining": info.Remaining, fieldPlaced: len(w.placed),
 		}).Info("worker changed its state")
 	}
 	w.info, w.listed = info, true
@@ -187,7 +187,7 @@
 
 // reborn starts a new life of a worker; nothing of the old one is left.
 func (c *Cell) reborn(w *worker, born, now time.Time) {
-	c.log.WithFields(logrus.Fields{"worker": w.info.ID, "placed": len(w.placed)}).Warn("worker has started anew")
+	c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, fieldPlaced: len(w.placed)}).Warn("worker has started anew")
 	c.loseAll(w, "its worker started anew", now)
 	w.info.Born = born
 	w.seen, w.acked, w.ackSent, w.known = 0, 0, 0, false
@@ -204,7 +204,7 @@
 			w.closeOff = append(w.closeOff, order.Stop{Task: key.task, Run: key.run, Token: c.token})
 		}
 		c.log.WithFields(logrus.Fields{
-			"job": key.task.Job, "task": key.task.String(), "run": key.run, "worker": w.info.ID, "why": why,
+			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldWhy: why,
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndLapsed, p.saved, now)
@@ -321,7 +321,7 @@
 	w.misses++
 	if w.misses == missesUntilSuspect {
 		w.missed = now
-		c.log.WithError(err).WithFields(logrus.Fields{"worker": id, "placed": len(w.placed)}).Warn("worker does not answer")
+		c.log.WithError(err).WithFields(logrus.Fields{fieldWorker: id, fieldPlaced: len(w.placed)}).Warn("worker does not answer")
 	}
 	c.expire(w, now)
 }
@@ -353,7 +353,7 @@
 		c.reborn(w, rep.Born, now)
 	}
 	if w.misses >= missesUntilSuspect {
-		c.log.WithFields(logrus.Fields{"worker": id, "away": now.Sub(w.missed).Round(time.Millisecond)}).Info("worker answers again")
+		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.missed).Round(time.Millisecond)}).Info("worker answers again")
 	}
 	w.heard(rep.Clock, now)
 	w.misses, w.heardAt = 0, now
@@ -372,7 +372,7 @@
 		if running[key] || p.confirmed.IsZero() || sent.Sub(p.confirmed) < confirmAfter {
 			continue
 		}
-		c.log.WithFields(logrus.Fields{"task": key.task.String(), "run": key.run, "worker": id, "stopped": p.stopped}).
+		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopped}).
 			Info("run is no longer on its worker")
 		c.release(p, order.EndLapsed, p.saved, now)
 	}
@@ -420,7 +420,7 @@
 	}
 	delete(w.foreign, key)
 	if t.run >= r.Run && !t.done && len(t.placed) == 0 && t.run > r.Run {
-		c.log.WithFields(logrus.Fields{"task": r.Task.String(), "run": r.Run, "worker": w.info.ID}).Warn("older run found")
+		c.log.WithFields(logrus.Fields{fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID}).Warn("older run found")
 	}
 	p := c.place(t, w, r.Run, now)
 	p.confirmed = now
@@ -428,7 +428,7 @@
 		c.unwant(p)
 	}
 	c.log.WithFields(logrus.Fields{
-		"job": r.Task.Job, "task": r.Task.String(), "run": r.Run, "worker": w.info.ID, "unwanted": p.unwanted,
+		fieldJob: r.Task.Job, fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID, "unwanted": p.unwanted,
 	}).Info("run adopted")
 	return p
 }
--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -31,18 +31,17 @@
 
 // member is one worker.
 type member struct {
-	info    order.Worker
-	began   time.Time
-	token   uint64
-	until   time.Time
-	runs    map[crewKey]*crewRun
-	closed  map[graph.TaskID]int
-	ended   []order.End
-	next    uint64
-	change  chan struct{}
-	silent  bool
-	deaf    bool
-	tickets map[string]bool
+	info   order.Worker
+	began  time.Time
+	token  uint64
+	until  time.Time
+	runs   map[crewKey]*crewRun
+	closed map[graph.TaskID]int
+	ended  []order.End
+	next   uint64
+	change chan struct{}
+	silent bool
+	deaf   bool
 }
 
 type crewKey struct {
--- a/lines/budget.go
+++ b/lines/budget.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -50,18 +51,7 @@
 	defer b.mu.Unlock()
 	var left map[string]int
 	if e.Time.Sub(b.since) >= window || b.count == nil || e.Time.Before(b.since) {
-		if len(b.over) > 0 {
-			left = b.over
-		}
-		b.since, b.count, b.over = e.Time, map[string]int{}, map[string]int{}
-		if b.Lost != nil {
-			if n := b.Lost(); n > 0 {
-				if left == nil {
-					left = map[string]int{}
-				}
-				left["output"] += int(n)
-			}
-		}
+		left = b.begin(e.Time)
 	}
 	b.count[e.Message]++
 	if b.count[e.Message] > perKind && e.Level >= logrus.InfoLevel {
@@ -71,6 +61,25 @@
 	return left
 }
 
+// begin opens a window and returns what the last one left out, or nil.
+func (b *Budget) begin(at time.Time) map[string]int {
+	left := b.over
+	b.since, b.count, b.over = at, map[string]int{}, map[string]int{}
+	if b.Lost != nil {
+		if n := b.Lost(); n > 0 {
+			left = maps.Clone(left)
+			if left == nil {
+				left = map[string]int{}
+			}
+			left["output"] += int(n)
+		}
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	return left
+}
+
 func (b *Budget) summary(e *logrus.Entry, left map[string]int) *logrus.Entry {
 	s := logrus.NewEntry(e.Logger)
 	s.Time, s.Level, s.Message = e.Time, logrus.WarnLevel, "lines left out"
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -81,6 +81,7 @@
 }
 
 func newSite(t *testing.T, workers int, size unit.Size) *site {
+	t.Helper()
 	s := &site{
 		c: qt.New(t), rows: fakes.NewRows(), crew: fakes.NewCrew(lease), book: &queues.Book{}, start: time.Now(),
 		list: &list{changes: make(chan func(func(order.Worker), func(string)))}, epoch: elect.Epoch{Part: service},
@@ -180,7 +181,9 @@
 		{"one task", []graph.Step{{Count: 1, Size: cores(1)}}},
 		{"steps that follow", []graph.Step{{Count: 3, Size: cores(1)}, {Count: 2, Size: cores(2), After: []int{0}}}},
 		{"a diamond", []graph.Step{
-			{Count: 1, Size: cores(1)}, {Count: 2, Size: cores(1), After: []int{0}}, {Count: 2, Size: cores(1), After: []int{0}},
+			{Count: 1, Size: cores(1)},
+			{Count: 2, Size: cores(1), After: []int{0}},
+			{Count: 2, Size: cores(1), After: []int{0}},
 			{Count: 1, Size: cores(1), After: []int{1, 2}},
 		}},
 		{"a gang", []graph.Step{{Count: 4, Size: cores(8), Gang: true}}},
--- a/table/health.go
+++ b/table/health.go
@@ -18,12 +18,11 @@
 type Health struct {
 	store Store
 
-	mu     sync.Mutex
-	good   time.Time
-	bad    time.Time
-	next   int
-	out    map[int]time.Time
-	failed int
+	mu   sync.Mutex
+	good time.Time
+	bad  time.Time
+	next int
+	out  map[int]time.Time
 }
 
 // NewHealth returns a store that watches another.
