--- a/agent/groups.go
+++ b/agent/groups.go
@@ -91,6 +91,7 @@
 	if !free {
 		return
 	}
+	others := g.a.leases.OrdersUntil(service, time.Now())
 	sent := clock.Boot()
 	epoch, err := elect.Take(ctx, g.a.store, old, elect.Taker{
 		Name: g.a.settings.Name, Life: g.a.life, Address: g.a.peerAddress(),
@@ -103,7 +104,7 @@
 		}
 		return
 	}
-	g.run(ctx, epoch, sent)
+	g.run(ctx, epoch, sent, others)
 }
 
 // patience returns how long this host leaves a free lease to those before it in the group's order: hosts with clearly more
@@ -129,10 +130,10 @@
 	return wait
 }
 
-func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration) {
+func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration, others time.Time) {
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), Boot: clock.Boot, Log: g.a.log,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), OthersUntil: others, Boot: clock.Boot, Log: g.a.log,
 	})
 	g.mu.Lock()
 	g.running[epoch.Part] = r
@@ -152,11 +153,23 @@
 	}()
 }
 
+// release gives a lease back, and goes on trying while the host is still there: a table that returns meanwhile should find
+// the group free.
 func (g *groups) release(epoch elect.Epoch) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
-	defer cancel()
-	if err := elect.Release(ctx, g.a.store, epoch); err != nil {
-		g.a.log.WithError(err).WithField("group", epoch.Part).Warn("lease can't be given back; it runs out")
+	failing := false
+	for end := clock.Boot() + g.a.stopLimit() - stopReserve; clock.Boot() < end; {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+		err := elect.Release(ctx, g.a.store, epoch)
+		cancel()
+		var conflict *table.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return
+		}
+		if !failing {
+			g.a.log.WithError(err).WithField("group", epoch.Part).Warn("lease can't be given back yet")
+		}
+		failing = true
+		time.Sleep(rankStep)
 	}
 }
 
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -25,10 +25,14 @@
 const (
 	// BeatEvery is how often a holder renews its lease.
 	BeatEvery = 450 * time.Millisecond
-	// Hold is how long after the sending of its last good renewal a holder may give orders.
-	Hold = 1700 * time.Millisecond
-	// Takeover is how long others must have seen no renewal before they take a lease; Hold and a margin for slow clocks.
+	// Fresh is how long after the sending of its last good renewal a holder may answer for the group.
+	Fresh = 1700 * time.Millisecond
+	// Takeover is how long others must have seen no renewal before they take a lease; Fresh and a margin for slow clocks.
 	Takeover = 2300 * time.Millisecond
+	// Hold is how long after its last good renewal a holder may give orders, so that work goes on while the table is away
+	// for all. A taker shuts it out by its token wherever it reaches a worker, and leaves alone, for as long as this and a
+	// worker's lease last, what may run on the others.
+	Hold     = 6000 * time.Millisecond
 	callTime = 650 * time.Millisecond
 )
 
@@ -61,6 +65,8 @@
 type seen struct {
 	epoch   Epoch
 	changed time.Time
+	// taken is when the epoch was first seen.
+	taken time.Time
 }
 
 // Book knows the holders of all leases.
@@ -101,7 +107,7 @@
 				continue
 			}
 			e.Part, e.Version = r.Part, r.Version
-			s.epoch, s.changed = e, now
+			s.epoch, s.changed, s.taken = e, now, now
 		case r.Name == rowBeat:
 			s.changed = now
 		default:
@@ -143,6 +149,25 @@
 	return s.epoch, silent >= Takeover+patience && now.Sub(b.since) >= Takeover+patience
 }
 
+// OrdersUntil returns until when earlier holders of a lease may still give orders.
+func (b *Book) OrdersUntil(part string, now time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.parts[part]
+	if !ok || s.epoch.Token == 0 {
+		return now
+	}
+	// Whoever was replaced by the last holder had not renewed for as long as a taker waits.
+	until := s.taken.Add(Hold - Takeover)
+	if s.epoch.Holder != "" && !b.ended(s.epoch) {
+		until = s.changed.Add(Hold)
+	}
+	if until.Before(now) {
+		return now
+	}
+	return until
+}
+
 // ended reports whether the process that holds a lease was followed by another on its host.
 func (b *Book) ended(e Epoch) bool {
 	life, ok := b.lives[e.Holder]
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,8 +27,10 @@
 	askTime = 400 * time.Millisecond
 	// readTime bounds the reading of a job's rows.
 	readTime = 900 * time.Millisecond
-	// backAfter is when a refused caller may come back while the table is away.
-	backAfter = time.Second
+	// backLeast and backMost bound when a refused caller may come back while the table is away. In between it is as long as
+	// the table has been away: an outage that has lasted is likely to last, and callers have few tries.
+	backLeast = time.Second
+	backMost  = 4 * time.Second
 )
 
 // Groups answers for the groups of workers, wherever they are run.
@@ -116,7 +118,7 @@
 // already is no error.
 func (i *Intake) write(ctx context.Context, tx table.Tx) (created bool, err error) {
 	if !i.Health.Reachable(time.Now()) {
-		return false, &RefusedError{"store-away", backAfter, &table.RefusedError{Op: "commit"}}
+		return false, i.away(&table.RefusedError{Op: "commit"})
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
@@ -133,7 +135,7 @@
 		case errors.As(err, &conflict):
 			return false, nil
 		case errors.As(err, &refused) && !unsure:
-			return false, &RefusedError{"store-away", backAfter, err}
+			return false, i.away(err)
 		case !errors.As(err, &refused):
 			unsure = true
 		}
@@ -143,6 +145,12 @@
 	}
 }
 
+// away returns the refusal of a call that the table's absence makes impossible.
+func (i *Intake) away(err error) *RefusedError {
+	back := min(backMost, max(backLeast, i.Health.Away(time.Now())))
+	return &RefusedError{"store-away", back, err}
+}
+
 // State returns where a job stands.
 func (i *Intake) State(ctx context.Context, q *queues.Queue, id string) (graph.State, error) {
 	ask, cancel := context.WithTimeout(ctx, askTime)
@@ -174,7 +182,7 @@
 		Table: runner.TableJobs(q.Service), Part: runner.JobPart(q.Service, id), From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
 	})
 	if err != nil {
-		return stored{}, &RefusedError{"store-away", backAfter, err}
+		return stored{}, i.away(err)
 	}
 	s := stored{state: graph.Queued}
 	exists := false
@@ -201,7 +209,7 @@
 		Table: runner.TableRuns, Part: q.Service, From: id, To: id + "\x00", Limit: 1,
 	})
 	if err != nil {
-		return &RefusedError{"store-away", backAfter, err}
+		return i.away(err)
 	}
 	for _, row := range page.Rows {
 		p, err := graph.DecodeProgress(row.Value)
@@ -234,7 +242,7 @@
 	defer cancel()
 	n, known := i.Groups.Pending(ctx, q.Service, q.Name)
 	if !known {
-		return 0, &RefusedError{"no-runner", backAfter, nil}
+		return 0, &RefusedError{"no-runner", backLeast, nil}
 	}
 	return n, nil
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,6 +32,8 @@
 	Advisors Advisors
 	Queues   *queues.Book
 	Settings cell.Settings
+	// OthersUntil is until when earlier runners may still give orders.
+	OthersUntil time.Time
 	// Boot returns the time since the machine started, the time that it was suspended included.
 	Boot func() time.Duration
 	Log  logrus.FieldLogger
@@ -72,7 +74,10 @@
 func (r *Runner) Cell() *cell.Cell { return r.cell }
 
 // Ready reports whether the group's jobs are known and this host still runs it.
-func (r *Runner) Ready() bool { return r.loaded.Load() && r.holds() }
+func (r *Runner) Ready() bool {
+	fresh := r.holdUntil.Load() - int64(elect.Hold-elect.Fresh)
+	return r.loaded.Load() && int64(r.cfg.Boot()) < fresh
+}
 
 // Run runs the group until ctx is done or the lease is lost; taken is when the taking of the lease was sent.
 func (r *Runner) Run(ctx context.Context, taken time.Duration) error {
@@ -100,7 +105,11 @@
 	if err != nil {
 		return err
 	}
-	r.cell.HoldUnknown(time.Now().Add(r.cfg.Settings.Lease + unknownSlack))
+	others := time.Now()
+	if r.cfg.OthersUntil.After(others) {
+		others = r.cfg.OthersUntil
+	}
+	r.cell.HoldUnknown(others.Add(r.cfg.Settings.Lease + unknownSlack))
 	eg, ctx := errgroup.WithContext(ctx)
 	if err := r.loadRecord(ctx); err != nil {
 		return err
@@ -159,7 +168,7 @@
 // renewed notes a renewal, or another write that proved the lease.
 func (r *Runner) renewed(sent time.Duration, beats bool) {
 	if !r.holds() {
-		r.log.Info("lease renewed again")
+		r.log.Info("orders may be given again")
 		r.kickPlan()
 	}
 	r.holdUntil.Store(max(r.holdUntil.Load(), int64(sent+elect.Hold)))
--- a/table/health.go
+++ b/table/health.go
@@ -40,6 +40,16 @@
 	return !h.bad.After(h.good.Add(goodFor))
 }
 
+// Away returns for how long the table has not answered this host.
+func (h *Health) Away(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.good.IsZero() {
+		return 0
+	}
+	return now.Sub(h.good)
+}
+
 func (h *Health) begin(now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
