--- a/cell/cell.go
+++ b/cell/cell.go
@@ -144,16 +144,24 @@
 	return s
 }
 
-// Sweep forgets jobs that ended long ago, and returns their ids, so that their rows can be removed.
-func (c *Cell) Sweep(now time.Time, most int) []string {
+// Old returns at most n jobs that ended long ago, whose rows can be removed.
+func (c *Cell) Old(now time.Time, n int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var old []string
 	for id, f := range c.over {
-		if len(old) < most && now.Sub(f.at) > forgetAfter {
+		if len(old) < n && now.Sub(f.at) > forgetAfter {
 			old = append(old, id)
-			delete(c.over, id)
 		}
 	}
 	return old
 }
+
+// Forget drops jobs whose rows were removed; before that they would be taken for new ones.
+func (c *Cell) Forget(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		delete(c.over, id)
+	}
+}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -28,12 +28,13 @@
 	end  uint64
 }
 
-// Dirty reports whether there is progress that is not durable, and whether a job's end is among it.
-func (c *Cell) Dirty() (some, ended bool) {
+// Dirty reports whether there is progress that is not durable, and whether somebody waits for it: a job that has ended, or
+// one of which nothing may be started yet.
+func (c *Cell) Dirty() (some, urgent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, j := range c.dirty {
-		if j.state.Over() {
+		if j.state.Over() || j.version == 0 {
 			return true, true
 		}
 	}
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -55,7 +55,7 @@
 		return
 	}
 	c.logEnd(w, e, 0)
-	if !j.earlier && e.Kind != order.EndDone && e.Kind != order.EndFailed {
+	if !j.recorded && e.Kind != order.EndDone && e.Kind != order.EndFailed {
 		return
 	}
 	p := c.place(t, w, e.Run, now)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -22,8 +22,8 @@
 	rounds    []*round
 	left      int
 	placed    int
-	// earlier says that another scheduler may have started tasks of the job.
-	earlier bool
+	// recorded says that another scheduler left a record of the job, and may have started tasks of it.
+	recorded bool
 }
 
 // round is one occurrence of a job's steps.
@@ -119,7 +119,7 @@
 }
 
 // Add takes an accepted job, with its durable progress if there is any; a job that is known is left as it is.
-func (c *Cell) Add(doc *graph.Job, progress *graph.Progress, version uint64, earlier bool, now time.Time) {
+func (c *Cell) Add(doc *graph.Job, progress *graph.Progress, version uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, ok := c.over[doc.ID]; ok {
@@ -132,7 +132,7 @@
 		c.over[doc.ID] = finished{progress.State, progress.Queue, now}
 		return
 	}
-	j := &job{doc: doc, state: graph.Queued, version: version, earlier: earlier}
+	j := &job{doc: doc, state: graph.Queued, version: version, recorded: progress != nil}
 	c.jobs[doc.ID] = j
 	c.build(j)
 	if progress != nil {
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -158,6 +158,14 @@
 		plan.again(c.unknownUntil)
 		return
 	}
+	if s.job.version == 0 {
+		// Without a durable record a later scheduler would take it that nothing of the job was ever started.
+		if _, ok := c.dirty[s.job.doc.ID]; !ok {
+			c.touch(s.job)
+		}
+		c.askFor(plan, s, advice, s.free, now)
+		return
+	}
 	if s.doc.Gang {
 		c.planGang(plan, s, advice, now)
 		return
@@ -188,9 +196,10 @@
 	}
 }
 
-// mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker not yet heard of.
+// mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker not yet heard of; it did
+// not if it left no record of the job's progress.
 func (c *Cell) mayRunElsewhere(s *step, now time.Time) bool {
-	return s.job.earlier && now.Before(c.unknownUntil)
+	return s.job.recorded && now.Before(c.unknownUntil)
 }
 
 // askFor asks the advisor about more workers, and reports whether there are any with room to ask about.
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -114,7 +114,7 @@
 		doc.Attempts = 3
 	}
 	doc.Stretch, doc.Objective = 1.5, 300*time.Millisecond
-	w.cell.Add(doc, nil, 0, false, w.now)
+	w.cell.Add(doc, nil, 1, w.now)
 }
 
 func long(count int) *graph.Job {
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -102,7 +102,7 @@
 // followJobs takes the group's jobs, and closes loaded once those are known that were accepted before.
 func (r *Runner) followJobs(ctx context.Context, runs map[string]savedRun, loaded chan<- struct{}) {
 	first := true
-	take := func(rows []table.Row, earlier bool) {
+	take := func(rows []table.Row) {
 		now := time.Now()
 		for _, row := range rows {
 			if !strings.HasPrefix(row.Part, r.cfg.Epoch.Part+"/") || row.Deleted {
@@ -118,7 +118,7 @@
 				continue
 			}
 			saved := runs[row.Name]
-			r.cell.Add(doc, saved.progress, saved.version, earlier, now)
+			r.cell.Add(doc, saved.progress, saved.version, now)
 		}
 		r.kickPlan()
 		r.kickCommit()
@@ -126,14 +126,14 @@
 	f := table.Follower{
 		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Part), Log: r.log, Parts: func() []string { return partNames(r.cfg.Epoch.Part) },
 		Load: func(rows []table.Row) {
-			take(rows, first)
+			take(rows)
 			if first {
 				r.loaded.Store(true)
 				close(loaded)
 			}
 			first = false
 		},
-		Apply: func(rows []table.Row) { take(rows, false) },
+		Apply: take,
 	}
 	f.Run(ctx)
 }
@@ -143,7 +143,7 @@
 	if !r.loaded.Load() {
 		return
 	}
-	r.cell.Add(doc, nil, 0, false, time.Now())
+	r.cell.Add(doc, nil, 0, time.Now())
 	r.kickPlan()
 }
 
@@ -157,11 +157,11 @@
 		case <-time.After(sweepEvery):
 		}
 		for ctx.Err() == nil {
-			some, ended := r.cell.Dirty()
+			some, urgent := r.cell.Dirty()
 			if !some {
 				break
 			}
-			if !ended {
+			if !urgent {
 				clock.Pause(ctx, commitEvery)
 			}
 			if err := r.commitOnce(ctx); err != nil {
@@ -247,7 +247,7 @@
 // sweep removes the rows of jobs that ended long ago; the progress goes last, since without it a job would run again.
 func (r *Runner) sweep(ctx context.Context) {
 	const most = 30
-	ids := r.cell.Sweep(time.Now(), most)
+	ids := r.cell.Old(time.Now(), most)
 	if len(ids) == 0 {
 		return
 	}
@@ -267,7 +267,9 @@
 			return
 		}
 	}
-	r.remove(ctx, table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}, Removes: runs})
+	if r.remove(ctx, table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}, Removes: runs}) {
+		r.cell.Forget(ids)
+	}
 }
 
 func (r *Runner) remove(ctx context.Context, tx table.Tx) bool {
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -39,6 +39,7 @@
 			now := time.Now()
 			plan := r.cell.Plan(cfg, r.cfg.Advisors, now)
 			r.carryOut(ctx, plan)
+			r.kickCommit()
 			if !plan.Again.IsZero() {
 				next = min(next, max(planEvery, plan.Again.Sub(now)))
 			}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -276,6 +276,23 @@
 	})
 }
 
+// What an earlier runner never started need not wait for workers that can't be reached.
+func TestTakeOverStartsAtOnceWhatWasNeverStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, big)
+		s.crew.Work = steady(100 * time.Millisecond)
+		_, kill := s.run()
+		time.Sleep(500 * time.Millisecond)
+		kill()
+		s.crew.Cut("w1", true)
+		s.submit("00000000000000aa", graph.Step{Count: 2, Size: cores(1)})
+		r, stop := s.run()
+		defer stop()
+		s.await(r, "00000000000000aa", graph.Completed, 2*time.Second)
+		s.sound()
+	})
+}
+
 // Ends that a worker tells before the runner knows their job must not be lost.
 func TestEndsAreSettledOnlyOnceJobsAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
