--- a/cell/plan.go
+++ b/cell/plan.go
@@ -370,9 +370,11 @@
 		c.unwant(p)
 		return
 	}
-	if rejectedAs(res.Err, order.RejectStale) && p.confirmed.IsZero() {
-		// The run was here before; its end will be listed.
-		p.confirmed = now
+	if rejectedAs(res.Err, order.RejectStale) {
+		// The run was there before; the worker lists its end, unless that was told already.
+		if p.confirmed.IsZero() {
+			p.confirmed = now
+		}
 		return
 	}
 	if rejectedAs(res.Err, order.RejectTicket) {
