--- a/cell/worker.go
+++ b/cell/worker.go
@@ -76,8 +76,9 @@
 	clock    time.Duration
 	clockAt  time.Time
 	// known says that this life was looked at under this scheduler's token.
-	known   bool
-	renewed time.Time
+	known    bool
+	renewed  time.Time
+	rebornAt time.Time
 	// heardAt is when the last report came.
 	heardAt time.Time
 	misses  int
@@ -185,14 +186,19 @@
 	return false
 }
 
-// reborn starts a new life of a worker; nothing of the old one is left.
+// reborn starts a new life of a worker. A start that was sent to the old life may have been carried out by the new one under
+// the same id, so that what was there is lost only if the next report does not show it.
 func (c *Cell) reborn(w *worker, born, now time.Time) {
 	c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, fieldPlaced: len(w.placed)}).Warn("worker has started anew")
-	c.loseAll(w, "its worker started anew", now)
+	for _, p := range w.placed {
+		if !p.confirmed.IsZero() {
+			p.confirmed = now
+		}
+	}
 	w.info.Born = born
 	w.seen, w.acked, w.ackSent, w.known = 0, 0, 0, false
 	w.clock, w.clockAt = 0, time.Time{}
-	w.renewed = time.Time{}
+	w.renewed, w.rebornAt = time.Time{}, now
 	w.misses = 0
 	clear(w.foreign)
 }
@@ -264,6 +270,9 @@
 	if w.known && w.misses == 0 && w.acked <= w.ackSent {
 		n.Order.Wait = c.lookWait(w)
 	}
+	if now.Sub(w.rebornAt) < 2*confirmAfter {
+		n.Order.Wait, n.Pause = 0, confirmAfter
+	}
 	n.Stop = w.closeOff
 	w.closeOff = nil
 	return n
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -13,8 +13,14 @@
 	"github.com/corianderdrift/corianderdrift/runner"
 )
 
-// chaosSeeds are played in every run; a seed that ever failed stays in the list, with a line on its cause.
-var chaosSeeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24}
+// chaosSeeds are played in every run; a seed that ever failed stays in the list.
+var chaosSeeds = []uint64{
+	// 4, 5, 7, 19 and 22: an old life's acknowledgement was sent to the new life of a worker, which forgot ends.
+	// 6 and 12: a first mend of that looked at a new life without pause.
+	1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24,
+	// A start that was sent to an old life was carried out by the new one, and its run was taken for lost.
+	270, 302, 336,
+}
 
 // chaos is a site to which things happen at random.
 type chaos struct {
