--- /dev/null
+++ b/elect/elect_test.go
@@ -0,0 +1,79 @@
+package elect_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+const part = "desk"
+
+func TestOneOfTwoTakersWins(t *testing.T) {
+	c := qt.New(t)
+	rows, ctx := fakes.NewRows(), context.Background()
+	first, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: "a"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Token, qt.Equals, uint64(1))
+	_, err = elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: "b"})
+	var conflict *table.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	second, err := elect.Take(ctx, rows, first, elect.Taker{Name: "b"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Token, qt.Equals, uint64(2))
+	var lost *elect.LostError
+	c.Assert(errors.As(elect.Beat(ctx, rows, first), &lost), qt.IsTrue)
+	c.Assert(elect.Beat(ctx, rows, second), qt.IsNil)
+}
+
+func TestWhenALeaseIsFree(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for _, test := range []struct {
+		name string
+		// renewed and seen are when the lease was last renewed and the table last answered, from the start.
+		renewed, seen time.Duration
+		holder        string
+		restarted     bool
+		released      bool
+		want          bool
+	}{
+		{"renewed just now", 9 * time.Second, 10 * time.Second, "a", false, false, false},
+		{"silent for long", 5 * time.Second, 10 * time.Second, "a", false, false, true},
+		{"silent, but the table is away for this host too", 5 * time.Second, 7 * time.Second, "a", false, false, false},
+		{"its holder has started anew", 9 * time.Second, 10 * time.Second, "a", true, false, true},
+		{"given back", 9 * time.Second, 10 * time.Second, "a", false, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			rows, ctx := fakes.NewRows(), context.Background()
+			epoch, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: test.holder, Life: "1"})
+			c.Assert(err, qt.IsNil)
+			if test.released {
+				c.Assert(elect.Release(ctx, rows, epoch), qt.IsNil)
+			}
+			page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
+			c.Assert(err, qt.IsNil)
+			b := elect.NewBook()
+			for at := time.Duration(0); at <= test.seen; at += time.Second {
+				b.Alive(start.Add(at))
+			}
+			c.Assert(b.Apply(page.Rows, start.Add(test.renewed)), qt.IsNil)
+			if test.restarted {
+				b.Started(test.holder, "2")
+			}
+			now := start.Add(10 * time.Second)
+			_, free := b.Free(part, 0, now)
+			c.Assert(free, qt.Equals, test.want)
+			// A holder that may live can give orders for as long as it holds without a renewal.
+			if !test.restarted && !test.released {
+				c.Assert(b.OrdersUntil(part, now).Equal(start.Add(test.renewed).Add(elect.Hold)), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -276,6 +276,26 @@
 	})
 }
 
+// A runner that was replaced behind its back is refused by the first worker or row that it comes to, and gives up.
+func TestAReplacedRunnerGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, big)
+		s.crew.Work = steady(300 * time.Millisecond)
+		old, stopOld := s.run()
+		defer stopOld()
+		time.Sleep(time.Second)
+		s.c.Assert(old.Ready(), qt.IsTrue)
+		next, stop := s.run()
+		defer stop()
+		s.submit("00000000000000aa", graph.Step{Count: 8, Size: cores(2)})
+		s.await(next, "00000000000000aa", graph.Completed, 10*time.Second)
+		time.Sleep(elect.Fresh)
+		s.c.Assert(old.Ready(), qt.IsFalse)
+		s.sound()
+		s.c.Assert(s.crew.Starts(), qt.Equals, 8)
+	})
+}
+
 // What an earlier runner never started need not wait for workers that can't be reached.
 func TestTakeOverStartsAtOnceWhatWasNeverStarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/table/table_test.go
@@ -0,0 +1,88 @@
+package table_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+func put(c *qt.C, rows *fakes.Rows, name string) {
+	_, err := rows.Commit(context.Background(), table.Tx{Writes: []table.Write{{
+		Key: table.Key{Table: "t", Part: "p", Name: name}, Value: []byte(name),
+	}}})
+	c.Assert(err, qt.IsNil)
+}
+
+// A follower hears of every row, also when the history is dropped and while calls fail.
+func TestAFollowerMissesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fakes.NewRows()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		seen := map[string]bool{}
+		take := func(got []table.Row) {
+			for _, r := range got {
+				seen[r.Name] = true
+			}
+		}
+		f := table.Follower{
+			Store: rows, Table: "t", Log: log, Parts: func() []string { return []string{"p"} }, Load: take, Apply: take,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		put(c, rows, "first")
+		time.Sleep(time.Second)
+		rows.Fail(func(string) fakes.RowsFault { return fakes.RowsSilent })
+		time.Sleep(3 * time.Second)
+		rows.Fail(nil)
+		put(c, rows, "second")
+		rows.Forget()
+		put(c, rows, "third")
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		c.Assert(seen, qt.DeepEquals, map[string]bool{"first": true, "second": true, "third": true})
+	})
+}
+
+func TestHealth(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault fakes.RowsFault
+		want  bool
+	}{
+		{"served", fakes.RowsOK, true},
+		{"refused", fakes.RowsRefuse, false},
+		{"silent", fakes.RowsSilent, false},
+		{"answers lost", fakes.RowsLost, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				rows := fakes.NewRows()
+				h := table.NewHealth(rows)
+				put(c, rows, "first")
+				_, err := h.Read(t.Context(), table.Range{Table: "t", Part: "p"})
+				c.Assert(err, qt.IsNil)
+				time.Sleep(time.Second)
+				rows.Fail(func(string) fakes.RowsFault { return test.fault })
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				go func() { _, _ = h.Commit(ctx, table.Tx{}) }()
+				time.Sleep(700 * time.Millisecond)
+				c.Assert(h.Reachable(time.Now()), qt.Equals, test.want)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
