--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -25,12 +25,11 @@
 // chaos is a site to which things happen at random.
 type chaos struct {
 	*site
-	rng    *rand.Rand
-	run    *runner.Runner
-	kill   func()
-	cut    map[string]bool
-	silent bool
-	jobs   int
+	rng  *rand.Rand
+	run  *runner.Runner
+	kill func()
+	cut  map[string]bool
+	jobs int
 }
 
 // Runners die, workers are cut off, crash or lose answers, and the table refuses, hangs and loses answers, together and in
