--- a/cell/ends.go
+++ b/cell/ends.go
@@ -68,7 +68,7 @@
 	j := s.job
 	switch kind {
 	case order.EndDone:
-		p.w.strikes = 0
+		p.w.strikes, p.w.struckBy = 0, ""
 		c.succeed(p, now)
 	case order.EndFailed:
 		c.fail(p, now)
@@ -105,7 +105,11 @@
 	t, s := p.task, p.task.step
 	j := s.job
 	t.notBefore = now.Add(failPause)
-	c.strike(p.w, now)
+	c.strike(p.w, j.doc.ID, now)
+	if t.avoid == nil {
+		t.avoid = map[string]bool{}
+	}
+	t.avoid[p.w.info.ID] = true
 	if s.doc.Lasting || t.done || slices.Contains(t.failed, p.run) {
 		return
 	}
@@ -130,8 +134,13 @@
 	return len(runs)
 }
 
-// strike counts a failure against a worker, and benches one that fails all it starts.
-func (c *Cell) strike(w *worker, now time.Time) {
+// strike counts a failure against a worker, and benches one that fails all it starts; a job that fails everywhere counts
+// once in a row.
+func (c *Cell) strike(w *worker, job string, now time.Time) {
+	if w.struckBy == job {
+		return
+	}
+	w.struckBy = job
 	w.strikes++
 	if w.strikes >= strikesUntilBench && now.After(w.benched) {
 		w.benched = now.Add(benchTime)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -63,8 +63,9 @@
 	step *step
 	done bool
 	run  int
-	// failed lists the runs that failed.
+	// failed lists the runs that failed, and avoid the workers on which they did.
 	failed []int
+	avoid  map[string]bool
 	saved  string
 	// placed are the runs that may be on workers; more than one only for copies.
 	placed []*placement
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -184,11 +184,15 @@
 			waiting++
 			continue
 		}
-		w, ticket := c.best(s, advice != nil, now)
+		w, ticket := c.best(s, t, advice != nil, now)
 		if w == nil {
 			waiting++
 			continue
 		}
+		if t.avoid[w.info.ID] && c.askFor(plan, s, advice, 1, now) {
+			// It failed there; other workers are being asked about.
+			continue
+		}
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 	}
 	if waiting > 0 && !c.askFor(plan, s, advice, waiting, now) {
@@ -225,7 +229,10 @@
 	return true
 }
 
-func (c *Cell) best(s *step, needsTicket bool, now time.Time) (*worker, string) {
+// avoidPenalty puts a worker on which a task has failed behind all others.
+const avoidPenalty = 100
+
+func (c *Cell) best(s *step, t *task, needsTicket bool, now time.Time) (*worker, string) {
 	size := roomOf(s.doc)
 	var found *worker
 	var foundTicket string
@@ -235,6 +242,9 @@
 			continue
 		}
 		score := c.score(s, w, size, now)
+		if t.avoid[w.info.ID] {
+			score += avoidPenalty
+		}
 		if found == nil || score < foundScore || (score == foundScore && w.info.ID < found.info.ID) {
 			found, foundTicket, foundScore = w, ticket, score
 		}
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -304,6 +304,39 @@
 	w.c.Assert(failed <= 3, qt.IsTrue)
 }
 
+// Pattern: a worker fails its tasks while its health check is good; a task is not spent on it alone.
+func TestATaskThatFailedIsTriedElsewhere(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.add(short("j", 1))
+	used := map[string]bool{}
+	for range 3 {
+		started := w.plan().Starts
+		w.c.Assert(started, qt.HasLen, 1)
+		used[started[0].Worker.ID] = true
+		w.finish(started[0].Worker.ID, started[0].Order.Task, order.EndFailed)
+		w.pass(100 * time.Millisecond)
+		w.pass(100 * time.Millisecond)
+	}
+	w.c.Assert(used, qt.HasLen, 3)
+}
+
+// Pattern: as above, where the only worker that the advisor has allowed yet is the failing one.
+func TestATaskThatFailedAsksAboutOtherWorkers(t *testing.T) {
+	w := newWorld(t, 8, 4)
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
+	w.add(short("j", 1))
+	ask := w.plan().Asks[0]
+	w.cell.Advised(ask, []order.Permit{{Worker: ask.Workers[0], Ticket: "t"}}, 2*time.Second, nil, w.now)
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 1)
+	w.finish(started[0].Worker.ID, started[0].Order.Task, order.EndFailed)
+	w.pass(100 * time.Millisecond)
+	w.pass(100 * time.Millisecond)
+	plan := w.plan()
+	w.c.Assert(plan.Starts, qt.HasLen, 0)
+	w.c.Assert(plan.Asks, qt.HasLen, 1)
+}
+
 // Pattern: a gang whose members do not fit all at once, beside small work that would take the room bit by bit.
 func TestAGangIsPlacedWholeOrNotAtAll(t *testing.T) {
 	for _, test := range []struct {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -84,7 +84,9 @@
 	misses  int
 	missed  time.Time
 	strikes int
-	benched time.Time
+	// struckBy is the job that failed here last.
+	struckBy string
+	benched  time.Time
 	// pacedAt is when the pace of filling tasks was last considered.
 	pacedAt time.Time
 	slow    int
