--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -267,6 +267,38 @@
 	w.c.Assert(moved[0].Worker.ID, qt.Not(qt.Equals), on)
 }
 
+// Pattern: the members of a gang have uneven shares of the work; who is done first waits for the others.
+func TestAGangWaitsForItsSlowestMember(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	gang := long(3)
+	gang.Steps[0].Gang = true
+	w.add(gang)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 3)
+	w.running["w0"][0].Gauge, w.running["w1"][0].Gauge = 0, 0
+	for range 5 {
+		w.pass(time.Second)
+	}
+	w.c.Assert(w.plan().Stops, qt.HasLen, 0)
+}
+
+// Pattern: a gang waits for a member that stands still on its worker.
+func TestAGangThatStandsStillIsMovedFromTheWorkerThatStoodStillFirst(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	gang := long(3)
+	gang.Steps[0].Gang = true
+	w.add(gang)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 3)
+	w.running["w1"][0].Gauge = 0
+	w.pass(2 * time.Second)
+	w.running["w0"][0].Gauge, w.running["w2"][0].Gauge = 0, 0
+	for range 2 {
+		w.pass(time.Second)
+	}
+	stops := w.plan().Stops
+	w.c.Assert(stops, qt.HasLen, 1)
+	w.c.Assert(stops[0].Worker.ID, qt.Equals, "w1")
+}
+
 // Pattern: a worker fails all that it starts.
 func TestAWorkerThatFailsAllIsBenched(t *testing.T) {
 	w := newWorld(t, 2, 1)
--- a/cell/slow.go
+++ b/cell/slow.go
@@ -59,7 +59,7 @@
 		p.stillSince = now
 		return
 	}
-	if now.Sub(p.stillSince) < stillAfter || now.Sub(p.sent) < 2*stillAfter {
+	if p = s.stillest(p, now); p == nil {
 		return
 	}
 	c.evict(p, "it stands still", now)
@@ -69,3 +69,35 @@
 			Warn("runs stand still on a worker")
 	}
 }
+
+// stillest returns the run that keeps a run from progress, if that has been so for long; a member of a gang that has done its
+// part waits for the others, so that a gang stands still only as a whole, and because of the member that did so first.
+func (s *step) stillest(p *placement, now time.Time) *placement {
+	members := []*placement{p}
+	if s.doc.Gang {
+		members = s.placedAs(p.run)
+	}
+	first := p
+	for _, m := range members {
+		if m.stillSince.IsZero() || now.Sub(m.stillSince) < stillAfter || now.Sub(m.sent) < 2*stillAfter {
+			return nil
+		}
+		if m.stillSince.Before(first.stillSince) {
+			first = m
+		}
+	}
+	return first
+}
+
+// placedAs returns the members of one run of a gang.
+func (s *step) placedAs(run int) []*placement {
+	var members []*placement
+	for _, t := range s.tasks {
+		for _, p := range t.placed {
+			if p.run == run {
+				members = append(members, p)
+			}
+		}
+	}
+	return members
+}
