Make room for gangs, and ask about full workers

Now a gang stops less urgent runs on all the workers that it needs or on none, and these are kept for it meanwhile; where no worker with room is left to ask about, full ones are asked about.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -10,6 +10,7 @@
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
 )
 
 // Figures of asking the advisor.
@@ -81,8 +82,11 @@
 	return ok && !p.allowed
 }
 
+// roomFunc returns how many more tasks of a step, each of a size, a worker has room for.
+type roomFunc func(s *step, w *worker, size unit.Size) int
+
 // ask returns the call that would let a step's waiting tasks start, if there is room on workers that may be allowed.
-func (c *Cell) ask(s *step, advice *queues.Advice, waiting int, now time.Time) (Ask, bool) {
+func (c *Cell) ask(s *step, advice *queues.Advice, waiting int, now time.Time, room roomFunc) (Ask, bool) {
 	size := roomOf(s.doc)
 	type candidate struct {
 		w     *worker
@@ -98,7 +102,7 @@
 		if _, ok := s.usable(w, true, now); ok {
 			continue
 		}
-		fits := c.fits(s, w, size)
+		fits := room(s, w, size)
 		if fits == 0 {
 			continue
 		}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -80,7 +80,7 @@
 // eligible reports whether a step's tasks may be started on a worker, room and permission apart.
 func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
 	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 ||
-		!c.recorded[w.info.ID] {
+		!c.recorded[w.info.ID] || w.heldFromOthers(s, now) {
 		return false
 	}
 	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
@@ -110,12 +110,15 @@
 }
 
 // fits returns how many more tasks of a step a worker has room for.
-func (c *Cell) fits(s *step, w *worker, size unit.Size) int {
+func (c *Cell) fits(s *step, w *worker, size unit.Size) int { return s.fitsBeside(w, w.used, size) }
+
+// fitsBeside returns how many more tasks of a step fit on a worker of which others use a part.
+func (s *step) fitsBeside(w *worker, used, size unit.Size) int {
 	most := s.doc.Count
 	if s.doc.MaxPerWorker > 0 {
 		most = min(most, s.doc.MaxPerWorker-s.perWorker[w])
 	}
-	free, need := w.info.Capacity.Sub(w.used).Values(), size.Values()
+	free, need := w.info.Capacity.Sub(used).Values(), size.Values()
 	for i := range need {
 		if need[i] > 0 {
 			most = min(most, int(free[i]/need[i]))
@@ -195,8 +198,11 @@
 		}
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 	}
-	if waiting > 0 && !c.askFor(plan, s, advice, waiting, now) {
-		c.preempt(plan, s, advice != nil, waiting, now)
+	if waiting == 0 || c.askFor(plan, s, advice, waiting, now) {
+		return
+	}
+	if c.preempt(plan, s, advice != nil, waiting, now) == 0 {
+		c.askAboutFull(plan, s, advice, waiting, now)
 	}
 }
 
@@ -208,6 +214,21 @@
 
 // askFor asks the advisor about more workers, and reports whether there are any with room to ask about.
 func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) bool {
+	return c.askWhere(plan, s, advice, waiting, now, c.fits)
+}
+
+// askAboutFull asks the advisor about workers on which less urgent runs could make room.
+func (c *Cell) askAboutFull(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) {
+	if c.rank(s, now).urgency == overdue {
+		return
+	}
+	c.askWhere(plan, s, advice, waiting, now, func(s *step, w *worker, size unit.Size) int {
+		return c.fitsAfter(s, w, size, now)
+	})
+}
+
+// askWhere asks about workers that have room for a step by a measure of it.
+func (c *Cell) askWhere(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time, room roomFunc) bool {
 	if advice == nil {
 		return false
 	}
@@ -218,7 +239,7 @@
 		plan.again(s.askAfter)
 		return true
 	}
-	a, ok := c.ask(s, advice, waiting, now)
+	a, ok := c.ask(s, advice, waiting, now, room)
 	if !ok {
 		return false
 	}
@@ -286,9 +307,12 @@
 			saved = t.saved
 		}
 	}
-	seats := c.seats(s, advice != nil, now)
+	size := roomOf(s.doc)
+	seats := c.seats(s, advice != nil, now, func(w *worker) int { return c.fits(s, w, size) })
 	if len(seats) < len(s.tasks) {
-		c.askFor(plan, s, advice, len(s.tasks), now)
+		if !c.askFor(plan, s, advice, len(s.tasks), now) && !c.preemptGang(plan, s, advice != nil, now) {
+			c.askAboutFull(plan, s, advice, len(s.tasks), now)
+		}
 		return
 	}
 	for i, t := range s.tasks {
@@ -303,7 +327,7 @@
 }
 
 // seats finds a worker for each member of a gang, one rack first if the members belong together.
-func (c *Cell) seats(s *step, needsTicket bool, now time.Time) []seat {
+func (c *Cell) seats(s *step, needsTicket bool, now time.Time, room func(w *worker) int) []seat {
 	size := roomOf(s.doc)
 	type option struct {
 		seat
@@ -313,7 +337,7 @@
 	var options []option
 	rackRoom := map[string]int{}
 	for w, ticket := range c.options(s, needsTicket, now) {
-		if n := c.fits(s, w, size); n > 0 {
+		if n := room(w); n > 0 {
 			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size, now)})
 			rackRoom[w.info.Rack] += n
 		}
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -393,6 +393,71 @@
 	}
 }
 
+// Pattern: a gang that needs whole workers, while less urgent work has a part of each.
+func TestAGangGetsRoomFromLessUrgentWork(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		advice *queues.Advice
+	}{
+		{"any worker", nil},
+		{"where the advisor allows it", &queues.Advice{Base: 700 * time.Millisecond}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 3, 4)
+			w.add(long(6))
+			w.c.Assert(w.plan().Starts, qt.HasLen, 6)
+			w.pass(2 * time.Second)
+			w.cfg.Queues[0].Advice = test.advice
+			gang := short("g", 2)
+			gang.Steps[0].Gang, gang.Steps[0].Size.CPUMilli = true, 4000
+			w.add(gang)
+			plan := w.plan()
+			for len(plan.Asks) > 0 {
+				// First about the worker that is free, and then about those that could be freed.
+				var permits []order.Permit
+				for _, id := range plan.Asks[0].Workers {
+					permits = append(permits, order.Permit{Worker: id, Ticket: "t"})
+				}
+				w.cell.Advised(plan.Asks[0], permits, 1500*time.Millisecond, nil, w.now)
+				plan = w.plan()
+			}
+			w.c.Assert(len(plan.Stops) >= 2, qt.IsTrue)
+			held := map[string]bool{}
+			for _, o := range plan.Stops {
+				held[o.Worker.ID] = true
+				w.finish(o.Worker.ID, o.Order.Task, order.EndStopped)
+			}
+			w.pass(300 * time.Millisecond)
+			gangStarts := 0
+			for _, o := range w.plan().Starts {
+				if o.Order.Task.Job == "g" {
+					gangStarts++
+					continue
+				}
+				// What was stopped does not come back to a worker before the gang.
+				w.c.Assert(held[o.Worker.ID], qt.IsFalse)
+			}
+			w.c.Assert(gangStarts, qt.Equals, 2)
+		})
+	}
+}
+
+// Pattern: urgent work that needs permission, while every worker is full of long work.
+func TestFullWorkersAreAskedAboutForUrgentWork(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.add(long(4))
+	w.c.Assert(w.plan().Starts, qt.HasLen, 4)
+	w.pass(2 * time.Second)
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
+	w.add(short("s", 1))
+	asks := w.plan().Asks
+	w.c.Assert(asks, qt.HasLen, 1)
+	w.cell.Advised(asks[0], []order.Permit{{Worker: asks[0].Workers[0], Ticket: "t"}}, 2*time.Second, nil, w.now)
+	stops := w.plan().Stops
+	w.c.Assert(stops, qt.HasLen, 1)
+	w.c.Assert(stops[0].Worker.ID, qt.Equals, asks[0].Workers[0])
+}
+
 // Occurrences of a job start when they are due, not before.
 func TestOccurrencesWaitForTheirTime(t *testing.T) {
 	w := newWorld(t, 1, 4)
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -16,6 +16,8 @@
 	preemptPause = 600 * time.Millisecond
 	// preemptLeast spares runs that have only just begun, so that work is not moved around without end.
 	preemptLeast = 400 * time.Millisecond
+	// holdRoom is how long a worker is kept for the gang for which its runs were stopped; a stop takes up to 0.4 s.
+	holdRoom = 1200 * time.Millisecond
 )
 
 // victim is a run that may be stopped for more urgent work, with what is lost by that.
@@ -45,6 +47,65 @@
 	return made
 }
 
+// fitsAfter returns how many more tasks of a step a worker would have room for without less urgent runs; none while the room
+// of others is on its way.
+func (c *Cell) fitsAfter(s *step, w *worker, size unit.Size, now time.Time) int {
+	used := w.used
+	for _, p := range w.placed {
+		if p.unwanted {
+			return 0
+		}
+	}
+	for _, v := range c.victims(s, w, now) {
+		used = used.Sub(v.p.size)
+	}
+	return s.fitsBeside(w, used, size)
+}
+
+// preemptGang makes room for a whole gang, or for nothing of it, and keeps the workers for it until the room is there.
+func (c *Cell) preemptGang(plan *Plan, s *step, needsTicket bool, now time.Time) bool {
+	if now.Before(s.preempted) {
+		return true
+	}
+	size := roomOf(s.doc)
+	seats := c.seats(s, needsTicket, now, func(w *worker) int {
+		return max(c.fits(s, w, size), c.fitsAfter(s, w, size, now))
+	})
+	if len(seats) < len(s.tasks) {
+		return false
+	}
+	wanted := map[*worker]int{}
+	for _, seat := range seats {
+		wanted[seat.w]++
+	}
+	for w, n := range wanted {
+		c.clear(s, w, size, n, now)
+		w.heldFor, w.heldUntil = s, now.Add(holdRoom)
+	}
+	s.preempted = now.Add(holdRoom)
+	plan.again(s.preempted)
+	c.planStops(plan, now)
+	return true
+}
+
+// clear stops less urgent runs on a worker until n tasks of a step have room there.
+func (c *Cell) clear(s *step, w *worker, size unit.Size, n int, now time.Time) {
+	used := w.used
+	for _, v := range c.victims(s, w, now) {
+		if s.fitsBeside(w, used, size) >= n {
+			return
+		}
+		used = used.Sub(v.p.size)
+		c.evict(v.p, "a more urgent gang", now)
+	}
+}
+
+// heldFromOthers reports whether a worker is kept for a gang that is at least as urgent as a step.
+func (w *worker) heldFromOthers(s *step, now time.Time) bool {
+	return w.heldFor != nil && w.heldFor != s && now.Before(w.heldUntil) &&
+		w.heldFor.job.doc.Priority <= s.job.doc.Priority
+}
+
 // makeRoom stops as many less urgent runs on a worker as let up to most tasks of a step start there.
 func (c *Cell) makeRoom(s *step, w *worker, size unit.Size, most int, now time.Time) int {
 	if s.doc.MaxPerWorker > 0 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -93,8 +93,11 @@
 	slowAt  time.Time
 	// leaves is when a draining worker may be gone.
 	leaves time.Time
-	wake   chan struct{}
-	first  time.Time
+	// heldFor is the gang for which the worker is kept until heldUntil.
+	heldFor   *step
+	heldUntil time.Time
+	wake      chan struct{}
+	first     time.Time
 }
 
 func (w *worker) kick() {
