Reach the table through other hosts while it refuses this one

Now a call that the table has surely not carried out goes to up to three other hosts, those of the data centre first; each uses its own way only. A call without an answer is not passed on. The direct way is probed each 250 ms. Ruled out: shorter times to come back, which would only have spent the callers' tries.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,8 +65,11 @@
 	settings     platform.Settings
 	settingsPath string
 	// life tells this process from an earlier one on the same host.
-	life     string
+	life string
+	// health tells whether the table answers by any way, direct whether it does so without other hosts.
 	health   *table.Health
+	direct   *table.Health
+	relay    *table.Relay
 	log      logrus.FieldLogger
 	store    table.Store
 	workers  order.Workers
@@ -97,7 +100,11 @@
 	}
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
-	a.health = table.NewHealth(&countedStore{platform.NewStore(s.Table), a.metrics})
+	a.direct = table.NewHealth(&countedStore{platform.NewStore(s.Table), a.metrics})
+	a.relay = &table.Relay{
+		Direct: a.direct, Others: a.relayed, Probe: table.Range{Table: elect.Table, Part: partHosts, Limit: 1}, Log: log,
+	}
+	a.health = table.NewHealth(a.relay)
 	a.store, a.workers = a.health, &countedWorkers{platform.NewWorkers(), a.metrics}
 	a.registry = &platform.Registry{Store: a.store, Log: log}
 	a.operator = &platform.Operator{Store: a.store, Log: log}
@@ -136,6 +143,7 @@
 	defer stop()
 	campaign, endCampaign := context.WithCancel(serving)
 	eg, serving := errgroup.WithContext(serving)
+	eg.Go(func() error { a.relay.Run(serving); return nil })
 	eg.Go(func() error { a.follow(serving); return nil })
 	eg.Go(func() error { a.followLeases(serving); return nil })
 	eg.Go(func() error { a.announce(serving); return nil })
@@ -161,6 +169,7 @@
 	}
 	a.peers = grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	cellpb.RegisterCellsServer(a.peers, &peerServer{a: a})
+	cellpb.RegisterRowsServer(a.peers, &rowServer{direct: a.direct})
 	go func() {
 		if err := a.peers.Serve(l); err != nil {
 			a.log.WithError(err).Error("hosts are no longer served")
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -111,7 +111,7 @@
 // processor time come first, since running a group is most of the work.
 func (g *groups) patience(service string, busy int) time.Duration {
 	self := g.a.settings
-	own := xxhash.Sum64String(service + "/" + self.Name)
+	own := rankFor(service, self.Name)
 	rank := busy * busyRanks
 	weak := self.CPUShare < strongCores && time.Since(g.a.started) < meetTime
 	for _, h := range g.a.hosts.usable(time.Now()) {
@@ -119,7 +119,7 @@
 		case h.Name == self.Name:
 		case h.Cores > strongerBy*self.CPUShare:
 			weak = true
-		case self.CPUShare <= strongerBy*h.Cores && xxhash.Sum64String(service+"/"+h.Name) < own:
+		case self.CPUShare <= strongerBy*h.Cores && rankFor(service, h.Name) < own:
 			rank++
 		}
 	}
@@ -130,6 +130,9 @@
 	return wait
 }
 
+// rankFor orders hosts by a hash, another way for each name that they are ordered for.
+func rankFor(name, host string) uint64 { return xxhash.Sum64String(name + "/" + host) }
+
 func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration, others time.Time) {
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
--- a/cellpb/doc.go
+++ b/cellpb/doc.go
@@ -1,2 +1,2 @@
-// Package cellpb holds the messages between hosts that run groups of workers, generated from cell.proto.
+// Package cellpb holds the messages between hosts that run groups of workers, generated from cell.proto and rows.proto.
 package cellpb
