Plan a backlog in a fraction of the time; keep groups on different hosts

Now workers are sorted by free processors once a plan, and only those that may have room are looked at; runs that may be stopped are counted, and looked for each 40 ms at most; expected times are kept for 250 ms; a plan is followed by a pause as long as itself; a host that runs a group leaves another one to others for 1.2 s.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -84,7 +83,6 @@
 	if len(list) == 0 {
 		return s.self, s.out[s.self] == 0
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	keep := 0
 	if len(list) > 1 {
 		keep = max(1, len(list)/shortShare)
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -26,8 +26,9 @@
 	rankStep = 120 * time.Millisecond
 	// rankMost bounds the hosts that wait for one another.
 	rankMost = 8
-	// busyRanks is by how many ranks a host that runs a group already comes later.
-	busyRanks = 4
+	// busyDelay is how long a host leaves a free lease to others for each group that it runs already: at a crest, two groups
+	// are more than one host can carry.
+	busyDelay = 1200 * time.Millisecond
 	// strongerBy is how many times the processor time of another host makes a host clearly stronger.
 	strongerBy = 1.5
 	// strongCores is the processor time from which a host that has just started need not wait to hear of stronger ones.
@@ -112,7 +113,7 @@
 func (g *groups) patience(service string, busy int) time.Duration {
 	self := g.a.settings
 	own := rankFor(service, self.Name)
-	rank := busy * busyRanks
+	rank := 0
 	weak := self.CPUShare < strongCores && time.Since(g.a.started) < meetTime
 	for _, h := range g.a.hosts.usable(time.Now()) {
 		switch {
@@ -123,7 +124,7 @@
 			rank++
 		}
 	}
-	wait := time.Duration(min(rank, rankMost)) * rankStep
+	wait := time.Duration(min(rank, rankMost))*rankStep + time.Duration(busy)*busyDelay
 	if weak {
 		wait += weakDelay
 	}
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -1,10 +1,13 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +45,8 @@
 type hosts struct {
 	mu    sync.Mutex
 	known map[string]host
+	// sorted holds the known hosts by name.
+	sorted []host
 	conns map[netip.AddrPort]*grpc.ClientConn
 	// shunned are hosts that did not answer, with the end of that.
 	shunned map[string]time.Time
@@ -71,20 +76,26 @@
 		h.known[r.Name] = one
 		started(r.Name, one.Life)
 	}
+	h.sorted = slices.SortedFunc(maps.Values(h.known), func(a, b host) int { return cmp.Compare(a.Name, b.Name) })
 	return bad
 }
 
-// usable returns the hosts that are not shunned.
+// usable returns the hosts that are not shunned, by name; the list must not be changed.
 func (h *hosts) usable(now time.Time) []host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := make([]host, 0, len(h.known))
-	for name, one := range h.known {
-		if now.After(h.shunned[name]) {
-			list = append(list, one)
+	for name, until := range h.shunned {
+		if !now.Before(until) {
+			delete(h.shunned, name)
 		}
 	}
-	return list
+	if len(h.shunned) == 0 {
+		return h.sorted
+	}
+	return slices.DeleteFunc(slices.Clone(h.sorted), func(one host) bool {
+		_, shunned := h.shunned[one.Name]
+		return shunned
+	})
 }
 
 func (h *hosts) find(name string) (host, bool) {
--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -96,8 +96,8 @@
 	address := netip.MustParseAddrPort(l.Addr().String())
 	c.Assert(l.Close(), qt.IsNil)
 	c.Cleanup(known.close)
-	known.known["other"] = host{Name: "other", Address: address}
-	remote := &remoteStore{hosts: known, host: known.known["other"]}
+	known.sorted = []host{{Name: "other", Address: address}}
+	remote := &remoteStore{hosts: known, host: known.sorted[0]}
 	_, err = remote.Commit(context.Background(), table.Tx{})
 	var unanswered *table.UnansweredError
 	c.Assert(errors.As(err, &unanswered), qt.IsTrue)
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -86,7 +86,9 @@
 type roomFunc func(s *step, w *worker, size unit.Size) int
 
 // ask returns the call that would let a step's waiting tasks start, if there is room on workers that may be allowed.
-func (c *Cell) ask(s *step, advice *queues.Advice, waiting int, now time.Time, room roomFunc) (Ask, bool) {
+func (c *Cell) ask(
+	s *step, advice *queues.Advice, waiting int, least int64, now time.Time, room roomFunc,
+) (Ask, bool) {
 	size := roomOf(s.doc)
 	type candidate struct {
 		w     *worker
@@ -95,7 +97,7 @@
 		loss  float64
 	}
 	var list []candidate
-	for _, w := range c.workers {
+	for w := range c.rooms.from(least) {
 		if !c.eligible(w, s, now) || s.denied(w) {
 			continue
 		}
@@ -157,6 +159,7 @@
 	defer c.mu.Unlock()
 	s := a.s
 	s.asking = false
+	s.sought = time.Time{}
 	if err != nil {
 		s.askAfter = now.Add(askPause)
 		c.log.WithError(err).WithField("step", a.Step.String()).Warn("advice failed")
--- /dev/null
+++ b/cell/bench_test.go
@@ -0,0 +1,90 @@
+package cell_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// backlog returns a group whose workers are full of long work, with short jobs that have permission on some workers each.
+func backlog(workers, jobs int) (*cell.Cell, *queues.Config, time.Time) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.ErrorLevel)
+	c := cell.New(cell.Settings{Lease: 6 * time.Second, RunsPerToken: 1000}, 1, log)
+	now := epoch
+	ids := make([]string, workers)
+	for i := range workers {
+		ids[i] = fmt.Sprintf("w%04d", i)
+		c.SetWorker(order.Worker{
+			ID: ids[i], Capacity: unit.Size{CPUMilli: 16000, MemoryMiB: 32768}, Rack: fmt.Sprint(i / 8),
+			DataCenter: fmt.Sprint(i % 3), Born: now.Add(-time.Minute),
+		}, now)
+	}
+	c.Recorded(ids)
+	for _, id := range ids {
+		c.Looked(id, order.Report{Clock: time.Minute, Born: now.Add(-time.Minute)}, 0, now, now)
+	}
+	cfg := &queues.Config{Version: 1, Queues: []queues.Queue{
+		{Name: "short", Advice: &queues.Advice{Base: 20 * time.Millisecond, PerWorker: 400 * time.Microsecond}}, {Name: "long"},
+	}}
+	for i := range workers {
+		c.Add(&graph.Job{
+			ID: fmt.Sprintf("%016x", 1<<20+i), Queue: "long", Priority: 0, Attempts: 3, Stretch: 4, Objective: time.Second, Accepted: now,
+			Steps: []graph.Step{{Count: 4, Size: unit.Size{CPUMilli: 4000}, Estimate: time.Minute, MayMiss: -1}},
+		}, nil, 1, now)
+	}
+	c.Plan(cfg, desks{}, now)
+	for i := range jobs {
+		c.Add(&graph.Job{
+			ID: fmt.Sprintf("%016x", i), Queue: "short", Priority: 0, Attempts: 3, Stretch: 1.5, Objective: time.Second, Accepted: now,
+			Steps: []graph.Step{{Count: 10, Size: unit.Size{CPUMilli: 2000}, Estimate: time.Second, MayMiss: -1}},
+		}, nil, 1, now)
+	}
+	return c, cfg, now
+}
+
+// A plan over a group without room, while jobs wait.
+func BenchmarkPlanOfABacklog(b *testing.B) {
+	for _, n := range []int{35, 350, 812} {
+		b.Run(fmt.Sprintf("%d workers", n), func(b *testing.B) {
+			const jobs = 200
+			c, cfg, now := backlog(n, jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Plan(cfg, desks{}, now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/jobs, "ns/step")
+		})
+	}
+}
+
+// Placing the tasks of one job in an empty group.
+func BenchmarkPlacement(b *testing.B) {
+	for _, n := range []int{35, 350, 812} {
+		b.Run(fmt.Sprintf("%d workers", n), func(b *testing.B) {
+			const tasks = 10
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				c, cfg, now := backlog(n, 0)
+				c.Add(&graph.Job{
+					ID: "0000000000000001", Queue: "long", Priority: 0, Attempts: 3, Stretch: 1.5, Objective: time.Second, Accepted: now,
+					Steps: []graph.Step{{Count: tasks, Size: unit.Size{MemoryMiB: 100}, Estimate: time.Second, MayMiss: -1}},
+				}, nil, 1, now)
+				b.StartTimer()
+				c.Plan(cfg, desks{}, now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tasks, "ns/task")
+		})
+	}
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -53,9 +53,12 @@
 	// expected are the workers that an earlier scheduler used, and recorded those on durable record.
 	expected map[string]bool
 	recorded map[string]bool
-	learned  *learned
-	advice   map[string]*adviceRate
-	stats    Stats
+	rooms    rooms
+	// yields counts, for each priority, the placed runs that may be stopped for it.
+	yields  map[int]int
+	learned *learned
+	advice  map[string]*adviceRate
+	stats   Stats
 }
 
 // finished is what is remembered of a job that is over.
@@ -81,7 +84,7 @@
 		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, unwanted: map[*placement]struct{}{},
 		repace: map[*placement]struct{}{}, learned: newLearned(),
 		expected: map[string]bool{}, recorded: map[string]bool{},
-		advice: map[string]*adviceRate{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
+		advice: map[string]*adviceRate{}, yields: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -24,6 +24,7 @@
 	placed    int
 	// recorded says that another scheduler left a record of the job, and may have started tasks of it.
 	recorded bool
+	lasts    bool
 }
 
 // round is one occurrence of a job's steps.
@@ -32,6 +33,11 @@
 	due    time.Time
 	steps  []*step
 	left   int
+	// objective and rest are the time in which the occurrence is to be completed, and that which its work still takes, as of
+	// rankedAt.
+	objective time.Duration
+	rest      time.Duration
+	rankedAt  time.Time
 }
 
 // step is a step of one occurrence.
@@ -53,6 +59,8 @@
 	readyAt   time.Time
 	// preempted is until when room that was asked of others is awaited.
 	preempted time.Time
+	// sought is when runs to stop were last looked for.
+	sought time.Time
 	// took holds the run times of tasks that are done.
 	took []time.Duration
 }
@@ -133,7 +141,7 @@
 		c.over[doc.ID] = finished{progress.State, progress.Queue, now}
 		return
 	}
-	j := &job{doc: doc, state: graph.Queued, version: version, recorded: progress != nil}
+	j := &job{doc: doc, state: graph.Queued, version: version, recorded: progress != nil, lasts: doc.Lasts()}
 	c.jobs[doc.ID] = j
 	c.build(j)
 	if progress != nil {
@@ -231,6 +239,7 @@
 	if s.left > 0 {
 		return
 	}
+	s.job.rounds[s.id.Occurrence].rankedAt = time.Time{}
 	r := s.job.rounds[s.id.Occurrence]
 	r.left--
 	if r.left == 0 {
--- a/cell/order.go
+++ b/cell/order.go
@@ -21,6 +21,9 @@
 // lateFactor is how many times its objective a job may take to count as late rather than lost.
 const lateFactor = 3
 
+// rankFor is how long the expected run times of an occurrence are kept before they are worked out again.
+const rankFor = 250 * time.Millisecond
+
 // candidateStep is a step with tasks to place, with what orders it.
 type candidateStep struct {
 	s        *step
@@ -67,12 +70,15 @@
 func (c *Cell) rank(s *step, now time.Time) candidateStep {
 	j := s.job
 	r := j.rounds[s.id.Occurrence]
-	objective := j.objective(c.learned)
+	if r.rankedAt.IsZero() || now.Sub(r.rankedAt) > rankFor {
+		r.objective, r.rest, r.rankedAt = j.objective(c.learned), j.chain(c.learned, r), now
+	}
+	objective := r.objective
 	cand := candidateStep{s: s, urgency: inTime, deadline: j.begin(r).Add(objective)}
-	if j.doc.Lasts() {
+	if j.lasts {
 		return cand
 	}
-	ready := now.Add(j.chain(c.learned, r))
+	ready := now.Add(r.rest)
 	switch {
 	case !ready.After(cand.deadline):
 	case !ready.After(j.begin(r).Add(lateFactor * objective)):
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -40,6 +40,23 @@
 	// Again is when to plan again at the latest; zero if only an event changes anything.
 	Again time.Time
 	desks Desks
+	// busy holds the least costs of calls for which no host was free.
+	busy map[time.Duration]bool
+}
+
+// free reports whether a host could call the advisor; once none could, none is asked again for this plan.
+func (p *Plan) free(cost time.Duration) bool {
+	if p.busy[cost] {
+		return false
+	}
+	if p.desks.Free(cost) {
+		return true
+	}
+	if p.busy == nil {
+		p.busy = map[time.Duration]bool{}
+	}
+	p.busy[cost] = true
+	return false
 }
 
 // Plan places waiting tasks and returns the orders and calls that follow; cfg may have changed since the last call.
@@ -50,6 +67,10 @@
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
 	c.planPaces(&plan)
+	if len(c.open) == 0 {
+		return plan
+	}
+	c.rooms.build(c, now)
 	for _, cand := range c.candidates(&plan, now) {
 		c.planStep(&plan, cand.s, cfg, now)
 	}
@@ -79,18 +100,18 @@
 
 // eligible reports whether a step's tasks may be started on a worker, room and permission apart.
 func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
-	if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 ||
-		!c.recorded[w.info.ID] || w.heldFromOthers(s, now) {
+	if !c.rooms.has(w) || w.heldFromOthers(s, now) {
 		return false
 	}
 	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
 }
 
-// options yields the workers on which a step's tasks may be started, room apart, with the tickets for that.
-func (c *Cell) options(s *step, needsTicket bool, now time.Time) iter.Seq2[*worker, string] {
+// options yields the workers on which a step's tasks may be started, with the tickets for that; workers with less than so
+// many free processors are left out.
+func (c *Cell) options(s *step, needsTicket bool, least int64, now time.Time) iter.Seq2[*worker, string] {
 	return func(yield func(*worker, string) bool) {
 		if !needsTicket {
-			for _, w := range c.workers {
+			for w := range c.rooms.from(least) {
 				if c.eligible(w, s, now) && !yield(w, "") {
 					return
 				}
@@ -99,7 +120,7 @@
 		}
 		for id := range s.permits {
 			w, ok := c.workers[id]
-			if !ok || !c.eligible(w, s, now) {
+			if !ok || w.freeCPU() < least || !c.eligible(w, s, now) {
 				continue
 			}
 			if ticket, ok := s.usable(w, true, now); ok && !yield(w, ticket) {
@@ -118,13 +139,7 @@
 	if s.doc.MaxPerWorker > 0 {
 		most = min(most, s.doc.MaxPerWorker-s.perWorker[w])
 	}
-	free, need := w.info.Capacity.Sub(used).Values(), size.Values()
-	for i := range need {
-		if need[i] > 0 {
-			most = min(most, int(free[i]/need[i]))
-		}
-	}
-	return max(0, most)
+	return max(0, min(most, w.info.Capacity.Sub(used).Holds(size)))
 }
 
 // score orders workers for a step, lower first: the worker that is left fullest, near the data, without disturbance.
@@ -174,6 +189,8 @@
 		return
 	}
 	waiting := 0
+	var w *worker
+	var ticket string
 	for _, t := range s.tasks {
 		if !t.waits() {
 			continue
@@ -187,7 +204,10 @@
 			waiting++
 			continue
 		}
-		w, ticket := c.best(s, t, advice != nil, now)
+		if w == nil || t.avoid[w.info.ID] || c.fits(s, w, roomOf(s.doc)) == 0 {
+			// The worker that is fullest stays so with each task that it gets.
+			w, ticket = c.best(s, t, advice != nil, now)
+		}
 		if w == nil {
 			waiting++
 			continue
@@ -201,7 +221,7 @@
 	if waiting == 0 || c.askFor(plan, s, advice, waiting, now) {
 		return
 	}
-	if c.preempt(plan, s, advice != nil, waiting, now) == 0 {
+	if c.mayPreempt(s, now) && c.preempt(plan, s, advice != nil, waiting, now) == 0 {
 		c.askAboutFull(plan, s, advice, waiting, now)
 	}
 }
@@ -214,7 +234,7 @@
 
 // askFor asks the advisor about more workers, and reports whether there are any with room to ask about.
 func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) bool {
-	return c.askWhere(plan, s, advice, waiting, now, c.fits)
+	return c.askWhere(plan, s, advice, waiting, roomOf(s.doc).CPUMilli, now, c.fits)
 }
 
 // askAboutFull asks the advisor about workers on which less urgent runs could make room.
@@ -222,24 +242,26 @@
 	if c.rank(s, now).urgency == overdue {
 		return
 	}
-	c.askWhere(plan, s, advice, waiting, now, func(s *step, w *worker, size unit.Size) int {
+	c.askWhere(plan, s, advice, waiting, anyFree, now, func(s *step, w *worker, size unit.Size) int {
 		return c.fitsAfter(s, w, size, now)
 	})
 }
 
 // askWhere asks about workers that have room for a step by a measure of it.
-func (c *Cell) askWhere(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time, room roomFunc) bool {
+func (c *Cell) askWhere(
+	plan *Plan, s *step, advice *queues.Advice, waiting int, least int64, now time.Time, room roomFunc,
+) bool {
 	if advice == nil {
 		return false
 	}
-	if s.asking || !plan.desks.Free(advice.Cost(1)) {
+	if s.asking || !plan.free(advice.Cost(1)) {
 		return true
 	}
 	if now.Before(s.askAfter) {
 		plan.again(s.askAfter)
 		return true
 	}
-	a, ok := c.ask(s, advice, waiting, now, room)
+	a, ok := c.ask(s, advice, waiting, least, now, room)
 	if !ok {
 		return false
 	}
@@ -258,7 +280,7 @@
 	var found *worker
 	var foundTicket string
 	var foundScore float64
-	for w, ticket := range c.options(s, needsTicket, now) {
+	for w, ticket := range c.options(s, needsTicket, size.CPUMilli, now) {
 		if c.fits(s, w, size) == 0 {
 			continue
 		}
@@ -310,7 +332,7 @@
 	size := roomOf(s.doc)
 	seats := c.seats(s, advice != nil, now, func(w *worker) int { return c.fits(s, w, size) })
 	if len(seats) < len(s.tasks) {
-		if !c.askFor(plan, s, advice, len(s.tasks), now) && !c.preemptGang(plan, s, advice != nil, now) {
+		if !c.askFor(plan, s, advice, len(s.tasks), now) && c.mayPreempt(s, now) && !c.preemptGang(plan, s, advice != nil, now) {
 			c.askAboutFull(plan, s, advice, len(s.tasks), now)
 		}
 		return
@@ -336,7 +358,7 @@
 	}
 	var options []option
 	rackRoom := map[string]int{}
-	for w, ticket := range c.options(s, needsTicket, now) {
+	for w, ticket := range c.options(s, needsTicket, anyFree, now) {
 		if n := room(w); n > 0 {
 			options = append(options, option{seat{w, ticket}, n, c.score(s, w, size, now)})
 			rackRoom[w.info.Rack] += n
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -16,10 +16,34 @@
 	preemptPause = 600 * time.Millisecond
 	// preemptLeast spares runs that have only just begun, so that work is not moved around without end.
 	preemptLeast = 400 * time.Millisecond
+	// seekPause spaces a step's searches for runs to stop, each of which looks at every worker.
+	seekPause = 40 * time.Millisecond
 	// holdRoom is how long a worker is kept for the gang for which its runs were stopped; a stop takes up to 0.4 s.
 	holdRoom = 1200 * time.Millisecond
 )
 
+// mayPreempt reports whether a step may look for less urgent runs now, and if so notes that it does.
+func (c *Cell) mayPreempt(s *step, now time.Time) bool {
+	if c.yields[s.job.doc.Priority] == 0 || now.Before(s.preempted) || now.Sub(s.sought) < seekPause {
+		return false
+	}
+	s.sought = now
+	return true
+}
+
+// countYielding notes that a run was placed or is over, which steps of more urgent jobs may stop.
+func (c *Cell) countYielding(s *step, n int) {
+	if !s.yields() {
+		return
+	}
+	for p := range s.job.doc.Priority {
+		c.yields[p] += n
+	}
+}
+
+// yields reports whether runs of a step may be stopped for more urgent work.
+func (s *step) yields() bool { return s.doc.Checkpoint && !s.doc.Gang && !s.doc.Lasting }
+
 // victim is a run that may be stopped for more urgent work, with what is lost by that.
 type victim struct {
 	p    *placement
@@ -28,12 +52,9 @@
 
 // preempt asks for the end of less urgent runs on workers where a step may run, and returns for how many tasks.
 func (c *Cell) preempt(plan *Plan, s *step, needsTicket bool, waiting int, now time.Time) int {
-	if s.doc.Gang || now.Before(s.preempted) {
-		return 0
-	}
 	size := roomOf(s.doc)
 	made := 0
-	for w := range c.options(s, needsTicket, now) {
+	for w := range c.options(s, needsTicket, anyFree, now) {
 		if made >= waiting {
 			break
 		}
@@ -64,9 +85,6 @@
 
 // preemptGang makes room for a whole gang, or for nothing of it, and keeps the workers for it until the room is there.
 func (c *Cell) preemptGang(plan *Plan, s *step, needsTicket bool, now time.Time) bool {
-	if now.Before(s.preempted) {
-		return true
-	}
 	size := roomOf(s.doc)
 	seats := c.seats(s, needsTicket, now, func(w *worker) int {
 		return max(c.fits(s, w, size), c.fitsAfter(s, w, size, now))
@@ -143,10 +161,7 @@
 	var list []victim
 	for _, p := range w.placed {
 		other := p.task.step
-		if other.job.doc.Priority <= s.job.doc.Priority || other.doc.Gang || other.doc.Lasting || now.Sub(p.sent) < preemptLeast {
-			continue
-		}
-		if !other.doc.Checkpoint {
+		if other.job.doc.Priority <= s.job.doc.Priority || !other.yields() || now.Sub(p.sent) < preemptLeast {
 			continue
 		}
 		loss := now.Sub(p.sent)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -93,6 +93,8 @@
 	slowAt  time.Time
 	// leaves is when a draining worker may be gone.
 	leaves time.Time
+	// plan is the number of the last plan in which the worker may get work.
+	plan uint64
 	// heldFor is the gang for which the worker is kept until heldUntil.
 	heldFor   *step
 	heldUntil time.Time
@@ -469,6 +471,7 @@
 	t.step.job.started = true
 	w.used = w.used.Add(p.size)
 	w.placed[runKey{t.id, run}] = p
+	c.countYielding(t.step, 1)
 	c.refresh(t.step, now)
 	w.kick()
 	return p
@@ -491,6 +494,7 @@
 	delete(c.unwanted, p)
 	delete(c.repace, p)
 	w.used = w.used.Sub(p.size)
+	c.countYielding(s, -1)
 	if s.perWorker[w]--; s.perWorker[w] <= 0 {
 		delete(s.perWorker, w)
 	}
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -33,7 +33,7 @@
 		case <-r.plan:
 		case <-timer.C:
 		}
-		next := planAtLeast
+		next, begun := planAtLeast, r.cfg.Boot()
 		cfg := r.cfg.Queues.Current()
 		if r.holds() && cfg != nil {
 			now := time.Now()
@@ -44,7 +44,8 @@
 				next = min(next, max(planEvery, plan.Again.Sub(now)))
 			}
 		}
-		clock.Pause(ctx, planEvery)
+		// At least as long again as the plan took, so that reports and answers get their turn.
+		clock.Pause(ctx, max(planEvery, r.cfg.Boot()-begun))
 		timer.Reset(next)
 	}
 }
--- a/unit/size.go
+++ b/unit/size.go
@@ -1,6 +1,9 @@
 package unit
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Size is an amount of every dimension that a worker has and a task takes.
 type Size struct {
@@ -87,3 +90,17 @@
 	return fmt.Sprintf("%dm cpu, %d MiB, %d accelerators, %d slots, %d connections",
 		s.CPUMilli, s.MemoryMiB, s.Accelerators, s.Slots, s.Connections)
 }
+
+// Holds returns how many times o fits into s; one that takes nothing fits as often as can be counted.
+func (s Size) Holds(o Size) int {
+	n := int64(math.MaxInt32)
+	for _, d := range [Dimensions][2]int64{
+		{s.CPUMilli, o.CPUMilli}, {s.MemoryMiB, o.MemoryMiB}, {s.Accelerators, o.Accelerators}, {s.Slots, o.Slots},
+		{s.Connections, o.Connections},
+	} {
+		if d[1] > 0 {
+			n = min(n, d[0]/d[1])
+		}
+	}
+	return int(n)
+}
