--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -47,7 +47,7 @@
 	known map[string]host
 	// sorted holds the known hosts by name.
 	sorted []host
-	conns map[netip.AddrPort]*grpc.ClientConn
+	conns  map[netip.AddrPort]*grpc.ClientConn
 	// shunned are hosts that did not answer, with the end of that.
 	shunned map[string]time.Time
 }
--- a/unit/size.go
+++ b/unit/size.go
@@ -95,7 +95,10 @@
 func (s Size) Holds(o Size) int {
 	n := int64(math.MaxInt32)
 	for _, d := range [Dimensions][2]int64{
-		{s.CPUMilli, o.CPUMilli}, {s.MemoryMiB, o.MemoryMiB}, {s.Accelerators, o.Accelerators}, {s.Slots, o.Slots},
+		{s.CPUMilli, o.CPUMilli},
+		{s.MemoryMiB, o.MemoryMiB},
+		{s.Accelerators, o.Accelerators},
+		{s.Slots, o.Slots},
 		{s.Connections, o.Connections},
 	} {
 		if d[1] > 0 {
