--- a/agent/agent.go
+++ b/agent/agent.go
@@ -118,7 +118,9 @@
 }
 
 func (a *Agent) cellSettings() cell.Settings {
-	return cell.Settings{Lease: a.settings.MaxLease, Early: a.settings.Early, RunsPerToken: runsPerToken}
+	return cell.Settings{
+		Lease: a.settings.MaxLease, DataCenter: a.settings.DataCenter, Early: a.settings.Early, RunsPerToken: runsPerToken,
+	}
 }
 
 func (a *Agent) peerAddress() netip.AddrPort {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	// Lease is how long a worker's lease lasts at most after an order.
 	Lease time.Duration
+	// DataCenter is where this scheduler runs.
+	DataCenter string
 	// Early is how long before its due time an occurrence may start.
 	Early time.Duration
 	// RunsPerToken leaves room for the runs that an earlier scheduler started and nobody reported.
@@ -44,6 +46,10 @@
 	dirty map[string]*job
 	// open holds the steps that have tasks to place.
 	open map[graph.StepID]*step
+	// copyable holds the steps with runs of which copies may be made.
+	copyable map[graph.StepID]*step
+	// centers are the data centres of the workers.
+	centers map[string]*center
 	// unwanted holds the runs to be stopped.
 	unwanted map[*placement]struct{}
 	// repace holds the runs whose pace has changed and was not sent.
@@ -81,7 +87,8 @@
 	return &Cell{
 		settings: settings, log: log, token: token, firstRun: int(token-1)*settings.RunsPerToken + 1,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, over: map[string]finished{},
-		dirty: map[string]*job{}, open: map[graph.StepID]*step{}, unwanted: map[*placement]struct{}{},
+		dirty: map[string]*job{}, open: map[graph.StepID]*step{},
+		copyable: map[graph.StepID]*step{}, centers: map[string]*center{}, unwanted: map[*placement]struct{}{},
 		repace: map[*placement]struct{}{}, learned: newLearned(),
 		expected: map[string]bool{}, recorded: map[string]bool{},
 		advice: map[string]*adviceRate{}, yields: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -117,6 +117,7 @@
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			delete(c.open, s.id)
+			delete(c.copyable, s.id)
 		}
 	}
 }
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -67,13 +67,14 @@
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
 	c.planPaces(&plan)
-	if len(c.open) == 0 {
+	if len(c.open) == 0 && len(c.copyable) == 0 {
 		return plan
 	}
 	c.rooms.build(c, now)
 	for _, cand := range c.candidates(&plan, now) {
 		c.planStep(&plan, cand.s, cfg, now)
 	}
+	c.planCopies(&plan, cfg, now)
 	return plan
 }
 
@@ -152,9 +153,35 @@
 	if s.doc.Target > 0 || s.doc.Fills {
 		score += c.disturbance(s, w)
 	}
+	if c.settings.DataCenter != "" && !s.doc.Lasting {
+		score += c.distance(s, w)
+	}
 	return score + float64(w.strikes) + w.slowness(now)
 }
 
+// Weights of where work goes, against the share of a worker that is left free.
+const (
+	// awayFromHome keeps urgent jobs together in the scheduler's data centre: of the cuts between data centres only those
+	// that also cut the scheduler off then hit them, while a job that is spread is hit by every cut.
+	awayFromHome = 0.6
+	// awayFromUrgent keeps other work out of that data centre while there is room elsewhere.
+	awayFromUrgent = 0.3
+	// urgentPriority is the last priority that counts as urgent.
+	urgentPriority = 1
+)
+
+func (c *Cell) distance(s *step, w *worker) float64 {
+	home := w.info.DataCenter == c.settings.DataCenter
+	switch urgent := s.job.doc.Priority <= urgentPriority; {
+	case urgent && !home:
+		return awayFromHome
+	case !urgent && home:
+		return awayFromUrgent
+	default:
+		return 0
+	}
+}
+
 // disturbance counts the tasks on a worker beside which a filling or a serving task would do harm.
 func (c *Cell) disturbance(s *step, w *worker) float64 {
 	n := 0.0
@@ -394,6 +421,13 @@
 	return out
 }
 
+// Abandoned reports whether a start is no longer wanted, so that it must not be sent, or sent again.
+func (c *Cell) Abandoned(o StartOrder) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return o.p.unwanted
+}
+
 // StartResult is what came of a start.
 type StartResult struct {
 	Sent  time.Time
@@ -413,6 +447,7 @@
 	p.sent = res.Sent
 	if res.Err == nil {
 		w.heard(res.Clock, now)
+		c.heardOf(w, now)
 		if p.confirmed.IsZero() {
 			p.confirmed = now
 		}
@@ -454,6 +489,7 @@
 		return
 	}
 	w.heard(clock, now)
+	c.heardOf(w, now)
 	p.stopped = true
 	if p.confirmed.IsZero() {
 		p.confirmed = now
--- a/cell/rooms.go
+++ b/cell/rooms.go
@@ -27,7 +27,7 @@
 	r.number++
 	r.list = r.list[:0]
 	for _, w := range c.workers {
-		if !w.listed || w.info.Draining || !w.known || w.misses > 0 || now.Before(w.benched) || len(w.foreign) > 0 ||
+		if !w.listed || w.info.Draining || !w.known || c.silent(w) || now.Before(w.benched) || len(w.foreign) > 0 ||
 			!c.recorded[w.info.ID] {
 			continue
 		}
--- a/cell/slow.go
+++ b/cell/slow.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,9 +34,7 @@
 func (c *Cell) paceOf(p *placement, now time.Time) {
 	s := p.task.step
 	took := now.Sub(p.sent)
-	if len(s.took) >= slowSamples {
-		sorted := slices.Sorted(slices.Values(s.took))
-		median := sorted[len(sorted)/2]
+	if median, ok := s.median(); ok {
 		if float64(took) > slowFactor*float64(median) {
 			p.w.slow, p.w.slowAt = p.w.slow+1, now
 		} else if p.w.slow > 0 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -81,6 +81,8 @@
 	rebornAt time.Time
 	// heardAt is when the last report came.
 	heardAt time.Time
+	// doubted is since when an order has had no answer for unusually long.
+	doubted time.Time
 	misses  int
 	missed  time.Time
 	strikes int
@@ -255,7 +257,7 @@
 		n.Gone = true
 		return n
 	}
-	n.Needed = !w.known || len(w.placed) > 0 || w.seen > w.ackSent || len(w.foreign) > 0
+	n.Needed = !w.known || w.misses > 0 || !w.doubted.IsZero() || len(w.placed) > 0 || w.seen > w.ackSent || len(w.foreign) > 0
 	if w.known && w.seen > w.acked && now.Sub(w.heardAt) < unackedPause {
 		// An end that is not acknowledged would be told again at once.
 		n.Needed, n.Idle = false, unackedPause
@@ -377,7 +379,8 @@
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.missed).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
 	w.heard(rep.Clock, now)
-	w.misses, w.heardAt = 0, now
+	w.misses = 0
+	c.heardOf(w, now)
 	w.ackSent = max(w.ackSent, acked)
 	if len(rep.Ended) > 0 && rep.Ended[0].Number <= w.acked && acked == 0 {
 		// It still lists what was acknowledged: that call was lost.
@@ -471,6 +474,9 @@
 	t.step.job.started = true
 	w.used = w.used.Add(p.size)
 	w.placed[runKey{t.id, run}] = p
+	if t.step.doc.Copies && !t.step.doc.Gang && !t.step.doc.Lasting {
+		c.copyable[t.step.id] = t.step
+	}
 	c.countYielding(t.step, 1)
 	c.refresh(t.step, now)
 	w.kick()
--- a/graph/job.go
+++ b/graph/job.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -152,6 +153,11 @@
 	Index int
 }
 
+// Compare orders steps by job, occurrence and number.
+func (s StepID) Compare(o StepID) int {
+	return cmp.Or(cmp.Compare(s.Job, o.Job), cmp.Compare(s.Occurrence, o.Occurrence), cmp.Compare(s.Step, o.Step))
+}
+
 // String returns the text form JOB.OCCURRENCE.STEP.
 func (s StepID) String() string {
 	return s.Job + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -112,6 +112,9 @@
 	if s.rng.IntN(3) == 0 {
 		steps = append(steps, graph.Step{Count: 3, Size: cores(4), Gang: true})
 	}
+	if s.rng.IntN(3) == 0 {
+		steps[0].Copies = true
+	}
 	return steps
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -136,6 +136,9 @@
 			size.CPUMilli = 0
 		}
 		s.crew.Size(graph.StepID{Job: id, Step: i}, size)
+		if steps[i].Copies {
+			s.crew.Copies(graph.StepID{Job: id, Step: i})
+		}
 	}
 	key := table.Key{Table: runner.TableJobs(service), Part: runner.JobPart(service, id), Name: id}
 	_, err = s.rows.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -14,6 +14,9 @@
 const (
 	// orderTimeout bounds one try of an order.
 	orderTimeout = 700 * time.Millisecond
+	// doubtAfter is how long an answer that should come at once may take before the worker gets no new work: several times
+	// the way between data centres and back.
+	doubtAfter = 250 * time.Millisecond
 	// lookSlack is added to a look's wait before it is given up.
 	lookSlack = 700 * time.Millisecond
 	// startTries is how often a start is sent before its run is closed off.
@@ -115,7 +118,9 @@
 	if next.Order.Until > 0 {
 		r.cell.Sending(id, sent)
 	}
+	stop := r.watchSilence(id, next.Order.Wait, sent)
 	rep, err := r.cfg.Workers.Look(call, &next.Worker, next.Order)
+	stop()
 	now := time.Now()
 	var gone *order.GoneError
 	var busy *order.BusyError
@@ -141,6 +146,16 @@
 	}
 }
 
+// watchSilence casts doubt on a worker whose answer takes longer than it may hold it back, until the returned function is
+// called.
+func (r *Runner) watchSilence(id string, mayWait time.Duration, sent time.Time) (stop func()) {
+	timer := time.AfterFunc(mayWait+doubtAfter, func() {
+		r.cell.Doubt(id, sent.Add(mayWait), time.Now())
+		r.kickPlan()
+	})
+	return func() { timer.Stop() }
+}
+
 // closeOff makes a worker refuse starts that may still be on their way to an earlier life of it.
 func (r *Runner) closeOff(ctx context.Context, w *order.Worker, stops []order.Stop) {
 	for _, s := range stops {
@@ -171,13 +186,15 @@
 	defer func() { <-slot }()
 	var res cell.StartResult
 	for range startTries {
-		if ctx.Err() != nil || !r.holds() {
+		if ctx.Err() != nil || !r.holds() || r.cell.Abandoned(o) {
 			break
 		}
 		res.Sent = time.Now()
 		o.Order.Until = r.cell.Until(o.Worker.ID, res.Sent)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		stop := r.watchSilence(o.Worker.ID, 0, res.Sent)
 		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
+		stop()
 		cancel()
 		var unanswered *order.UnansweredError
 		if !errors.As(res.Err, &unanswered) {
