--- a/agent/advise.go
+++ b/agent/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -19,8 +20,9 @@
 	shortShare = 3
 	// shortQueue is how many short calls may be out at one host, so that the way of one hides behind another.
 	shortQueue = 2
-	// adviseSlack is added to a call's expected time before it is given up.
-	adviseSlack = 1200 * time.Millisecond
+	// adviseSlack is added to a call's expected time before it is given up: the way to a far host and back, and the turn of
+	// another call of that host. A step that is short itself must not wait for a host that is cut off.
+	adviseSlack = 300 * time.Millisecond
 )
 
 // spread sends calls to the advisor over the hosts, since the advisor takes one at a time from each.
@@ -45,7 +47,12 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Cost+adviseSlack)
 	defer cancel()
 	if a.Host == s.self {
-		return s.advisor.Advise(ctx, a.Step, a.Workers)
+		permits, validity, err := s.advisor.Advise(ctx, a.Step, a.Workers)
+		var busy *order.AdvisorBusyError
+		if err != nil && !errors.As(err, &busy) {
+			s.hosts.shun(s.self, time.Now())
+		}
+		return permits, validity, err
 	}
 	h, ok := s.hosts.find(a.Host)
 	if !ok {
@@ -77,7 +84,7 @@
 	return name, ok
 }
 
-// pick returns a host with no call of this host out; long calls leave some hosts alone, where short ones may queue.
+// pick returns a host with no call of this host out; long calls leave the nearest hosts alone, where short ones may queue.
 func (s *spread) pick(cost time.Duration, now time.Time) (string, bool) {
 	list := s.hosts.usable(now)
 	if len(list) == 0 {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,7 +96,7 @@
 func New(s platform.Settings, path string, log logrus.FieldLogger) *Agent {
 	a := &Agent{
 		started: time.Now(), settings: s, settingsPath: path, life: uuid.NewString(), log: log, queues: &queues.Book{},
-		leases: elect.NewBook(), hosts: newHosts(), advisor: platform.NewAdvisor(s.Advisor),
+		leases: elect.NewBook(), hosts: newHosts(s.Name, s.DataCenter), advisor: platform.NewAdvisor(s.Advisor),
 	}
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -45,15 +45,42 @@
 type hosts struct {
 	mu    sync.Mutex
 	known map[string]host
-	// sorted holds the known hosts by name.
+	// self and center are the name of this host and its data centre.
+	self   string
+	center string
+	// sorted holds the known hosts, the nearest first: this one, those of its data centre, and the others.
 	sorted []host
 	conns  map[netip.AddrPort]*grpc.ClientConn
 	// shunned are hosts that did not answer, with the end of that.
 	shunned map[string]time.Time
 }
 
-func newHosts() *hosts {
-	return &hosts{known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{}, shunned: map[string]time.Time{}}
+func newHosts(self, center string) *hosts {
+	return &hosts{
+		self: self, center: center, known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{},
+		shunned: map[string]time.Time{},
+	}
+}
+
+// far returns 0 for this host, 1 for one of its data centre and 2 for any other.
+func (h *hosts) far(one host) int {
+	switch {
+	case one.Name == h.self:
+		return 0
+	case one.DataCenter == h.center:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// sort orders the known hosts; among equally near ones each host has an order of its own, so that calls spread.
+func (h *hosts) sort() {
+	h.sorted = slices.SortedFunc(maps.Values(h.known), func(a, b host) int {
+		return cmp.Or(
+			cmp.Compare(h.far(a), h.far(b)), cmp.Compare(rankFor(h.self, a.Name), rankFor(h.self, b.Name)), cmp.Compare(a.Name, b.Name),
+		)
+	})
 }
 
 func (h *hosts) apply(rows []table.Row, started func(name, life string)) error {
@@ -76,11 +103,11 @@
 		h.known[r.Name] = one
 		started(r.Name, one.Life)
 	}
-	h.sorted = slices.SortedFunc(maps.Values(h.known), func(a, b host) int { return cmp.Compare(a.Name, b.Name) })
+	h.sort()
 	return bad
 }
 
-// usable returns the hosts that are not shunned, by name; the list must not be changed.
+// usable returns the hosts that are not shunned, the nearest first; the list must not be changed.
 func (h *hosts) usable(now time.Time) []host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
@@ -20,24 +19,12 @@
 
 // relayed returns the ways to the table through other hosts, those of this data centre first.
 func (a *Agent) relayed() []table.Store {
-	var list []host
+	var stores []table.Store
 	for _, h := range a.hosts.usable(time.Now()) {
 		if h.Name != a.settings.Name {
-			list = append(list, h)
+			stores = append(stores, &remoteStore{hosts: a.hosts, host: h})
 		}
 	}
-	own := a.settings.DataCenter
-	sort.Slice(list, func(i, j int) bool {
-		if near := list[i].DataCenter == own; near != (list[j].DataCenter == own) {
-			return near
-		}
-		// Each host has an order of its own, so that the calls spread.
-		return rankFor(a.settings.Name, list[i].Name) < rankFor(a.settings.Name, list[j].Name)
-	})
-	stores := make([]table.Store, len(list))
-	for i, h := range list {
-		stores[i] = &remoteStore{hosts: a.hosts, host: h}
-	}
 	return stores
 }
 
--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -23,7 +23,7 @@
 	server := grpc.NewServer()
 	cellpb.RegisterRowsServer(server, &rowServer{direct: table.NewHealth(s)})
 	go func() { _ = server.Serve(l) }()
-	known := newHosts()
+	known := newHosts("self", "here")
 	c.Cleanup(func() {
 		known.close()
 		server.Stop()
@@ -92,7 +92,7 @@
 	c := qt.New(t)
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	known := newHosts()
+	known := newHosts("self", "here")
 	address := netip.MustParseAddrPort(l.Addr().String())
 	c.Assert(l.Close(), qt.IsNil)
 	c.Cleanup(known.close)
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -19,8 +20,10 @@
 	maxAsked = 100
 	// ticketMargin is taken off a ticket's life for the way of its answer and of the start.
 	ticketMargin = 150 * time.Millisecond
-	// askPause is the pause after a call that brought nothing to use.
+	// askPause is the pause after a call that the advisor turned away.
 	askPause = 150 * time.Millisecond
+	// askAgain is the pause after a call without an answer, which another host then makes.
+	askAgain = 20 * time.Millisecond
 	// firstAllowed is the share of named workers that is expected to be allowed before any answer.
 	firstAllowed = 0.5
 	// spareAsked is how many more workers are named than the expected share asks for.
@@ -161,7 +164,11 @@
 	s.asking = false
 	s.sought = time.Time{}
 	if err != nil {
-		s.askAfter = now.Add(askPause)
+		s.askAfter = now.Add(askAgain)
+		var busy *order.AdvisorBusyError
+		if errors.As(err, &busy) {
+			s.askAfter = now.Add(askPause)
+		}
 		c.log.WithError(err).WithField("step", a.Step.String()).Warn("advice failed")
 		return
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -232,6 +232,8 @@
 	Order  order.Look
 	// Needed says that the worker has to be looked at now.
 	Needed bool
+	// First says that nothing is known of the worker's life yet, so that jobs may wait for its answer.
+	First bool
 	// Pause is how long to wait before the look, after a miss.
 	Pause time.Duration
 	// Gone says that the worker is neither listed nor holds anything.
@@ -270,6 +272,10 @@
 	if w.misses > 0 {
 		n.Pause = missPause
 	}
+	if !w.known {
+		n.First = true
+		n.Pause = min(n.Pause, firstPause)
+	}
 	if !w.known && !w.listed {
 		n.Needed = len(w.placed) > 0
 	}
@@ -287,8 +293,11 @@
 	return n
 }
 
-// missPause is the pause between looks at a worker that does not answer.
-const missPause = 250 * time.Millisecond
+// missPause is the pause between looks at a worker that does not answer, and firstPause that between first looks.
+const (
+	missPause  = 250 * time.Millisecond
+	firstPause = 50 * time.Millisecond
+)
 
 func (c *Cell) lookWait(w *worker) time.Duration {
 	for _, p := range w.placed {
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -19,6 +19,9 @@
 	doubtAfter = 250 * time.Millisecond
 	// lookSlack is added to a look's wait before it is given up.
 	lookSlack = 700 * time.Millisecond
+	// firstLookTime bounds a first look: with hundreds of new connections some opening packets are lost, and another try is
+	// answered sooner than they are sent again.
+	firstLookTime = 400 * time.Millisecond
 	// startTries is how often a start is sent before its run is closed off.
 	startTries = 3
 	// sendsPerWorker bounds the orders on their way to one worker, and with them its connections.
@@ -112,7 +115,11 @@
 }
 
 func (r *Runner) lookOnce(ctx context.Context, id string, next cell.NextLook) {
-	call, cancel := context.WithTimeout(ctx, next.Order.Wait+lookSlack)
+	most := next.Order.Wait + lookSlack
+	if next.First {
+		most = firstLookTime
+	}
+	call, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	sent := time.Now()
 	if next.Order.Until > 0 {
