--- a/agent/agent.go
+++ b/agent/agent.go
@@ -270,9 +270,10 @@
 	begun := clock.Boot()
 	a.leaving.Store(true)
 	a.groups.leave()
-	endCampaign()
 	ctx, cancel := context.WithTimeout(hard, a.stopLimit()-stopReserve)
 	defer cancel()
+	a.awaitTable(ctx)
+	endCampaign()
 	withdrawn, done := context.WithTimeout(ctx, releaseTime)
 	if err := withdraw(withdrawn, a.store, a.settings.Name); err != nil {
 		a.log.WithError(err).Warn("host can't withdraw itself")
@@ -292,6 +293,15 @@
 	a.close(hard)
 }
 
+// awaitTable goes on running the groups of a host that stops while the table is away, as their leases could not be given back;
+// some of the time to stop is kept for that.
+func (a *Agent) awaitTable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.stopLimit()-stopReserve-2*releaseTime)
+	defer cancel()
+	for len(a.groups.all()) > 0 && !a.health.Reachable(time.Now()) && clock.Pause(ctx, stopCheck) {
+	}
+}
+
 func (a *Agent) close(hard context.Context) {
 	ctx, cancel := context.WithTimeout(hard, stopReserve/2)
 	defer cancel()
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -26,6 +26,8 @@
 	askAgain = 20 * time.Millisecond
 	// firstAllowed is the share of named workers that is expected to be allowed before any answer.
 	firstAllowed = 0.5
+	// padShare is by which share of its least time a call may be lengthened to learn of more workers.
+	padShare = 0.3
 	// spareAsked is how many more workers are named than the expected share asks for.
 	spareAsked = 3
 )
@@ -88,44 +90,22 @@
 // roomFunc returns how many more tasks of a step, each of a size, a worker has room for.
 type roomFunc func(s *step, w *worker, size unit.Size) int
 
+// candidate is a worker that a call to the advisor may name.
+type candidate struct {
+	w     *worker
+	known bool
+	fits  int
+	loss  float64
+}
+
 // ask returns the call that would let a step's waiting tasks start, if there is room on workers that may be allowed.
 func (c *Cell) ask(
 	s *step, advice *queues.Advice, waiting int, least int64, now time.Time, room roomFunc,
 ) (Ask, bool) {
-	size := roomOf(s.doc)
-	type candidate struct {
-		w     *worker
-		known bool
-		fits  int
-		loss  float64
-	}
-	var list []candidate
-	for w := range c.rooms.from(least) {
-		if !c.eligible(w, s, now) || s.denied(w) {
-			continue
-		}
-		if _, ok := s.usable(w, true, now); ok {
-			continue
-		}
-		fits := room(s, w, size)
-		if fits == 0 {
-			continue
-		}
-		p := s.permits[w.info.ID]
-		list = append(list, candidate{w, p.allowed, fits, c.score(s, w, size, now)})
-	}
+	list := c.askable(s, advice, least, now, room)
 	if len(list) == 0 {
 		return Ask{}, false
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.known != b.known {
-			if a.known {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.loss, b.loss)
-	})
 	rate := c.rate(s.job.doc.Queue).share()
 	var names []string
 	expected := 0.0
@@ -144,9 +124,72 @@
 			expected += rate * float64(cand.fits)
 		}
 	}
+	names = c.pad(names, s, advice, now)
 	return Ask{Step: s.id, Queue: s.job.doc.Queue, Workers: names, Cost: advice.Cost(len(names)), s: s}, true
 }
 
+// askable returns the workers with room about which a call can bring something new, the best first.
+func (c *Cell) askable(s *step, advice *queues.Advice, least int64, now time.Time, room roomFunc) []candidate {
+	size := roomOf(s.doc)
+	soon := now.Add(advice.Cost(1))
+	var list []candidate
+	for w := range c.rooms.from(least) {
+		if !c.eligible(w, s, now) || s.denied(w) {
+			continue
+		}
+		if _, ok := s.usable(w, true, soon); ok {
+			continue
+		}
+		if fits := room(s, w, size); fits > 0 {
+			list = append(list, candidate{w, s.permits[w.info.ID].allowed, fits, c.score(s, w, size, now)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.known != b.known {
+			if a.known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.w.info.ID, b.w.info.ID))
+	})
+	return list
+}
+
+// pad names more workers as long as they hardly lengthen a call. Which workers are allowed never changes, so that the step
+// can wait for these, or have room made there, instead of asking about one worker after the other.
+func (c *Cell) pad(names []string, s *step, advice *queues.Advice, now time.Time) []string {
+	most := maxAsked
+	if advice.PerWorker > 0 {
+		most = min(most, int(padShare*float64(advice.Base)/float64(advice.PerWorker)))
+	}
+	if len(names) >= most {
+		return names
+	}
+	named := make(map[string]bool, len(names))
+	for _, id := range names {
+		named[id] = true
+	}
+	for w := range c.rooms.from(anyFree) {
+		if len(names) >= most {
+			break
+		}
+		id := w.info.ID
+		if _, known := s.permits[id]; !known && !named[id] && c.eligible(w, s, now) {
+			names = append(names, id)
+		}
+	}
+	return names
+}
+
+// knownAllowed counts one place on each worker that the advisor has allowed, whether it has room or not.
+func knownAllowed(s *step, w *worker, _ unit.Size) int {
+	if s.permits[w.info.ID].allowed {
+		return 1
+	}
+	return 0
+}
+
 func (c *Cell) rate(queue string) *adviceRate {
 	r, ok := c.advice[queue]
 	if !ok {
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -55,8 +55,10 @@
 	permits   map[string]permit
 	asking    bool
 	askAfter  time.Time
-	unblocks  []*step
-	readyAt   time.Time
+	// ticketsUntil is when the tickets of a step that waits for room are looked at again.
+	ticketsUntil time.Time
+	unblocks     []*step
+	readyAt      time.Time
 	// preempted is until when room that was asked of others is awaited.
 	preempted time.Time
 	// sought is when runs to stop were last looked for.
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -251,6 +251,7 @@
 	if c.mayPreempt(s, now) && c.preempt(plan, s, advice != nil, waiting, now) == 0 {
 		c.askAboutFull(plan, s, advice, waiting, now)
 	}
+	c.keepTickets(plan, s, advice, now)
 }
 
 // mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker not yet heard of; it did
@@ -259,6 +260,9 @@
 	return s.job.recorded && now.Before(c.unknownUntil)
 }
 
+// ticketCheck spaces the looks for tickets that have to be renewed.
+const ticketCheck = 30 * time.Millisecond
+
 // askFor asks the advisor about more workers, and reports whether there are any with room to ask about.
 func (c *Cell) askFor(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) bool {
 	return c.askWhere(plan, s, advice, waiting, roomOf(s.doc).CPUMilli, now, c.fits)
@@ -274,6 +278,19 @@
 	})
 }
 
+// keepTickets renews the tickets of a step that waits for room, so that it can start at once where room comes free.
+func (c *Cell) keepTickets(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
+	if advice == nil || s.asking {
+		return
+	}
+	if now.Before(s.ticketsUntil) {
+		plan.again(s.ticketsUntil)
+		return
+	}
+	c.askWhere(plan, s, advice, maxAsked, anyFree, now, knownAllowed)
+	s.ticketsUntil = now.Add(ticketCheck)
+}
+
 // askWhere asks about workers that have room for a step by a measure of it.
 func (c *Cell) askWhere(
 	plan *Plan, s *step, advice *queues.Advice, waiting int, least int64, now time.Time, room roomFunc,
@@ -362,6 +379,7 @@
 		if !c.askFor(plan, s, advice, len(s.tasks), now) && c.mayPreempt(s, now) && !c.preemptGang(plan, s, advice != nil, now) {
 			c.askAboutFull(plan, s, advice, len(s.tasks), now)
 		}
+		c.keepTickets(plan, s, advice, now)
 		return
 	}
 	for i, t := range s.tasks {
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -361,7 +361,7 @@
 // Pattern: as above, where the only worker that the advisor has allowed yet is the failing one.
 func TestATaskThatFailedAsksAboutOtherWorkers(t *testing.T) {
 	w := newWorld(t, 8, 4)
-	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond, PerWorker: 10 * time.Millisecond}
 	w.add(short("j", 1))
 	ask := w.plan().Asks[0]
 	w.cell.Advised(ask, []order.Permit{{Worker: ask.Workers[0], Ticket: "t"}}, 2*time.Second, nil, w.now)
@@ -464,6 +464,36 @@
 	w.c.Assert(stops[0].Worker.ID, qt.Equals, asks[0].Workers[0])
 }
 
+// Pattern: long calls to the advisor, and few workers with room. A call learns of others too, for which the step then waits.
+func TestACallLearnsOfWorkersWithoutRoom(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	w.add(long(10))
+	w.c.Assert(w.plan().Starts, qt.HasLen, 10)
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 600 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	job := short("s", 1)
+	job.Priority = 2
+	w.add(job)
+	ask := w.plan().Asks[0]
+	w.c.Assert(ask.Workers, qt.HasLen, 6)
+	free := ask.Workers[0]
+	full := ask.Workers[1]
+	w.cell.Advised(ask, []order.Permit{{Worker: full, Ticket: "t"}}, 1500*time.Millisecond, nil, w.now)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 0)
+	// The ticket is renewed before it ends.
+	w.pass(time.Second)
+	renewal := w.plan().Asks
+	w.c.Assert(renewal, qt.HasLen, 1)
+	w.c.Assert(renewal[0].Workers, qt.DeepEquals, []string{full})
+	w.cell.Advised(renewal[0], []order.Permit{{Worker: full, Ticket: "u"}}, 1500*time.Millisecond, nil, w.now)
+	w.finish(full, w.running[full][0].Task, order.EndDone)
+	w.pass(50 * time.Millisecond)
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 1)
+	w.c.Assert(started[0].Worker.ID, qt.Equals, full)
+	w.c.Assert(started[0].Order.Ticket, qt.Equals, "u")
+	w.c.Assert(free, qt.Not(qt.Equals), full)
+}
+
 // inCenters spreads the workers over data centres by turns.
 func (w *world) inCenters(names ...string) {
 	for i := range len(w.workers) {
