--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -172,7 +172,7 @@
 // Pattern: urgent work whose permitted workers are full, while others have room that nobody has asked about.
 func TestOtherWorkersAreAskedAboutBeforeWorkIsStopped(t *testing.T) {
 	w := newWorld(t, 2, 2)
-	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond}
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 10 * time.Millisecond, PerWorker: 10 * time.Millisecond}
 	w.add(long(2))
 	w.c.Assert(w.plan().Starts, qt.HasLen, 2)
 	w.pass(2 * time.Second)
