Do not take an outage of the table for a silence of the holder

Gaps from 1.7 s on, longer than a call that waits, now count as the table's. The new test failed before.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -34,6 +34,9 @@
 	// worker's lease last, what may run on the others.
 	Hold     = 6000 * time.Millisecond
 	callTime = 650 * time.Millisecond
+	// aliveGap is how long the table may leave this host without an answer before what was not seen meanwhile stops counting
+	// as silence of a holder: longer than a call that waits for changes, shorter than Takeover.
+	aliveGap = 1700 * time.Millisecond
 )
 
 // Epoch is one holding of a lease; its token is higher than those of all before.
@@ -86,7 +89,7 @@
 func (b *Book) Alive(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.alive) > Takeover {
+	if now.Sub(b.alive) > aliveGap {
 		b.since = now
 	}
 	b.alive = now
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -77,3 +77,28 @@
 		})
 	}
 }
+
+// Pattern: the table is away for all a little less long than a lease lasts. Hosts hear of it again before the holder's next
+// renewal, and must not take the time for a silence of the holder.
+func TestAnOutageOfTheTableIsNoSilenceOfTheHolder(t *testing.T) {
+	c := qt.New(t)
+	rows, ctx := fakes.NewRows(), context.Background()
+	start := time.Unix(1_000_000, 0)
+	_, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: "a", Life: "1"})
+	c.Assert(err, qt.IsNil)
+	page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
+	c.Assert(err, qt.IsNil)
+	book := elect.NewBook()
+	c.Assert(book.Apply(page.Rows, start), qt.IsNil)
+	// A call that was waiting when the outage began is still answered, with nothing new.
+	for _, answered := range []time.Duration{0, time.Second, 2900 * time.Millisecond} {
+		book.Alive(start.Add(answered))
+	}
+	_, free := book.Free(part, 0, start.Add(2950*time.Millisecond))
+	c.Assert(free, qt.IsFalse)
+	for answered := 3900 * time.Millisecond; answered < 6*time.Second; answered += time.Second {
+		book.Alive(start.Add(answered))
+	}
+	_, free = book.Free(part, 0, start.Add(6*time.Second))
+	c.Assert(free, qt.IsTrue)
+}
