--- a/cell/cell.go
+++ b/cell/cell.go
@@ -60,6 +60,7 @@
 	expected map[string]bool
 	recorded map[string]bool
 	rooms    rooms
+	demand   demand
 	// yields counts, for each priority, the placed runs that may be stopped for it.
 	yields  map[int]int
 	learned *learned
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -156,6 +156,11 @@
 	if c.settings.DataCenter != "" && !s.doc.Lasting {
 		score += c.distance(s, w)
 	}
+	if s.urgent() {
+		score += speedUrgent * w.ratio
+	} else {
+		score -= speedOther * w.ratio
+	}
 	return score + float64(w.strikes) + w.slowness(now)
 }
 
@@ -166,16 +171,22 @@
 	awayFromHome = 0.6
 	// awayFromUrgent keeps other work out of that data centre while there is room elsewhere.
 	awayFromUrgent = 0.3
+	// speedUrgent and speedOther weigh by which share a worker is slower than others: urgent work goes to fast workers, and
+	// other work leaves these to it.
+	speedUrgent = 1.5
+	speedOther  = 0.7
 	// urgentPriority is the last priority that counts as urgent.
 	urgentPriority = 1
 )
 
+func (s *step) urgent() bool { return s.job.doc.Priority <= urgentPriority }
+
 func (c *Cell) distance(s *step, w *worker) float64 {
 	home := w.info.DataCenter == c.settings.DataCenter
-	switch urgent := s.job.doc.Priority <= urgentPriority; {
-	case urgent && !home:
+	switch {
+	case s.urgent() && !home:
 		return awayFromHome
-	case !urgent && home:
+	case !s.urgent() && home:
 		return awayFromUrgent
 	default:
 		return 0
@@ -231,6 +242,10 @@
 			waiting++
 			continue
 		}
+		if c.kept(s) {
+			plan.again(now.Add(keptPause))
+			return
+		}
 		if w == nil || t.avoid[w.info.ID] || c.fits(s, w, roomOf(s.doc)) == 0 {
 			// The worker that is fullest stays so with each task that it gets.
 			w, ticket = c.best(s, t, advice != nil, now)
@@ -260,6 +275,9 @@
 	return s.job.recorded && now.Before(c.unknownUntil)
 }
 
+// keptPause is when a step is looked at again that has to leave the room to urgent work.
+const keptPause = 100 * time.Millisecond
+
 // ticketCheck spaces the looks for tickets that have to be renewed.
 const ticketCheck = 30 * time.Millisecond
 
@@ -343,6 +361,7 @@
 
 func (c *Cell) start(plan *Plan, t *task, w *worker, ticket string, run int, now time.Time) {
 	p := c.place(t, w, run, now)
+	c.rooms.free = c.rooms.free.Sub(p.size)
 	c.stats.Starts++
 	plan.Starts = append(plan.Starts, StartOrder{
 		Worker: w.info, p: p,
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -494,6 +494,71 @@
 	w.c.Assert(free, qt.Not(qt.Equals), full)
 }
 
+// Pattern: workers of several speeds. Short work, whose last task decides, goes to fast ones; long work leaves them to it.
+func TestUrgentWorkGoesToFastWorkers(t *testing.T) {
+	w := newWorld(t, 4, 4)
+	slow := map[string]bool{"w0": true, "w2": true}
+	for round := range 6 {
+		w.add(short(fmt.Sprintf("learn%d", round), 16))
+		started := w.plan().Starts
+		w.c.Assert(started, qt.HasLen, 16)
+		for _, late := range []bool{false, true} {
+			w.now = w.now.Add(400 * time.Millisecond)
+			for _, o := range started {
+				if slow[o.Worker.ID] == late {
+					w.finish(o.Worker.ID, o.Order.Task, order.EndDone)
+				}
+			}
+			w.look()
+		}
+		w.now = w.now.Add(10 * time.Second)
+	}
+	w.add(long(4))
+	for _, o := range w.plan().Starts {
+		w.c.Assert(slow[o.Worker.ID], qt.IsTrue)
+	}
+	w.add(short("s", 8))
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 8)
+	for _, o := range started {
+		w.c.Assert(slow[o.Worker.ID], qt.IsFalse)
+	}
+}
+
+// Pattern: bursts of short work in quick succession beside long work that would fill the group in between.
+func TestLongWorkLeavesRoomForTheNextBurst(t *testing.T) {
+	w := newWorld(t, 5, 8)
+	w.add(short("burst", 16))
+	started := w.plan().Starts
+	w.c.Assert(started, qt.HasLen, 16)
+	for _, o := range started {
+		w.finish(o.Worker.ID, o.Order.Task, order.EndDone)
+	}
+	w.pass(time.Second)
+	w.add(long(40))
+	// A fifth of the group stays free, at the most.
+	w.c.Assert(w.plan().Starts, qt.HasLen, 32)
+	w.add(short("next", 8))
+	w.c.Assert(w.plan().Starts, qt.HasLen, 8)
+	// What was not asked for again comes back to the long work.
+	for range 40 {
+		for id, runs := range w.running {
+			for _, r := range runs {
+				if r.Task.Job == "next" {
+					w.finish(id, r.Task, order.EndDone)
+				}
+			}
+		}
+		w.pass(5 * time.Second)
+		w.plan()
+	}
+	n := 0
+	for _, runs := range w.running {
+		n += len(runs)
+	}
+	w.c.Assert(n, qt.Equals, 40)
+}
+
 // inCenters spreads the workers over data centres by turns.
 func (w *world) inCenters(names ...string) {
 	for i := range len(w.workers) {
--- a/cell/rooms.go
+++ b/cell/rooms.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/corianderdrift/corianderdrift/unit"
 )
 
 // anyFree leaves no worker out.
@@ -15,6 +17,9 @@
 type rooms struct {
 	number uint64
 	list   []roomy
+	// free is the room that is left on all of them, and reserve what is kept of it for urgent work.
+	free    unit.Size
+	reserve unit.Size
 }
 
 // roomy is a worker with the processors that were free when the plan began; within a plan they only become fewer.
@@ -26,6 +31,8 @@
 func (r *rooms) build(c *Cell, now time.Time) {
 	r.number++
 	r.list = r.list[:0]
+	r.free = unit.Size{}
+	var room unit.Size
 	for _, w := range c.workers {
 		if !w.listed || w.info.Draining || !w.known || c.silent(w) || now.Before(w.benched) || len(w.foreign) > 0 ||
 			!c.recorded[w.info.ID] {
@@ -33,7 +40,11 @@
 		}
 		w.plan = r.number
 		r.list = append(r.list, roomy{w, w.freeCPU()})
+		room = room.Add(w.info.Capacity)
+		r.free = r.free.Add(w.info.Capacity.Sub(w.used).Max(unit.Size{}))
 	}
+	c.demand.remember(now)
+	r.reserve = c.demand.reserve(room)
 	slices.SortFunc(r.list, func(a, b roomy) int {
 		switch {
 		case a.free != b.free:
--- a/cell/slow.go
+++ b/cell/slow.go
@@ -14,6 +14,10 @@
 	slowSamples = 3
 	// slowMemory is how long a slow run speaks against its worker.
 	slowMemory = 5 * time.Second
+	// speedWeight is the weight of a new run in the learned speed of its worker, and maxRatio bounds what one run may say:
+	// some tasks of a step take many times as long as the others.
+	speedWeight = 0.1
+	maxRatio    = 2.0
 	// stillAfter is how long a run may stand still before it is moved.
 	stillAfter = 900 * time.Millisecond
 	// stillShare is the share of its processors below which a run stands still.
@@ -22,6 +26,12 @@
 	stillBench = 4 * time.Second
 )
 
+// compared learns a worker's speed from a run time and the median of its step.
+func (w *worker) compared(ratio float64) {
+	ratio = min(maxRatio, max(1/maxRatio, ratio))
+	w.ratio += speedWeight * (ratio - 1 - w.ratio)
+}
+
 // slowness returns by how much a worker is to be avoided for runs that were slow there.
 func (w *worker) slowness(now time.Time) float64 {
 	if now.Sub(w.slowAt) > slowMemory {
@@ -35,6 +45,7 @@
 	s := p.task.step
 	took := now.Sub(p.sent)
 	if median, ok := s.median(); ok {
+		p.w.compared(float64(took) / float64(median))
 		if float64(took) > slowFactor*float64(median) {
 			p.w.slow, p.w.slowAt = p.w.slow+1, now
 		} else if p.w.slow > 0 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -93,6 +93,8 @@
 	pacedAt time.Time
 	slow    int
 	slowAt  time.Time
+	// ratio is by which share runs take longer here than on the other workers; negative on a fast one.
+	ratio float64
 	// leaves is when a draining worker may be gone.
 	leaves time.Time
 	// plan is the number of the last plan in which the worker may get work.
@@ -487,6 +489,9 @@
 		c.copyable[t.step.id] = t.step
 	}
 	c.countYielding(t.step, 1)
+	if t.step.urgent() && !t.step.doc.Lasting {
+		c.demand.took(p.size, 1)
+	}
 	c.refresh(t.step, now)
 	w.kick()
 	return p
@@ -510,6 +515,9 @@
 	delete(c.repace, p)
 	w.used = w.used.Sub(p.size)
 	c.countYielding(s, -1)
+	if s.urgent() && !s.doc.Lasting {
+		c.demand.took(p.size, -1)
+	}
 	if s.perWorker[w]--; s.perWorker[w] <= 0 {
 		delete(s.perWorker, w)
 	}
--- a/unit/size.go
+++ b/unit/size.go
@@ -107,3 +107,31 @@
 	}
 	return int(n)
 }
+
+// Scale returns s times f.
+func (s Size) Scale(f float64) Size {
+	scale := func(n int64) int64 { return int64(f * float64(n)) }
+	return Size{scale(s.CPUMilli), scale(s.MemoryMiB), scale(s.Accelerators), scale(s.Slots), scale(s.Connections)}
+}
+
+// Min returns the smaller of s and o in each dimension.
+func (s Size) Min(o Size) Size {
+	return Size{
+		min(s.CPUMilli, o.CPUMilli), min(s.MemoryMiB, o.MemoryMiB), min(s.Accelerators, o.Accelerators), min(s.Slots, o.Slots),
+		min(s.Connections, o.Connections),
+	}
+}
+
+// Only returns s in those dimensions in which o takes something, and nothing in the others.
+func (s Size) Only(o Size) Size {
+	only := func(n, wanted int64) int64 {
+		if wanted > 0 {
+			return n
+		}
+		return 0
+	}
+	return Size{
+		only(s.CPUMilli, o.CPUMilli), only(s.MemoryMiB, o.MemoryMiB), only(s.Accelerators, o.Accelerators), only(s.Slots, o.Slots),
+		only(s.Connections, o.Connections),
+	}
+}
