--- a/agent/advise.go
+++ b/agent/advise.go
@@ -16,8 +16,6 @@
 const (
 	// shortCall is the cost up to which a call may use the hosts that are kept for short ones.
 	shortCall = 100 * time.Millisecond
-	// shortShare is the part of the hosts that is kept for short calls.
-	shortShare = 3
 	// shortQueue is how many short calls may be out at one host, so that the way of one hides behind another.
 	shortQueue = 2
 	// adviseSlack is added to a call's expected time before it is given up: the way to a far host and back, and the turn of
@@ -84,17 +82,12 @@
 	return name, ok
 }
 
-// pick returns a host with no call of this host out; long calls leave the nearest hosts alone, where short ones may queue.
+// pick returns a host with no call of this host out; long calls leave some hosts alone, where short ones may queue.
 func (s *spread) pick(cost time.Duration, now time.Time) (string, bool) {
-	list := s.hosts.usable(now)
-	if len(list) == 0 {
+	kept, rest := s.hosts.split(now)
+	if len(kept)+len(rest) == 0 {
 		return s.self, s.out[s.self] == 0
 	}
-	keep := 0
-	if len(list) > 1 {
-		keep = max(1, len(list)/shortShare)
-	}
-	kept, rest := list[:keep], list[keep:]
 	if cost <= shortCall {
 		for n := range shortQueue {
 			for _, h := range kept {
--- a/agent/advise_test.go
+++ b/agent/advise_test.go
@@ -31,28 +31,39 @@
 		}
 	}
 	known.sort()
+	known.chooseSwift()
 	return &spread{self: "a-0", advisor: deafAdvisor{}, hosts: known, out: map[string]int{}}
 }
 
-// Pattern: short steps whose calls would wait for hosts that are far, or cut off; they are made from near ones, which long
-// calls leave alone.
-func TestShortCallsAreMadeFromNearHosts(t *testing.T) {
+// Pattern: short steps whose calls would wait behind long ones of any group, or for hosts that are far or cut off.
+func TestShortCallsAreMadeFromNearHostsThatLongOnesLeaveAlone(t *testing.T) {
 	c := qt.New(t)
-	s := newSpread(3)
-	centers := map[string]int{}
-	for range 6 {
+	s := newSpread(6)
+	kept := map[string]bool{}
+	for i := range 6 {
 		name, ok := s.Reserve(10 * time.Millisecond)
 		c.Assert(ok, qt.IsTrue)
-		centers[name[:1]]++
+		c.Assert(name[:1] == "a", qt.Equals, i < 2)
+		kept[name] = true
 	}
-	c.Assert(centers, qt.DeepEquals, map[string]int{"a": 6})
-	for range 6 {
+	c.Assert(kept, qt.HasLen, 6)
+	long := map[string]bool{}
+	for range 12 {
 		name, ok := s.Reserve(time.Second)
 		c.Assert(ok, qt.IsTrue)
-		c.Assert(name[:1], qt.Not(qt.Equals), "a")
+		c.Assert(kept[name], qt.IsFalse)
+		long[name] = true
 	}
+	c.Assert(long, qt.HasLen, 12)
 	_, ok := s.Reserve(time.Second)
 	c.Assert(ok, qt.IsFalse)
+
+	// A host of another data centre leaves the same hosts alone.
+	other := newHosts("c-0", "c")
+	other.known = s.hosts.known
+	other.sort()
+	other.chooseSwift()
+	c.Assert(other.swift, qt.DeepEquals, s.hosts.swift)
 }
 
 // A host from which the advisor does not answer makes no calls for a while; others do.
@@ -61,10 +72,16 @@
 	s := newSpread(2)
 	name, ok := s.Reserve(10 * time.Millisecond)
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(name, qt.Equals, "a-0")
-	_, _, err := s.Advise(context.Background(), cell.Ask{Host: name})
+	s.hosts.shun(name, time.Now())
+	for range 6 {
+		other, ok := s.Reserve(10 * time.Millisecond)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(other, qt.Not(qt.Equals), name)
+	}
+	s.self = "a-0"
+	_, _, err := s.Advise(context.Background(), cell.Ask{Host: "a-0"})
 	c.Assert(err, qt.IsNotNil)
-	name, ok = s.Reserve(10 * time.Millisecond)
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(name, qt.Equals, "a-1")
+	for _, h := range s.hosts.usable(time.Now()) {
+		c.Assert(h.Name, qt.Not(qt.Equals), "a-0")
+	}
 }
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -50,7 +50,9 @@
 	center string
 	// sorted holds the known hosts, the nearest first: this one, those of its data centre, and the others.
 	sorted []host
-	conns  map[netip.AddrPort]*grpc.ClientConn
+	// swift are the hosts that long calls to the advisor leave alone; all hosts agree on them, whichever groups they run.
+	swift map[string]bool
+	conns map[netip.AddrPort]*grpc.ClientConn
 	// shunned are hosts that did not answer, with the end of that.
 	shunned map[string]time.Time
 }
@@ -62,6 +64,29 @@
 	}
 }
 
+// swiftShare is the part of a data centre's hosts that is kept for short calls to the advisor.
+const swiftShare = 3
+
+// chooseSwift keeps a part of each data centre's hosts, at least one, for short calls.
+func (h *hosts) chooseSwift() {
+	h.swift = map[string]bool{}
+	centers := map[string][]host{}
+	for _, one := range h.known {
+		centers[one.DataCenter] = append(centers[one.DataCenter], one)
+	}
+	if len(h.known) < 2 {
+		return
+	}
+	for _, list := range centers {
+		slices.SortFunc(list, func(a, b host) int {
+			return cmp.Or(cmp.Compare(rankFor("swift", a.Name), rankFor("swift", b.Name)), cmp.Compare(a.Name, b.Name))
+		})
+		for _, one := range list[:max(1, len(list)/swiftShare)] {
+			h.swift[one.Name] = true
+		}
+	}
+}
+
 // far returns 0 for this host, 1 for one of its data centre and 2 for any other.
 func (h *hosts) far(one host) int {
 	switch {
@@ -104,6 +129,7 @@
 		started(r.Name, one.Life)
 	}
 	h.sort()
+	h.chooseSwift()
 	return bad
 }
 
@@ -125,6 +151,21 @@
 	})
 }
 
+// split returns the hosts that are not shunned, the nearest first: those kept for short calls, and the rest.
+func (h *hosts) split(now time.Time) (kept, rest []host) {
+	list := h.usable(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, one := range list {
+		if h.swift[one.Name] {
+			kept = append(kept, one)
+		} else {
+			rest = append(rest, one)
+		}
+	}
+	return kept, rest
+}
+
 func (h *hosts) find(name string) (host, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
