--- a/agent/groups.go
+++ b/agent/groups.go
@@ -138,6 +138,7 @@
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
 		Queues: g.a.queues, Settings: g.a.cellSettings(), OthersUntil: others, Boot: clock.Boot, Log: g.a.log,
+		Patience: func(base time.Duration) time.Duration { return g.a.health.Patience(base, time.Now()) },
 	})
 	g.mu.Lock()
 	g.running[epoch.Part] = r
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -32,8 +32,9 @@
 	// Hold is how long after its last good renewal a holder may give orders, so that work goes on while the table is away
 	// for all. A taker shuts it out by its token wherever it reaches a worker, and leaves alone, for as long as this and a
 	// worker's lease last, what may run on the others.
-	Hold     = 6000 * time.Millisecond
-	callTime = 650 * time.Millisecond
+	Hold = 6000 * time.Millisecond
+	// callTime bounds a call for a lease; a slow table still answers in it, within the time that a holder is fresh.
+	callTime = 1300 * time.Millisecond
 	// aliveGap is how long the table may leave this host without an answer before what was not seen meanwhile stops counting
 	// as silence of a holder: longer than a call that waits for changes, shorter than Takeover.
 	aliveGap = 1700 * time.Millisecond
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -21,6 +21,8 @@
 	acceptTime = 2400 * time.Millisecond
 	// writeTime bounds one attempt.
 	writeTime = 900 * time.Millisecond
+	// slowTable is the usual time of an answer from which the table counts as slow.
+	slowTable = 200 * time.Millisecond
 	// retryPause is the pause between attempts.
 	retryPause = 60 * time.Millisecond
 	// askTime bounds a question to another host.
@@ -122,9 +124,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
+	if late := i.tooLate(ctx); late != nil {
+		return false, late
+	}
 	unsure := false
 	for {
-		call, done := context.WithTimeout(ctx, writeTime)
+		call, done := context.WithTimeout(ctx, i.Health.Patience(writeTime, time.Now()))
 		_, err := i.Store.Commit(call, tx)
 		done()
 		var conflict *table.ConflictError
@@ -145,6 +150,16 @@
 	}
 }
 
+// tooLate returns the refusal of a call whose caller will have left before a slow table can answer.
+func (i *Intake) tooLate(ctx context.Context) error {
+	latency := i.Health.Latency(time.Now())
+	end, ok := ctx.Deadline()
+	if !ok || latency < slowTable || time.Until(end) > latency {
+		return nil
+	}
+	return &RefusedError{"store-slow", latency, &table.RefusedError{Op: "commit"}}
+}
+
 // away returns the refusal of a call that the table's absence makes impossible.
 func (i *Intake) away(err error) *RefusedError {
 	back := min(backMost, max(backLeast, i.Health.Away(time.Now())))
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -122,6 +122,42 @@
 	})
 }
 
+// Pattern: the table is slow, and a caller is about to leave. What can't be answered in time is refused before it is sent.
+func TestASlowTableRefusesCallersThatWillHaveLeft(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		latency  time.Duration
+		patience time.Duration
+		refused  bool
+	}{
+		{"usual table", 5 * time.Millisecond, 500 * time.Millisecond, false},
+		{"slow table, patient caller", 800 * time.Millisecond, 2 * time.Second, false},
+		{"slow table, caller about to leave", 800 * time.Millisecond, 500 * time.Millisecond, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				in, rows, _ := newIntake()
+				rows.Latency = test.latency
+				other := doc()
+				other.ID = "00000000000000bb"
+				c.Assert(in.Submit(context.Background(), other), qt.IsNil)
+				ctx, cancel := context.WithTimeout(context.Background(), test.patience)
+				defer cancel()
+				commits := rows.Commits()
+				err := in.Submit(ctx, doc())
+				var refused *intake.RefusedError
+				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
+				if test.refused {
+					c.Assert(rows.Commits(), qt.Equals, commits)
+					return
+				}
+				c.Assert(err, qt.IsNil)
+			})
+		})
+	}
+}
+
 func TestCancelling(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -33,8 +33,9 @@
 	return "jobs-" + strconv.FormatUint(xxhash.Sum64String(service)%jobTables, 10)
 }
 
-// jobParts is over how many parts the accepted jobs of a service are spread, since a part takes one transaction at a time.
-const jobParts = 16
+// jobParts is over how many parts the accepted jobs of a service are spread, since a part takes one transaction at a time:
+// with a table that is 85 times as slow as usual, each takes two jobs a second.
+const jobParts = 48
 
 // JobPart returns the part that holds an accepted job.
 func JobPart(service, id string) string {
@@ -76,7 +77,7 @@
 // loadRuns reads the progress of all jobs of the group.
 func (r *Runner) loadRuns(ctx context.Context) (map[string]savedRun, error) {
 	for {
-		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		call, cancel := context.WithTimeout(ctx, r.cfg.Patience(tableTimeout))
 		rows, _, err := table.ReadAll(call, r.cfg.Store, table.Range{Table: TableRuns, Part: r.cfg.Epoch.Part})
 		cancel()
 		if err != nil {
@@ -189,7 +190,7 @@
 		}
 		beats := r.addBeat(&tx)
 		sent := r.cfg.Boot()
-		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		call, cancel := context.WithTimeout(ctx, r.cfg.Patience(tableTimeout))
 		version, err := r.cfg.Store.Commit(call, tx)
 		cancel()
 		if err == nil {
@@ -273,7 +274,7 @@
 }
 
 func (r *Runner) remove(ctx context.Context, tx table.Tx) bool {
-	call, cancel := context.WithTimeout(ctx, tableTimeout)
+	call, cancel := context.WithTimeout(ctx, r.cfg.Patience(tableTimeout))
 	defer cancel()
 	if _, err := r.cfg.Store.Commit(call, tx); err != nil {
 		r.log.WithError(err).Warn("rows of old jobs can't be removed")
--- a/runner/record.go
+++ b/runner/record.go
@@ -26,7 +26,7 @@
 // loadRecord reads which workers an earlier runner used.
 func (r *Runner) loadRecord(ctx context.Context) error {
 	for {
-		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		call, cancel := context.WithTimeout(ctx, r.cfg.Patience(tableTimeout))
 		page, err := r.cfg.Store.Read(call, table.Range{
 			Table: elect.Table, Part: r.cfg.Epoch.Part, From: rowWorkers, To: rowWorkers + "\x00", Limit: 1,
 		})
@@ -60,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		call, cancel := context.WithTimeout(ctx, r.cfg.Patience(tableTimeout))
 		_, err = r.cfg.Store.Commit(call, table.Tx{
 			Checks: []table.Check{r.cfg.Epoch.Check()}, Writes: []table.Write{{Key: r.recordKey(), Value: raw}},
 		})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,6 +34,8 @@
 	Settings cell.Settings
 	// OthersUntil is until when earlier runners may still give orders.
 	OthersUntil time.Time
+	// Patience returns how long a call to the table may take that usually gets base.
+	Patience func(base time.Duration) time.Duration
 	// Boot returns the time since the machine started, the time that it was suspended included.
 	Boot func() time.Duration
 	Log  logrus.FieldLogger
@@ -46,6 +48,8 @@
 	log  logrus.FieldLogger
 	// holdUntil is until when orders may be given, on the clock that also counts suspended time.
 	holdUntil atomic.Int64
+	// beating is when the last commit was sent that renews the lease if it takes effect.
+	beating atomic.Int64
 	// beaten is when the last renewal was sent that others could see.
 	beaten atomic.Int64
 	loaded atomic.Bool
@@ -62,6 +66,9 @@
 
 // New returns a runner of the group whose lease was taken.
 func New(cfg Config) *Runner {
+	if cfg.Patience == nil {
+		cfg.Patience = func(base time.Duration) time.Duration { return base }
+	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Part, "token": cfg.Epoch.Token})
 	return &Runner{
 		cfg: cfg, cell: cell.New(cfg.Settings, cfg.Epoch.Token, log), log: log,
@@ -162,6 +169,7 @@
 		return false
 	}
 	tx.Writes = append(tx.Writes, elect.BeatWrite(r.cfg.Epoch.Part))
+	r.beating.Store(int64(r.cfg.Boot()))
 	return true
 }
 
@@ -180,7 +188,7 @@
 func (r *Runner) beat(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		if due := time.Duration(r.beaten.Load()) + elect.BeatEvery - r.cfg.Boot(); due > 0 {
+		if due := r.nextBeat() - r.cfg.Boot(); due > 0 {
 			clock.Pause(ctx, due)
 			continue
 		}
@@ -204,6 +212,13 @@
 	return nil
 }
 
+// nextBeat returns when the lease has to be renewed by itself: a commit that is on its way renews it too, and both would wait
+// for one another where the table is slow.
+func (r *Runner) nextBeat() time.Duration {
+	beaten, beating := time.Duration(r.beaten.Load()), time.Duration(r.beating.Load())
+	return min(max(beaten, beating)+elect.BeatEvery, beaten+elect.Fresh/2)
+}
+
 // beatRetry is the pause after a renewal that failed.
 const beatRetry = 150 * time.Millisecond
 
--- a/table/follow.go
+++ b/table/follow.go
@@ -19,7 +19,7 @@
 	// followSlack is added to followWait before the call is given up.
 	followSlack = 600 * time.Millisecond
 	// readsAtOnce bounds the parts that are read at a time.
-	readsAtOnce = 8
+	readsAtOnce = 24
 	// followRetry is the pause after a failed call.
 	followRetry = 150 * time.Millisecond
 )
--- a/table/health.go
+++ b/table/health.go
@@ -10,6 +10,14 @@
 const (
 	// silentCall is how long a call that should be answered at once may be out.
 	silentCall = 500 * time.Millisecond
+	// silentTimes is how many times the usual time of an answer a call may be out, where that is longer.
+	silentTimes = 2
+	// latencyWeight is the weight of a new answer in the usual time, which counts for latencyFor.
+	latencyWeight = 0.3
+	latencyFor    = 3 * time.Second
+	// patienceTimes is how many times the usual time a call is given, and patienceMost bounds that.
+	patienceTimes = 2.5
+	patienceMost  = 4 * time.Second
 	// goodFor is how long a good answer outweighs a later failure of another call.
 	goodFor = 150 * time.Millisecond
 )
@@ -23,6 +31,9 @@
 	bad  time.Time
 	next int
 	out  map[int]time.Time
+	// latency is the usual time of an answer, as of answered.
+	latency  time.Duration
+	answered time.Time
 }
 
 // NewHealth returns a store that watches another.
@@ -32,8 +43,9 @@
 func (h *Health) Reachable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	silent := max(silentCall, silentTimes*h.usual(now))
 	for _, sent := range h.out {
-		if now.Sub(sent) > silentCall && h.good.Before(sent) {
+		if now.Sub(sent) > silent && h.good.Before(sent) {
 			return false
 		}
 	}
@@ -50,6 +62,37 @@
 	return now.Sub(h.good)
 }
 
+// Latency returns the usual time of an answer, by those of the last seconds; 0 without any.
+func (h *Health) Latency(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usual(now)
+}
+
+func (h *Health) usual(now time.Time) time.Duration {
+	if now.Sub(h.answered) > latencyFor {
+		return 0
+	}
+	return h.latency
+}
+
+// Patience returns how long a call should be given that usually gets base: a slow table must not be asked again and again.
+func (h *Health) Patience(base time.Duration, now time.Time) time.Duration {
+	return max(base, min(patienceMost, time.Duration(patienceTimes*float64(h.Latency(now)))))
+}
+
+// took notes the time of an answer.
+func (h *Health) took(since, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.answered) > latencyFor {
+		h.latency = now.Sub(since)
+	} else {
+		h.latency += time.Duration(latencyWeight * float64(now.Sub(since)-h.latency))
+	}
+	h.answered = now
+}
+
 func (h *Health) begin(now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -71,9 +114,13 @@
 
 // Commit implements Store.
 func (h *Health) Commit(ctx context.Context, tx Tx) (uint64, error) {
-	id := h.begin(time.Now())
+	since := time.Now()
+	id := h.begin(since)
 	v, err := h.store.Commit(ctx, tx)
 	h.end(id, err, time.Now())
+	if !away(err) {
+		h.took(since, time.Now())
+	}
 	return v, err
 }
 
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -86,3 +86,29 @@
 		})
 	}
 }
+
+// Pattern: the table is many times slower than usual, but answers. It must not count as away, nor be asked again too soon.
+func TestASlowTableIsNotAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fakes.NewRows()
+		h := table.NewHealth(rows)
+		put := func(name string) {
+			_, err := h.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: table.Key{Table: "t", Name: name}}}})
+			c.Check(err, qt.IsNil)
+		}
+		put("usual")
+		c.Assert(h.Patience(time.Second, time.Now()), qt.Equals, time.Second)
+		rows.Latency = 900 * time.Millisecond
+		for range 6 {
+			put("slow")
+		}
+		go put("on its way")
+		time.Sleep(850 * time.Millisecond)
+		c.Assert(h.Reachable(time.Now()), qt.IsTrue)
+		c.Assert(h.Patience(time.Second, time.Now()) > 1800*time.Millisecond, qt.IsTrue)
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+		c.Assert(h.Patience(time.Second, time.Now()), qt.Equals, time.Second)
+	})
+}
