--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,8 +42,6 @@
 	// gcPercent lets the heap grow by less than usual before it is collected: memory is charged, processor time hardly.
 	// See docs/POLICY.md.
 	gcPercent = 40
-	// leasePause spaces the readings of the leases, each of which changes every 0.7 s.
-	leasePause = 200 * time.Millisecond
 	// runsPerToken is more runs of one task than a scheduler starts without a durable record of any.
 	runsPerToken = 1000
 )
@@ -234,7 +232,7 @@
 	}
 	f := table.Follower{
 		Store: a.store, Table: elect.Table, Log: a.log, Load: apply, Apply: apply,
-		Pause: leasePause, Alive: func() { a.leases.Alive(time.Now()) },
+		Pause: a.groups.leasePause, Alive: func() { a.leases.Alive(time.Now()) },
 		Parts: func() []string {
 			parts := []string{partHosts}
 			if cfg := a.queues.Current(); cfg != nil {
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -29,6 +29,12 @@
 	// busyDelay is how long a host leaves a free lease to others for each group that it runs already: at a crest, two groups
 	// are more than one host can carry.
 	busyDelay = 1200 * time.Millisecond
+	// candidates is how many hosts of a group's order hear of its lease soon.
+	candidates = 4
+	// soonPause and latePause space the readings of the leases, which change several times a second; the calls are charged.
+	// Hosts that come late in the order of every group need not notice a silent holder before the others have.
+	soonPause = 200 * time.Millisecond
+	latePause = 800 * time.Millisecond
 	// strongerBy is how many times the processor time of another host makes a host clearly stronger.
 	strongerBy = 1.5
 	// strongCores is the processor time from which a host that has just started need not wait to hear of stronger ones.
@@ -111,24 +117,43 @@
 // patience returns how long this host leaves a free lease to those before it in the group's order: hosts with clearly more
 // processor time come first, since running a group is most of the work.
 func (g *groups) patience(service string, busy int) time.Duration {
+	rank, weak := g.order(service)
+	weak = weak || (g.a.settings.CPUShare < strongCores && time.Since(g.a.started) < meetTime)
+	wait := time.Duration(min(rank, rankMost))*rankStep + time.Duration(busy)*busyDelay
+	if weak {
+		wait += weakDelay
+	}
+	return wait
+}
+
+// leasePause returns how long this host waits between two readings of the leases.
+func (g *groups) leasePause() time.Duration {
+	cfg := g.a.queues.Current()
+	if cfg == nil {
+		return soonPause
+	}
+	for i := range cfg.Services {
+		if before, stronger := g.order(cfg.Services[i].Name); before < candidates && !stronger {
+			return soonPause
+		}
+	}
+	return latePause
+}
+
+// order returns how many equally strong hosts come before this one in a group's order, and whether there are stronger ones.
+func (g *groups) order(service string) (before int, stronger bool) {
 	self := g.a.settings
 	own := rankFor(service, self.Name)
-	rank := 0
-	weak := self.CPUShare < strongCores && time.Since(g.a.started) < meetTime
 	for _, h := range g.a.hosts.usable(time.Now()) {
 		switch {
 		case h.Name == self.Name:
 		case h.Cores > strongerBy*self.CPUShare:
-			weak = true
+			stronger = true
 		case self.CPUShare <= strongerBy*h.Cores && rankFor(service, h.Name) < own:
-			rank++
+			before++
 		}
 	}
-	wait := time.Duration(min(rank, rankMost))*rankStep + time.Duration(busy)*busyDelay
-	if weak {
-		wait += weakDelay
-	}
-	return wait
+	return before, stronger
 }
 
 // rankFor orders hosts by a hash, another way for each name that they are ordered for.
--- a/table/follow.go
+++ b/table/follow.go
@@ -35,8 +35,8 @@
 	Apply func(rows []Row)
 	Alive func()
 	Log   logrus.FieldLogger
-	// Pause spaces the calls, where changes may be heard of later.
-	Pause time.Duration
+	// Pause spaces the calls, where changes may be heard of later; nil leaves no pause.
+	Pause func() time.Duration
 
 	away bool
 }
@@ -123,7 +123,9 @@
 		version = max(version, got.Version)
 		if len(got.Rows) > 0 {
 			f.Apply(got.Rows)
-			clock.Pause(ctx, f.Pause)
+			if f.Pause != nil {
+				clock.Pause(ctx, f.Pause())
+			}
 		}
 	}
 	return ctx.Err()
