Wait once for workers that are gone, however often a group changes hands

Now the wait counts from when earlier runners may last have given orders, which may have passed; a runner that gives its lease back tells which workers it could not reach, and for how long that matters; only workers on record are waited for.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -98,7 +98,7 @@
 	if !free {
 		return
 	}
-	others := g.a.leases.OrdersUntil(service, time.Now())
+	others, unsure := g.a.leases.OrdersUntil(service, time.Now()), g.a.leases.Unsure(service)
 	sent := clock.Boot()
 	epoch, err := elect.Take(ctx, g.a.store, old, elect.Taker{
 		Name: g.a.settings.Name, Life: g.a.life, Address: g.a.peerAddress(),
@@ -111,7 +111,7 @@
 		}
 		return
 	}
-	g.run(ctx, epoch, sent, others)
+	g.run(ctx, epoch, sent, others, unsure)
 }
 
 // patience returns how long this host leaves a free lease to those before it in the group's order: hosts with clearly more
@@ -159,10 +159,12 @@
 // rankFor orders hosts by a hash, another way for each name that they are ordered for.
 func rankFor(name, host string) uint64 { return xxhash.Sum64String(name + "/" + host) }
 
-func (g *groups) run(ctx context.Context, epoch elect.Epoch, sent time.Duration, others time.Time) {
+func (g *groups) run(
+	ctx context.Context, epoch elect.Epoch, sent time.Duration, others time.Time, unsure map[string]time.Time,
+) {
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.spread,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), OthersUntil: others, Boot: clock.Boot, Log: g.a.log,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), OthersUntil: others, Unsure: unsure, Boot: clock.Boot, Log: g.a.log,
 		Patience: func(base time.Duration) time.Duration { return g.a.health.Patience(base, time.Now()) },
 	})
 	g.mu.Lock()
@@ -179,17 +181,17 @@
 		if errors.As(err, &lost) {
 			return
 		}
-		g.release(epoch)
+		g.release(epoch, r)
 	}()
 }
 
 // release gives a lease back, and goes on trying while the host is still there: a table that returns meanwhile should find
 // the group free.
-func (g *groups) release(epoch elect.Epoch) {
+func (g *groups) release(epoch elect.Epoch, r *runner.Runner) {
 	failing := false
 	for end := clock.Boot() + g.a.stopLimit() - stopReserve; clock.Boot() < end; {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
-		err := elect.Release(ctx, g.a.store, epoch)
+		err := elect.Release(ctx, g.a.store, epoch, r.Unsure(time.Now()))
 		cancel()
 		var conflict *table.ConflictError
 		if err == nil || errors.As(err, &conflict) {
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -108,7 +108,7 @@
 	})
 }
 
-func (h *hosts) apply(rows []table.Row, started func(name, life string)) error {
+func (h *hosts) apply(rows []table.Row, started func(name, life string, now time.Time)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var bad error
@@ -126,7 +126,7 @@
 			continue
 		}
 		h.known[r.Name] = one
-		started(r.Name, one.Life)
+		started(r.Name, one.Life, time.Now())
 	}
 	h.sort()
 	h.chooseSwift()
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -56,8 +56,9 @@
 	repace map[*placement]struct{}
 	// unknownUntil is when a task that an earlier scheduler may have started is surely over everywhere.
 	unknownUntil time.Time
-	// expected are the workers that an earlier scheduler used, and recorded those on durable record.
-	expected map[string]bool
+	// expected are the workers that an earlier scheduler used, with when what it started there is surely over, and recorded
+	// those on durable record.
+	expected map[string]time.Time
 	recorded map[string]bool
 	rooms    rooms
 	demand   demand
@@ -91,7 +92,7 @@
 		dirty: map[string]*job{}, open: map[graph.StepID]*step{},
 		copyable: map[graph.StepID]*step{}, centers: map[string]*center{}, unwanted: map[*placement]struct{}{},
 		repace: map[*placement]struct{}{}, learned: newLearned(),
-		expected: map[string]bool{}, recorded: map[string]bool{},
+		expected: map[string]time.Time{}, recorded: map[string]bool{},
 		advice: map[string]*adviceRate{}, yields: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
--- a/cell/record.go
+++ b/cell/record.go
@@ -5,32 +5,46 @@
 	"time"
 )
 
-// Expect names the workers on which an earlier scheduler may have started tasks.
-func (c *Cell) Expect(ids []string) {
+// Expect names the workers on which an earlier scheduler may have started tasks, and until when these may run there.
+func (c *Cell) Expect(ids []string, until func(id string) time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
-		c.expected[id] = true
+		c.expected[id] = until(id)
 		c.recorded[id] = true
 	}
 }
 
-// AllKnown reports whether every listed or expected worker has been looked at under this scheduler's token.
-func (c *Cell) AllKnown() bool {
+// AllKnown reports whether every worker that an earlier scheduler used has been looked at under this scheduler's token, or
+// surely runs nothing of it any more; nothing was started on workers that are not on record.
+func (c *Cell) AllKnown(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.expected {
+	for id, until := range c.expected {
 		w, ok := c.workers[id]
-		if !ok || !w.known {
+		if (!ok || !w.known) && now.Before(until) {
 			return false
 		}
 	}
-	for _, w := range c.workers {
-		if !w.known {
-			return false
+	return true
+}
+
+// Unsure returns for how long runs may still be on workers that can't be reached, counted from now.
+func (c *Cell) Unsure(now time.Time) map[string]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unsure := map[string]time.Duration{}
+	for id, until := range c.expected {
+		if w, ok := c.workers[id]; !ok || !w.known {
+			unsure[id] = max(0, until.Sub(now))
 		}
 	}
-	return true
+	for id, w := range c.workers {
+		if w.known && c.silent(w) {
+			unsure[id] = max(0, w.lastOrder().Add(c.settings.Lease+leaseSlack).Sub(now))
+		}
+	}
+	return unsure
 }
 
 // Unrecorded returns the workers that have to be on record, and whether the record differs.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -332,15 +332,20 @@
 	if w.misses < missesUntilSuspect || len(w.placed) == 0 {
 		return
 	}
+	if now.Sub(w.lastOrder()) > c.settings.Lease+leaseSlack {
+		c.loseAll(w, "its lease has run out", now)
+	}
+}
+
+// lastOrder returns when the last order was sent that renewed the leases on a worker.
+func (w *worker) lastOrder() time.Time {
 	last := w.renewed
 	for _, p := range w.placed {
 		if p.sent.After(last) {
 			last = p.sent
 		}
 	}
-	if now.Sub(last) > c.settings.Lease+leaseSlack {
-		c.loseAll(w, "its lease has run out", now)
-	}
+	return last
 }
 
 // Missed says that a look got no answer.
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -48,10 +48,18 @@
 	Life    string         `json:"life,omitempty"`
 	Address netip.AddrPort `json:"address"`
 	Token   uint64         `json:"token"`
+	// Unsure names, in a lease that was given back, the workers that its holder could not reach.
+	Unsure []Unsure `json:"unsure,omitempty"`
 	// Version is the version of the lease's row, which every write of the holder checks.
 	Version uint64 `json:"-"`
 }
 
+// Unsure is a worker that could not be reached, and for how long runs may still be there.
+type Unsure struct {
+	Worker string        `json:"worker"`
+	For    time.Duration `json:"for"`
+}
+
 // Check returns the check that ties a transaction to the epoch.
 func (e Epoch) Check() table.Check {
 	return table.Check{Key: table.Key{Table: Table, Part: e.Part, Name: rowEpoch}, Version: e.Version}
@@ -69,8 +77,9 @@
 type seen struct {
 	epoch   Epoch
 	changed time.Time
-	// taken is when the epoch was first seen.
+	// taken is when the epoch was first seen, and held when the last one with a holder was.
 	taken time.Time
+	held  time.Time
 }
 
 // Book knows the holders of all leases.
@@ -80,11 +89,17 @@
 	alive time.Time
 	since time.Time
 	// lives holds the newest process of each host.
-	lives map[string]string
+	lives map[string]life
+}
+
+// life is a process of a host, and when it was first heard of.
+type life struct {
+	name  string
+	since time.Time
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{parts: map[string]seen{}, lives: map[string]string{}} }
+func NewBook() *Book { return &Book{parts: map[string]seen{}, lives: map[string]life{}} }
 
 // Alive notes that the table has answered.
 func (b *Book) Alive(now time.Time) {
@@ -112,6 +127,9 @@
 			}
 			e.Part, e.Version = r.Part, r.Version
 			s.epoch, s.changed, s.taken = e, now, now
+			if e.Holder != "" || s.held.IsZero() {
+				s.held = now
+			}
 		case r.Name == rowBeat:
 			s.changed = now
 		default:
@@ -123,10 +141,12 @@
 }
 
 // Started notes the newest process of a host; leases of earlier ones are free.
-func (b *Book) Started(host, life string) {
+func (b *Book) Started(host, name string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lives[host] = life
+	if b.lives[host].name != name {
+		b.lives[host] = life{name, now}
+	}
 }
 
 // Holder returns the last known holding of a lease.
@@ -153,7 +173,7 @@
 	return s.epoch, silent >= Takeover+patience && now.Sub(b.since) >= Takeover+patience
 }
 
-// OrdersUntil returns until when earlier holders of a lease may still give orders.
+// OrdersUntil returns until when earlier holders of a lease may have given orders, which may have passed.
 func (b *Book) OrdersUntil(part string, now time.Time) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -162,12 +182,28 @@
 		return now
 	}
 	// Whoever was replaced by the last holder had not renewed for as long as a taker waits.
-	until := s.taken.Add(Hold - Takeover)
-	if s.epoch.Holder != "" && !b.ended(s.epoch) {
-		until = s.changed.Add(Hold)
+	until := s.held.Add(Hold - Takeover)
+	last := s.changed.Add(Hold)
+	switch {
+	case s.epoch.Holder == "":
+		last = s.taken
+	case b.ended(s.epoch) && b.lives[s.epoch.Holder].since.Before(last):
+		last = b.lives[s.epoch.Holder].since
 	}
-	if until.Before(now) {
-		return now
+	if until.After(last) {
+		return until
+	}
+	return last
+}
+
+// Unsure returns the workers that the host which gave a lease back could not reach, and until when runs may be there.
+func (b *Book) Unsure(part string) map[string]time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.parts[part]
+	until := make(map[string]time.Time, len(s.epoch.Unsure))
+	for _, u := range s.epoch.Unsure {
+		until[u.Worker] = s.taken.Add(u.For)
 	}
 	return until
 }
@@ -175,7 +211,7 @@
 // ended reports whether the process that holds a lease was followed by another on its host.
 func (b *Book) ended(e Epoch) bool {
 	life, ok := b.lives[e.Holder]
-	return ok && life != e.Life
+	return ok && life.name != e.Life
 }
 
 // Taker is who takes a lease.
@@ -193,9 +229,9 @@
 	return e, err
 }
 
-// Release gives a lease back, so that another host need not wait.
-func Release(ctx context.Context, s table.Store, e Epoch) error {
-	_, err := write(ctx, s, e, Epoch{Part: e.Part, Token: e.Token})
+// Release gives a lease back, so that another host need not wait, and tells which workers could not be reached.
+func Release(ctx context.Context, s table.Store, e Epoch, unsure []Unsure) error {
+	_, err := write(ctx, s, e, Epoch{Part: e.Part, Token: e.Token, Unsure: unsure})
 	return err
 }
 
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -55,7 +55,7 @@
 			epoch, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: test.holder, Life: "1"})
 			c.Assert(err, qt.IsNil)
 			if test.released {
-				c.Assert(elect.Release(ctx, rows, epoch), qt.IsNil)
+				c.Assert(elect.Release(ctx, rows, epoch, nil), qt.IsNil)
 			}
 			page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
 			c.Assert(err, qt.IsNil)
@@ -65,7 +65,7 @@
 			}
 			c.Assert(b.Apply(page.Rows, start.Add(test.renewed)), qt.IsNil)
 			if test.restarted {
-				b.Started(test.holder, "2")
+				b.Started(test.holder, "2", start)
 			}
 			now := start.Add(10 * time.Second)
 			_, free := b.Free(part, 0, now)
@@ -102,3 +102,37 @@
 	_, free = book.Free(part, 0, start.Add(6*time.Second))
 	c.Assert(free, qt.IsTrue)
 }
+
+// How long earlier holders may have given orders is known from when they were last heard of, not from when it is asked.
+func TestUntilWhenOrdersMayHaveBeenGiven(t *testing.T) {
+	c := qt.New(t)
+	rows, ctx := fakes.NewRows(), context.Background()
+	start := time.Unix(1_000_000, 0)
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	book := elect.NewBook()
+	apply := func(now time.Time) {
+		page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
+		c.Assert(err, qt.IsNil)
+		c.Assert(book.Apply(page.Rows, now), qt.IsNil)
+	}
+	first, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: "a", Life: "1"})
+	c.Assert(err, qt.IsNil)
+	apply(start)
+	asked := after(time.Minute)
+	c.Assert(book.OrdersUntil(part, asked).Equal(after(elect.Hold)), qt.IsTrue)
+
+	unsure := []elect.Unsure{{Worker: "w", For: 4 * time.Second}}
+	c.Assert(elect.Release(ctx, rows, first, unsure), qt.IsNil)
+	apply(after(20 * time.Second))
+	c.Assert(book.OrdersUntil(part, asked).Equal(after(20*time.Second)), qt.IsTrue)
+	c.Assert(book.Unsure(part)["w"].Equal(after(24*time.Second)), qt.IsTrue)
+
+	released, _ := book.Free(part, 0, asked)
+	_, err = elect.Take(ctx, rows, released, elect.Taker{Name: "b", Life: "1"})
+	c.Assert(err, qt.IsNil)
+	apply(after(21 * time.Second))
+	c.Assert(book.Unsure(part), qt.HasLen, 0)
+	book.Started("b", "1", after(21*time.Second))
+	book.Started("b", "2", after(26*time.Second))
+	c.Assert(book.OrdersUntil(part, asked).Equal(after(26*time.Second)), qt.IsTrue)
+}
--- a/runner/record.go
+++ b/runner/record.go
@@ -44,11 +44,20 @@
 				return fmt.Errorf("record of workers: %w", err)
 			}
 		}
-		r.cell.Expect(ids)
+		r.cell.Expect(ids, r.unsureUntil)
 		return nil
 	}
 }
 
+// unsureUntil returns until when runs of earlier runners may be on a worker that has not been heard of.
+func (r *Runner) unsureUntil(id string) time.Time {
+	until := r.cfg.OthersUntil.Add(r.cfg.Settings.Lease + unknownSlack)
+	if told, ok := r.cfg.Unsure[id]; ok && told.Before(until) {
+		return told
+	}
+	return until
+}
+
 // recordLoop makes durable which workers are used, before anything is started on a new one.
 func (r *Runner) recordLoop(ctx context.Context) error {
 	for clock.Pause(ctx, recordEvery) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,8 +32,10 @@
 	Advisors Advisors
 	Queues   *queues.Book
 	Settings cell.Settings
-	// OthersUntil is until when earlier runners may still give orders.
+	// OthersUntil is until when earlier runners may have given orders; the zero time means until now.
 	OthersUntil time.Time
+	// Unsure are workers that the last runner could not reach when it gave the lease back, and until when runs may be there.
+	Unsure map[string]time.Time
 	// Patience returns how long a call to the table may take that usually gets base.
 	Patience func(base time.Duration) time.Duration
 	// Boot returns the time since the machine started, the time that it was suspended included.
@@ -66,6 +68,9 @@
 
 // New returns a runner of the group whose lease was taken.
 func New(cfg Config) *Runner {
+	if cfg.OthersUntil.IsZero() {
+		cfg.OthersUntil = time.Now()
+	}
 	if cfg.Patience == nil {
 		cfg.Patience = func(base time.Duration) time.Duration { return base }
 	}
@@ -112,11 +117,7 @@
 	if err != nil {
 		return err
 	}
-	others := time.Now()
-	if r.cfg.OthersUntil.After(others) {
-		others = r.cfg.OthersUntil
-	}
-	r.cell.HoldUnknown(others.Add(r.cfg.Settings.Lease + unknownSlack))
+	r.cell.HoldUnknown(r.cfg.OthersUntil.Add(r.cfg.Settings.Lease + unknownSlack))
 	eg, ctx := errgroup.WithContext(ctx)
 	if err := r.loadRecord(ctx); err != nil {
 		return err
@@ -141,6 +142,15 @@
 	return eg.Wait()
 }
 
+// Unsure returns for how long runs may be on workers that this runner can't reach, for the next one; it must not run any more.
+func (r *Runner) Unsure(now time.Time) []elect.Unsure {
+	var list []elect.Unsure
+	for id, left := range r.cell.Unsure(now) {
+		list = append(list, elect.Unsure{Worker: id, For: left})
+	}
+	return list
+}
+
 // unknownSlack covers clocks that are slow and orders on their way at a take-over.
 const unknownSlack = 400 * time.Millisecond
 
@@ -151,7 +161,7 @@
 		r.mu.Lock()
 		listed := r.listed
 		r.mu.Unlock()
-		if listed && r.cell.AllKnown() {
+		if listed && r.cell.AllKnown(time.Now()) {
 			r.cell.HoldUnknown(time.Time{})
 			r.log.Info("all workers have told what runs on them")
 			r.kickPlan()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -78,6 +78,8 @@
 	epoch elect.Epoch
 	start time.Time
 	next  int
+	// unsure is what the last runner told of workers that it could not reach.
+	unsure map[string]time.Time
 }
 
 func newSite(t *testing.T, workers int, size unit.Size) *site {
@@ -110,7 +112,7 @@
 	boot := func() time.Duration { return time.Since(s.start) }
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: s.rows, Workers: s.crew, Registry: s.list, Advisors: &anyone{}, Queues: s.book,
-		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, Boot: boot, Log: log,
+		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, Boot: boot, Log: log, Unsure: s.unsure,
 	})
 	done := make(chan struct{})
 	go func() {
@@ -120,6 +122,15 @@
 	return r, func() {
 		kill()
 		<-done
+		s.unsure = nil
+	}
+}
+
+// told hands over what a runner that has ended knows of workers that it could not reach.
+func (s *site) told(r *runner.Runner) {
+	s.unsure = map[string]time.Time{}
+	for _, u := range r.Unsure(time.Now()) {
+		s.unsure[u.Worker] = time.Now().Add(u.For)
 	}
 }
 
@@ -300,6 +311,33 @@
 }
 
 // What an earlier runner never started need not wait for workers that can't be reached.
+// Pattern: hosts are stopped in turn while a worker is gone. What may run there is over a lease after the last order to it,
+// however often the group changes hands meanwhile.
+func TestTakeOversInARowWaitOnceForAWorkerThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, big)
+		s.crew.Work = steady(time.Hour)
+		r, kill := s.run()
+		s.submit("00000000000000aa", graph.Step{Count: 8, Size: cores(2), Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		s.crew.Cut("w0", true)
+		s.list.workers = s.list.workers[1:]
+		gone := time.Now()
+		for range 3 {
+			time.Sleep(1900 * time.Millisecond)
+			kill()
+			s.told(r)
+			r, kill = s.run()
+		}
+		defer kill()
+		for s.crew.Running("w1") < 8 {
+			s.c.Assert(time.Since(gone) < lease+2*time.Second, qt.IsTrue)
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.sound()
+	})
+}
+
 func TestTakeOverStartsAtOnceWhatWasNeverStarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2, big)
