--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -108,7 +108,7 @@
 	c := qt.New(t)
 	rows, ctx := fakes.NewRows(), context.Background()
 	start := time.Unix(1_000_000, 0)
-	after := func(d time.Duration) time.Time { return start.Add(d) }
+	after := start.Add
 	book := elect.NewBook()
 	apply := func(now time.Time) {
 		page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -25,7 +25,9 @@
 // chaos is a site to which things happen at random.
 type chaos struct {
 	*site
-	rng  *rand.Rand
+	rng *rand.Rand
+	// hand decides, apart from rng, whether a runner that ends tells the next one what it could not reach.
+	hand *rand.Rand
 	run  *runner.Runner
 	kill func()
 	cut  map[string]bool
@@ -38,7 +40,7 @@
 	for _, seed := range chaosSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &chaos{site: newSite(t, 5, big), rng: rand.New(rand.NewPCG(seed, 0)), cut: map[string]bool{}}
+				s := &chaos{site: newSite(t, 5, big), rng: rand.New(rand.NewPCG(seed, 0)), hand: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{}}
 				s.crew.Work = s.work
 				s.run, s.kill = s.site.run()
 				for range 60 {
@@ -129,6 +131,9 @@
 // replace kills the runner and starts the next one; the taking of the lease itself is served.
 func (s *chaos) replace() {
 	s.kill()
+	if s.hand.IntN(2) == 0 {
+		s.told(s.run)
+	}
 	s.rows.Fail(nil)
 	s.run, s.kill = s.site.run()
 }
