Acknowledge ends only to the life that told them

Now the clock in each answer tells lives apart between reports: one that is behind what it had surely reached casts doubt on the life, and nothing is acknowledged until a report has told, nor while a start is on its way; what is acknowledged is decided when the look is sent.

--- a/cell/ends_test.go
+++ b/cell/ends_test.go
@@ -42,3 +42,36 @@
 		})
 	}
 }
+
+// Pattern: a worker crashes and is back under its id before anybody notices. Starts that were meant for its old life have
+// been carried out by the new one, and an acknowledgement would make it forget their ends.
+func TestEndsAreNotAcknowledgedToALifeInDoubt(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		start func(w *world, o cell.StartOrder)
+		acked uint64
+	}{
+		{"answered by the same life", func(w *world, o cell.StartOrder) {
+			w.cell.Started(o, cell.StartResult{Sent: w.now, Clock: 2 * time.Minute}, w.now)
+		}, 1},
+		{"answered by a clock that went back", func(w *world, o cell.StartOrder) {
+			w.cell.Started(o, cell.StartResult{Sent: w.now, Clock: 300 * time.Millisecond}, w.now)
+		}, 0},
+		{"not answered yet", func(*world, cell.StartOrder) {}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, 4)
+			w.add(short("first", 1))
+			for _, o := range w.plan().Starts {
+				w.finish("w0", o.Order.Task, order.EndDone)
+			}
+			w.pass(time.Second)
+			w.cell.Committed(w.cell.Collect(10), 2, w.now)
+			w.add(short("second", 1))
+			for _, o := range w.cell.Plan(w.cfg, desks{}, w.now).Starts {
+				test.start(w, o)
+			}
+			w.c.Assert(w.cell.Next("w0", w.now).Order.Acked, qt.Equals, test.acked)
+		})
+	}
+}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -483,7 +483,7 @@
 	}
 	p.sent = res.Sent
 	if res.Err == nil {
-		w.heard(res.Clock, now)
+		w.heard(res.Clock, res.Sent, now)
 		c.heardOf(w, now)
 		if p.confirmed.IsZero() {
 			p.confirmed = now
@@ -525,7 +525,7 @@
 	if w.placed[runKey{p.task.id, p.run}] != p || (err != nil && !errors.As(err, &rejected)) {
 		return
 	}
-	w.heard(clock, now)
+	w.heard(clock, p.stopSent, now)
 	c.heardOf(w, now)
 	p.stopped = true
 	if p.confirmed.IsZero() {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -27,6 +27,8 @@
 	idlePause = 5 * time.Second
 	// unackedPause is how long a worker is left alone while an end that it told is made durable.
 	unackedPause = 500 * time.Millisecond
+	// ackPause spaces looks that may not acknowledge yet, since the worker tells its ends again at once.
+	ackPause = 30 * time.Millisecond
 	// confirmAfter is how old a confirmed start must be before its absence from a report means that the run is gone.
 	confirmAfter = 300 * time.Millisecond
 )
@@ -75,6 +77,8 @@
 	ackSent  uint64
 	clock    time.Duration
 	clockAt  time.Time
+	// lifeInDoubt says that an answer may have come from another life; the next report tells.
+	lifeInDoubt bool
 	// known says that this life was looked at under this scheduler's token.
 	known    bool
 	renewed  time.Time
@@ -119,10 +123,30 @@
 	return w.clock + passed - time.Duration(clockDrift*float64(passed))
 }
 
-func (w *worker) heard(clock time.Duration, now time.Time) {
-	if clock > 0 {
-		w.clock, w.clockAt = clock, now
+// heard takes the worker's clock from an answer; one that is behind what it had surely reached when the order was sent is that
+// of a new life.
+func (w *worker) heard(clock time.Duration, sent, now time.Time) {
+	if clock <= 0 {
+		return
+	}
+	if !w.clockAt.IsZero() && clock < w.clockNow(sent).Truncate(time.Millisecond) {
+		w.lifeInDoubt = true
+	}
+	w.clock, w.clockAt = clock, now
+}
+
+// mayAck reports whether an acknowledgement surely reaches the life that told the ends: a new life may have carried out what
+// was sent since the last report, and would forget ends that nobody has seen.
+func (w *worker) mayAck() bool {
+	if w.misses > 0 || w.lifeInDoubt {
+		return false
+	}
+	for _, p := range w.placed {
+		if p.confirmed.IsZero() {
+			return false
+		}
 	}
+	return true
 }
 
 // SetWorkers replaces the list of the registry.
@@ -208,7 +232,7 @@
 	}
 	w.info.Born = born
 	w.seen, w.acked, w.ackSent, w.known = 0, 0, 0, false
-	w.clock, w.clockAt = 0, time.Time{}
+	w.clock, w.clockAt, w.lifeInDoubt = 0, time.Time{}, false
 	w.renewed, w.rebornAt = time.Time{}, now
 	w.misses = 0
 	clear(w.foreign)
@@ -267,12 +291,16 @@
 		n.Needed, n.Idle = false, unackedPause
 	}
 	n.Order = order.Look{Token: c.token}
-	if w.misses == 0 && w.acked > w.ackSent {
-		// Sent once, and never after a silence: a new life under the same id would forget ends that nobody has seen.
-		n.Order.Acked = w.acked
+	if w.acked > w.ackSent {
+		// Sent once, and never after a silence or while a start is on its way.
+		if w.mayAck() {
+			n.Order.Acked = w.acked
+		} else {
+			n.Pause = ackPause
+		}
 	}
 	if w.misses > 0 {
-		n.Pause = missPause
+		n.Pause = max(n.Pause, missPause)
 	}
 	if !w.known {
 		n.First = true
@@ -394,8 +422,8 @@
 	if w.misses >= missesUntilSuspect {
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.missed).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
-	w.heard(rep.Clock, now)
-	w.misses = 0
+	w.heard(rep.Clock, sent, now)
+	w.misses, w.lifeInDoubt = 0, false
 	c.heardOf(w, now)
 	w.ackSent = max(w.ackSent, acked)
 	if len(rep.Ended) > 0 && rep.Ended[0].Number <= w.acked && acked == 0 {
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -20,6 +20,9 @@
 	1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24,
 	// A start that was sent to an old life was carried out by the new one, and its run was taken for lost.
 	270, 302, 336,
+	// An acknowledgement reached a new life that had already carried out and ended starts sent since the last report; in
+	// 3495 it was decided on before a pause.
+	3231, 3495,
 }
 
 // chaos is a site to which things happen at random.
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -82,6 +82,7 @@
 
 // look keeps the leases of a worker and takes its reports until it is gone.
 func (r *Runner) look(ctx context.Context, id string) {
+	paused := false
 	for ctx.Err() == nil {
 		if !r.holds() {
 			clock.Pause(ctx, idleCheck)
@@ -97,9 +98,12 @@
 			wait(ctx, next.Wake, next.Idle)
 			continue
 		}
-		if next.Pause > 0 {
-			clock.Pause(ctx, next.Pause)
+		if next.Pause > 0 && !paused {
+			// What may be acknowledged is decided when the look is sent.
+			paused = clock.Pause(ctx, next.Pause)
+			continue
 		}
+		paused = false
 		r.lookOnce(ctx, id, next)
 	}
 }
