--- a/agent/groups.go
+++ b/agent/groups.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/clock"
@@ -35,6 +37,14 @@
 	// Hosts that come late in the order of every group need not notice a silent holder before the others have.
 	soonPause = 200 * time.Millisecond
 	latePause = 800 * time.Millisecond
+	// holdsTime bounds the question to a silent holder, and heardFor is how long its answer counts. One that is not seen to
+	// renew for trustHolder is replaced whatever it answers.
+	holdsTime   = 200 * time.Millisecond
+	heardFor    = 500 * time.Millisecond
+	trustHolder = 6 * time.Second
+	// gcRunning lets the heap of a host that runs a group grow further before it is collected: at a crest the collector would
+	// take a tenth of its processor.
+	gcRunning = 120
 	// strongerBy is how many times the processor time of another host makes a host clearly stronger.
 	strongerBy = 1.5
 	// strongCores is the processor time from which a host that has just started need not wait to hear of stronger ones.
@@ -53,11 +63,15 @@
 
 	mu      sync.Mutex
 	running map[string]*runner.Runner
+	// heard is when the silent holder of a group last said that it runs it; only the campaign uses it.
+	heard   map[string]time.Time
 	wg      sync.WaitGroup
 	leaving bool
 }
 
-func newGroups(a *Agent) *groups { return &groups{a: a, running: map[string]*runner.Runner{}} }
+func newGroups(a *Agent) *groups {
+	return &groups{a: a, running: map[string]*runner.Runner{}, heard: map[string]time.Time{}}
+}
 
 func (g *groups) local(service string) *runner.Runner {
 	g.mu.Lock()
@@ -98,6 +112,9 @@
 	if !free {
 		return
 	}
+	if g.holderLives(ctx, old) {
+		return
+	}
 	others, unsure := g.a.leases.OrdersUntil(service, time.Now()), g.a.leases.Unsure(service)
 	sent := clock.Boot()
 	epoch, err := elect.Take(ctx, g.a.store, old, elect.Taker{
@@ -156,6 +173,32 @@
 	return before, stronger
 }
 
+// holderLives asks the holder of a lease that seems free whether it still runs the group: where only a part of the table is
+// away, nobody sees its renewals, and nobody else could run the group either.
+func (g *groups) holderLives(ctx context.Context, old elect.Epoch) bool {
+	silent, ok := g.a.leases.Silent(old.Part, time.Now())
+	if !ok || silent > trustHolder || old.Holder == g.a.settings.Name {
+		return false
+	}
+	if last := g.heard[old.Part]; time.Since(last) < heardFor {
+		return true
+	}
+	conn, err := g.a.hosts.conn(old.Address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdsTime)
+	defer cancel()
+	reply, err := cellpb.NewCellsClient(conn).Holds(ctx, &cellpb.HoldsRequest{Service: old.Part, Token: old.Token})
+	if err != nil || !reply.GetHolds() {
+		return false
+	}
+	g.heard[old.Part] = time.Now()
+	g.a.log.WithFields(logrus.Fields{"group": old.Part, "holder": old.Holder, "silent": silent.Round(time.Millisecond).String()}).
+		Info("holder of a group that is not seen to renew its lease still runs it")
+	return true
+}
+
 // rankFor orders hosts by a hash, another way for each name that they are ordered for.
 func rankFor(name, host string) uint64 { return xxhash.Sum64String(name + "/" + host) }
 
@@ -169,6 +212,7 @@
 	})
 	g.mu.Lock()
 	g.running[epoch.Part] = r
+	debug.SetGCPercent(gcRunning)
 	g.mu.Unlock()
 	g.wg.Add(1)
 	go func() {
@@ -176,6 +220,9 @@
 		err := r.Run(ctx, sent)
 		g.mu.Lock()
 		delete(g.running, epoch.Part)
+		if len(g.running) == 0 {
+			debug.SetGCPercent(gcPercent)
+		}
 		g.mu.Unlock()
 		var lost *elect.LostError
 		if errors.As(err, &lost) {
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -34,6 +34,14 @@
 	return &cellpb.PendingReply{Known: true, Jobs: int64(run.Cell().Pending(r.GetQueue()))}, nil
 }
 
+// Holds implements cellpb.CellsServer.
+func (p *peerServer) Holds(_ context.Context, r *cellpb.HoldsRequest) (*cellpb.HoldsReply, error) {
+	run := p.a.groups.local(r.GetService())
+	return &cellpb.HoldsReply{
+		Holds: run != nil && run.Cell().Token() == r.GetToken() && !p.a.leaving.Load(),
+	}, nil
+}
+
 // Advise implements cellpb.CellsServer.
 func (p *peerServer) Advise(ctx context.Context, r *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
 	permits, validity, err := p.a.advisor.Advise(ctx, stepOf(r), r.GetWorkers())
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -173,6 +173,17 @@
 	return s.epoch, silent >= Takeover+patience && now.Sub(b.since) >= Takeover+patience
 }
 
+// Silent returns for how long a holder that may live has not been seen to renew a lease.
+func (b *Book) Silent(part string, now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.parts[part]
+	if s.epoch.Holder == "" || b.ended(s.epoch) {
+		return 0, false
+	}
+	return now.Sub(s.changed), true
+}
+
 // OrdersUntil returns until when earlier holders of a lease may have given orders, which may have passed.
 func (b *Book) OrdersUntil(part string, now time.Time) time.Time {
 	b.mu.Lock()
