--- a/cell/record.go
+++ b/cell/record.go
@@ -15,18 +15,20 @@
 	}
 }
 
-// AllKnown reports whether every worker that an earlier scheduler used has been looked at under this scheduler's token, or
-// surely runs nothing of it any more; nothing was started on workers that are not on record.
-func (c *Cell) AllKnown(now time.Time) bool {
+// Unknown returns the workers that an earlier scheduler used, that have not been looked at under this scheduler's token, and
+// that may still run something of it; nothing was started on workers that are not on record.
+func (c *Cell) Unknown(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var ids []string
 	for id, until := range c.expected {
 		w, ok := c.workers[id]
 		if (!ok || !w.known) && now.Before(until) {
-			return false
+			ids = append(ids, id)
 		}
 	}
-	return true
+	slices.Sort(ids)
+	return ids
 }
 
 // Unsure returns for how long runs may still be on workers that can't be reached, counted from now.
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -82,6 +82,8 @@
 	// taken is when the epoch was first seen, and held when the last one with a holder was.
 	taken time.Time
 	held  time.Time
+	// beat is the last renewal.
+	beat table.Row
 }
 
 // Book knows the holders of all leases.
@@ -133,15 +135,27 @@
 				s.held = now
 			}
 		case r.Name == rowBeat:
-			s.changed = now
+			s.changed, s.beat = now, r
 		default:
 			continue
 		}
+		s.corrected(now)
 		b.parts[r.Part] = s
 	}
 	return bad
 }
 
+// corrected sets since when a lease is held by what its holder has written, if that is earlier than it was seen.
+func (s *seen) corrected(now time.Time) {
+	if s.beat.Version <= s.epoch.Version || s.epoch.Holder == "" {
+		return
+	}
+	var b beat
+	if err := json.Unmarshal(s.beat.Value, &b); err == nil && now.Add(-b.Held).Before(s.held) {
+		s.held = now.Add(-b.Held)
+	}
+}
+
 // Started notes the newest process of a host; leases of earlier ones are free.
 func (b *Book) Started(host, name string, now time.Time) {
 	b.mu.Lock()
@@ -261,18 +275,26 @@
 	})
 }
 
-// BeatWrite returns the write that shows others that a lease is renewed.
-func BeatWrite(part string) table.Write {
-	return table.Write{Key: table.Key{Table: Table, Part: part, Name: rowBeat}, Value: []byte("1")}
+// beat is a renewal of a lease.
+type beat struct {
+	// Held is how long the holder had the lease when it renewed it, for hosts that have not seen it being taken.
+	Held time.Duration `json:"held"`
+}
+
+// BeatWrite returns the write that shows others that a lease is renewed, which its holder has held for so long.
+func BeatWrite(part string, held time.Duration) table.Write {
+	return table.Write{
+		Key: table.Key{Table: Table, Part: part, Name: rowBeat}, Value: fmt.Appendf(nil, `{"held":%d}`, held),
+	}
 }
 
-// Beat renews a lease; *LostError means that it is held by another.
-func Beat(ctx context.Context, s table.Store, e Epoch) error {
+// Beat renews a lease that has been held for so long; *LostError means that it is held by another.
+func Beat(ctx context.Context, s table.Store, e Epoch, held time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	_, err := s.Commit(ctx, table.Tx{
 		Checks: []table.Check{e.Check()},
-		Writes: []table.Write{BeatWrite(e.Part)},
+		Writes: []table.Write{BeatWrite(e.Part, held)},
 	})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -28,8 +28,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(second.Token, qt.Equals, uint64(2))
 	var lost *elect.LostError
-	c.Assert(errors.As(elect.Beat(ctx, rows, first), &lost), qt.IsTrue)
-	c.Assert(elect.Beat(ctx, rows, second), qt.IsNil)
+	c.Assert(errors.As(elect.Beat(ctx, rows, first, 0), &lost), qt.IsTrue)
+	c.Assert(elect.Beat(ctx, rows, second, 0), qt.IsNil)
 }
 
 func TestWhenALeaseIsFree(t *testing.T) {
@@ -136,3 +136,23 @@
 	book.Started("b", "2", after(26*time.Second))
 	c.Assert(book.OrdersUntil(part, asked).Equal(after(26*time.Second)), qt.IsTrue)
 }
+
+// Pattern: all hosts lose power. Those that start anew have not seen when the last holder took the lease, but it has told.
+func TestAHostThatStartsAnewKnowsHowLongALeaseWasHeld(t *testing.T) {
+	c := qt.New(t)
+	rows, ctx := fakes.NewRows(), context.Background()
+	start := time.Unix(1_000_000, 0)
+	epoch, err := elect.Take(ctx, rows, elect.Epoch{Part: part}, elect.Taker{Name: "a", Life: "1"})
+	c.Assert(err, qt.IsNil)
+	for _, held := range []time.Duration{0, time.Minute} {
+		c.Assert(elect.Beat(ctx, rows, epoch, held), qt.IsNil)
+		page, err := rows.Read(ctx, table.Range{Table: elect.Table, Part: part})
+		c.Assert(err, qt.IsNil)
+		book := elect.NewBook()
+		c.Assert(book.Apply(page.Rows, start), qt.IsNil)
+		book.Started("a", "2", start)
+		// Of the holder before the last, orders may come for so long after the last took the lease.
+		want := max(0, elect.Hold-elect.Takeover-held)
+		c.Assert(book.OrdersUntil(part, start).Equal(start.Add(want)), qt.IsTrue)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,6 +52,8 @@
 	log  logrus.FieldLogger
 	// holdUntil is until when orders may be given, on the clock that also counts suspended time.
 	holdUntil atomic.Int64
+	// taken is when the taking of the lease was sent.
+	taken atomic.Int64
 	// beating is when the last commit was sent that renews the lease if it takes effect.
 	beating atomic.Int64
 	// beaten is when the last renewal was sent that others could see.
@@ -100,6 +102,7 @@
 	r.cancel = cancel
 	r.holdUntil.Store(int64(taken + elect.Hold))
 	r.beaten.Store(int64(taken))
+	r.taken.Store(int64(taken))
 	r.log.Info("group taken over")
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return r.beat(ctx) })
@@ -191,17 +194,32 @@
 
 // settleUnknown releases tasks of earlier jobs as soon as every worker has told what runs on it.
 func (r *Runner) settleUnknown(ctx context.Context) {
-	const every = 20 * time.Millisecond
+	const (
+		every = 20 * time.Millisecond
+		// sayAfter is after how long it is logged which workers are waited for, and sayMost how many of them are named.
+		sayAfter = time.Second
+		sayMost  = 5
+	)
+	begun, said := time.Now(), false
 	for clock.Pause(ctx, every) {
 		r.mu.Lock()
 		listed := r.listed
 		r.mu.Unlock()
-		if listed && r.cell.AllKnown(time.Now()) {
+		if !listed {
+			continue
+		}
+		unknown := r.cell.Unknown(time.Now())
+		if len(unknown) == 0 {
 			r.cell.HoldUnknown(time.Time{})
 			r.log.Info("all workers have told what runs on them")
 			r.kickPlan()
 			return
 		}
+		if !said && time.Since(begun) > sayAfter {
+			said = true
+			r.log.WithFields(logrus.Fields{"workers": len(unknown), "some": unknown[:min(sayMost, len(unknown))]}).
+				Warn("jobs wait for workers that may still run their tasks")
+		}
 	}
 }
 
@@ -213,11 +231,14 @@
 	if r.cfg.Boot()-time.Duration(r.beaten.Load()) < elect.BeatEvery/2 {
 		return false
 	}
-	tx.Writes = append(tx.Writes, elect.BeatWrite(r.cfg.Epoch.Part))
+	tx.Writes = append(tx.Writes, elect.BeatWrite(r.cfg.Epoch.Part, r.held()))
 	r.beating.Store(int64(r.cfg.Boot()))
 	return true
 }
 
+// held returns for how long the lease has been held.
+func (r *Runner) held() time.Duration { return r.cfg.Boot() - time.Duration(r.taken.Load()) }
+
 // renewed notes a renewal, or another write that proved the lease.
 func (r *Runner) renewed(sent time.Duration, beats bool) {
 	if !r.holds() {
@@ -238,7 +259,7 @@
 			continue
 		}
 		sent := r.cfg.Boot()
-		err := elect.Beat(ctx, r.cfg.Store, r.cfg.Epoch)
+		err := elect.Beat(ctx, r.cfg.Store, r.cfg.Epoch, r.held())
 		if lost, ok := asLost(err); ok {
 			r.cancel(lost)
 			return lost
