--- a/agent/groups.go
+++ b/agent/groups.go
@@ -231,7 +231,7 @@
 		err := r.Run(ctx, sent)
 		g.mu.Lock()
 		delete(g.running, epoch.Part)
-		if h, ok := r.Cell().Left(); ok {
+		if h, ok := r.Cell().Left(time.Now()); ok {
 			g.left[epoch.Part] = leftBy{epoch.Token, h}
 		}
 		if len(g.running) == 0 {
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -69,7 +69,7 @@
 	}
 	for i := range h.Runs {
 		r := &h.Runs[i]
-		reply.Runs = append(reply.Runs, &cellpb.LeftRun{Task: r.Task.String(), Run: int64(r.Run), Worker: r.Worker, Stop: r.Stop})
+		reply.Runs = append(reply.Runs, &cellpb.LeftRun{Task: r.Task.String(), Run: int64(r.Run), Worker: r.Worker, Stop: r.Stop, AgeNanos: int64(r.Age)})
 	}
 	return reply
 }
@@ -92,7 +92,7 @@
 		if err != nil {
 			return h, err
 		}
-		h.Runs = append(h.Runs, cell.LeftRun{Task: task, Run: int(r.GetRun()), Worker: r.GetWorker(), Stop: r.GetStop()})
+		h.Runs = append(h.Runs, cell.LeftRun{Task: task, Run: int(r.GetRun()), Worker: r.GetWorker(), Stop: r.GetStop(), Age: time.Duration(r.GetAgeNanos())})
 	}
 	return h, nil
 }
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -23,7 +23,7 @@
 			Capacity: unit.Size{CPUMilli: 16000, MemoryMiB: 32000, Accelerators: 8}, Born: time.UnixMilli(7000),
 		}},
 		Runs: []cell.LeftRun{
-			{Task: graph.TaskID{StepID: graph.StepID{Job: "0a", Occurrence: 1, Step: 2}, Index: 3}, Run: 1001, Worker: "w", Stop: true},
+			{Task: graph.TaskID{StepID: graph.StepID{Job: "0a", Occurrence: 1, Step: 2}, Index: 3}, Run: 1001, Worker: "w", Stop: true, Age: time.Second},
 		},
 	}
 	got, err := handoverOf(handoverToProto(h, true))
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -56,6 +56,8 @@
 	repace map[*placement]struct{}
 	// unknownUntil is when a task that an earlier scheduler may have started is surely over everywhere.
 	unknownUntil time.Time
+	// settled says that it is known what runs on all workers; a scheduler that ends before can't vouch for what it leaves.
+	settled bool
 	// expected are the workers that an earlier scheduler used, with when what it started there is surely over, and recorded
 	// those on durable record.
 	expected map[string]time.Time
@@ -100,11 +102,12 @@
 // Token returns the fencing token of all orders.
 func (c *Cell) Token() uint64 { return c.token }
 
-// HoldUnknown keeps tasks of earlier jobs from being started until t, unless they are found.
+// HoldUnknown keeps tasks of earlier jobs from being started until t, unless they are found; the zero time says that it is
+// known what runs.
 func (c *Cell) HoldUnknown(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unknownUntil = t
+	c.unknownUntil, c.settled = t, t.IsZero()
 }
 
 // State returns where a job stands; known is false for a job that is not held here.
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -85,7 +85,7 @@
 	if s.doc.Lasting {
 		return
 	}
-	if p.saved == "" && p.percent == 100 && !p.confirmed.IsZero() && p.task.run == p.run {
+	if !p.adopted && p.saved == "" && p.percent == 100 && !p.confirmed.IsZero() && p.task.run == p.run {
 		c.learned.observe(s.job.doc.Queue, s.doc, now.Sub(p.sent))
 		c.paceOf(p, now)
 	}
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -16,6 +16,8 @@
 	Worker string
 	// Stop says that the run is not wanted, or that its start was never answered.
 	Stop bool
+	// Age is how long ago the last order was sent that renewed the lease on its worker.
+	Age time.Duration
 }
 
 // Handover is what a scheduler leaves to the next one: all runs that are on workers, or may be.
@@ -24,11 +26,12 @@
 	Runs    []LeftRun
 }
 
-// Left returns what this scheduler leaves; false if ends that it has seen are not durable, which the next one would not know.
-func (c *Cell) Left() (Handover, bool) {
+// Left returns what this scheduler leaves; false if it never knew all that runs, or if ends that it has seen are not durable,
+// which the next one would not know.
+func (c *Cell) Left(now time.Time) (Handover, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.dirty) > 0 || time.Now().Before(c.unknownUntil) {
+	if len(c.dirty) > 0 || !c.settled {
 		return Handover{}, false
 	}
 	var h Handover
@@ -40,7 +43,9 @@
 			h.Workers = append(h.Workers, w.info)
 		}
 		for key, p := range w.placed {
-			h.Runs = append(h.Runs, LeftRun{key.task, key.run, id, p.unwanted || p.confirmed.IsZero()})
+			h.Runs = append(h.Runs, LeftRun{
+				key.task, key.run, id, p.unwanted || p.confirmed.IsZero(), now.Sub(w.lastOrder()),
+			})
 		}
 	}
 	return h, true
@@ -61,7 +66,7 @@
 		c.takeRun(&h.Runs[i], now)
 	}
 	clear(c.expected)
-	c.unknownUntil = time.Time{}
+	c.unknownUntil, c.settled = time.Time{}, true
 	c.log.WithFields(logrus.Fields{"runs": len(h.Runs), "workers": len(h.Workers)}).Info("runs handed over")
 }
 
@@ -75,7 +80,8 @@
 	if t == nil {
 		return
 	}
-	p := c.place(t, w, left.Run, now)
+	p := c.place(t, w, left.Run, now.Add(-left.Age))
+	p.adopted = true
 	if !left.Stop {
 		p.confirmed = now
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -48,14 +48,16 @@
 	sent time.Time
 	// confirmed is when the worker answered for the run; zero while it may or may not have arrived.
 	confirmed time.Time
-	unwanted  bool
-	stopSent  time.Time
-	stopped   bool
-	saved     string
-	savedAt   time.Time
-	percent   int
-	paced     int
-	gauge     float64
+	// adopted says that an earlier scheduler started the run, at a time that is not known here.
+	adopted  bool
+	unwanted bool
+	stopSent time.Time
+	stopped  bool
+	saved    string
+	savedAt  time.Time
+	percent  int
+	paced    int
+	gauge    float64
 	// zeroSince is since when the run's pace is 0.
 	zeroSince time.Time
 	// stillSince is since when the run has used no processor.
@@ -497,7 +499,7 @@
 		c.log.WithFields(logrus.Fields{fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID}).Warn("older run found")
 	}
 	p := c.place(t, w, r.Run, now)
-	p.confirmed = now
+	p.confirmed, p.adopted = now, true
 	if t.done || j.state.Over() || len(t.placed) > 1 {
 		c.unwant(p)
 	}
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -25,6 +25,8 @@
 	3231, 3495,
 	// A worker that was handed over, and had started anew before, was not taken for listed.
 	1480,
+	// A runner that was replaced before it knew anything handed over that nothing runs.
+	5046,
 }
 
 // chaos is a site to which things happen at random.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -136,7 +136,7 @@
 
 // handsOver lets the next runner know what one that has ended left, if it can vouch for that.
 func (s *site) handsOver(r *runner.Runner) bool {
-	left, ok := r.Cell().Left()
+	left, ok := r.Cell().Left(time.Now())
 	if ok {
 		s.handed = &left
 	}
