Count requests whose bodies are still on their way when a host stops

Cause of the red test TestRollingReplacementCutsNothing, traced: (1) a host that stops ends when no request has arrived for its delay, but the library hands a request over only when its body is whole. Beside load a caller's body of 4 MiB was on its way for 0.89 s (picked 46 ms after the signal), and met the end of the host (EOF). (2) the test chose a host first and then made the body, up to half a second beside load, and found the host gone (connection refused); its balancer noticed within 0.66 s at most. Now connections that have received bytes since their last answer count as in flight, by the kernel's times; answers of a host that is stopping close their connections; the test makes the body before it chooses a host. Its checks are unchanged, and it tells how late the balancer was.

--- a/front/server.go
+++ b/front/server.go
@@ -79,6 +79,7 @@
 	cfg      Config
 	engine   *nbhttp.Engine
 	inFlight atomic.Int64
+	conns    *conns
 	// arrived is when work last arrived, in nanoseconds of the Unix epoch.
 	arrived  atomic.Int64
 	unready  atomic.Bool
@@ -88,7 +89,7 @@
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, conns: newConns()}
 	s.handler = s.routes()
 	return s
 }
@@ -123,7 +124,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if s.unready.Load() {
+		// The library then closes the connection after the answer, so that no later request meets its end.
+		r.Close = true
+	}
 	s.handler.ServeHTTP(w, r)
+	s.conns.answered(r.RemoteAddr)
 }
 
 // Start listens.
@@ -145,6 +151,8 @@
 		config.AddrsTLS, config.TLSConfig = addr, tlsConfig
 	}
 	s.engine = nbhttp.NewEngine(config)
+	s.engine.OnOpen(s.conns.opened)
+	s.engine.OnClose(s.conns.closed)
 	return s.engine.Start()
 }
 
@@ -175,6 +183,9 @@
 // InFlight returns the number of requests that have no whole answer yet.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Unfinished returns the number of connections with a request that is not whole yet, or that has no answer.
+func (s *Server) Unfinished() int { return s.conns.unfinished() }
+
 // Stop closes the listener and the connections; the caller has waited for InFlight to reach 0.
 func (s *Server) Stop(ctx context.Context) {
 	const flush = 100 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -277,7 +277,9 @@
 }
 
 // idle reports whether every request that arrived has its answer.
-func (n *Node) idle() bool { return n.front.InFlight() == 0 && n.pool.Unanswered() == 0 }
+func (n *Node) idle() bool {
+	return n.front.InFlight() == 0 && n.pool.Unanswered() == 0 && n.front.Unfinished() == 0
+}
 
 // stopPeers lets calls from peers end, and cuts them when ctx is done.
 func stopPeers(ctx context.Context, s *grpc.Server) {
--- a/test/change_test.go
+++ b/test/change_test.go
@@ -74,9 +74,12 @@
 	next  atomic.Uint64
 	mu    sync.Mutex
 	ready []*host
+	// slowest is the longest time that it took to notice a change.
+	slowest time.Duration
 }
 
 func (l *balancer) watch(stop <-chan struct{}) {
+	last := time.Now()
 	for {
 		var ready []*host
 		for _, h := range l.cl.hosts {
@@ -87,7 +90,9 @@
 		}
 		l.mu.Lock()
 		l.ready = ready
+		l.slowest = max(l.slowest, time.Since(last))
 		l.mu.Unlock()
+		last = time.Now()
 		select {
 		case <-stop:
 			return
@@ -114,6 +119,7 @@
 	go l.watch(stopWatch)
 	defer close(stopWatch)
 	var b book
+	var signalled atomic.Int64
 	stop := make(chan struct{})
 	wg := cl.load(&b, 12, stop, func(caller, i int) record {
 		rng := rand.New(rand.NewPCG(42, uint64(caller)<<32|uint64(i)))
@@ -126,9 +132,17 @@
 		case caller%3 == 0:
 			work, key = "grant", fmt.Sprintf("k-%d-%d", caller, i)
 		}
-		return cl.send(context.Background(), l.pick(), work, key, params, uniqueBody(rng, size))
+		body := uniqueBody(rng, size)
+		picked := time.Now()
+		h := l.pick()
+		r := cl.send(context.Background(), h, work, key, params, body)
+		if r.err != nil {
+			t.Logf("caller %d: %s picked %s before its error, %s after its signal", caller, h.name, time.Since(picked), time.Since(time.Unix(0, signalled.Load())))
+		}
+		return r
 	})
 	for _, h := range cl.hosts {
+		signalled.Store(time.Now().UnixNano())
 		h.signal(syscall.SIGTERM)
 		<-h.done
 		cl.c.Check(h.cmd.ProcessState.ExitCode(), qt.Equals, 0, qt.Commentf("%s: %s", h.name, tail(h.log.String())))
@@ -139,7 +153,9 @@
 	close(stop)
 	wg.Wait()
 	records := b.all()
-	t.Log(summary(records))
+	l.mu.Lock()
+	t.Logf("%s; the balancer took %s at most to notice a change", summary(records), l.slowest)
+	l.mu.Unlock()
 	for _, r := range records {
 		cl.c.Check(r.answered(), qt.IsTrue, qt.Commentf("%s via %s: %d %s %v", r.work, r.host, r.status, r.answer, r.err))
 	}
