--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -129,7 +129,17 @@
 	return j.doc.Accepted
 }
 
-// Add takes an accepted job, with its durable progress if there is any; a job that is known is left as it is.
+// AddOver takes a job that is over by its durable progress.
+func (c *Cell) AddOver(id string, progress *graph.Progress, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.jobs[id]
+	if _, over := c.over[id]; !known && !over {
+		c.over[id] = finished{progress.State, progress.Queue, now}
+	}
+}
+
+// Add takes an accepted job that is not over, with its durable progress if there is any; a job that is known is left as it is.
 func (c *Cell) Add(doc *graph.Job, progress *graph.Progress, version uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,10 +149,6 @@
 	if _, ok := c.jobs[doc.ID]; ok {
 		return
 	}
-	if progress != nil && progress.State.Over() {
-		c.over[doc.ID] = finished{progress.State, progress.Queue, now}
-		return
-	}
 	j := &job{doc: doc, state: graph.Queued, version: version, recorded: progress != nil, lasts: doc.Lasts()}
 	c.jobs[doc.ID] = j
 	c.build(j)
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -113,12 +113,17 @@
 				defer r.cell.Cancel(id, now)
 				continue
 			}
+			saved := runs[row.Name]
+			if saved.progress != nil && saved.progress.State.Over() {
+				// Most rows at a take-over are of jobs that are over, whose work need not be read.
+				r.cell.AddOver(row.Name, saved.progress, now)
+				continue
+			}
 			doc, err := graph.DecodeJob(row.Value)
 			if err != nil {
 				r.log.WithError(err).WithField("job", row.Name).Error("job is unreadable")
 				continue
 			}
-			saved := runs[row.Name]
 			r.cell.Add(doc, saved.progress, saved.version, now)
 		}
 		r.kickPlan()
