--- a/cell/cell.go
+++ b/cell/cell.go
@@ -48,6 +48,8 @@
 	open map[graph.StepID]*step
 	// copyable holds the steps with runs of which copies may be made.
 	copyable map[graph.StepID]*step
+	// copiesAt is when tasks to copy are looked for again.
+	copiesAt time.Time
 	// centers are the data centres of the workers.
 	centers map[string]*center
 	// unwanted holds the runs to be stopped.
--- a/cell/copies.go
+++ b/cell/copies.go
@@ -8,9 +8,21 @@
 	"github.com/corianderdrift/corianderdrift/queues"
 )
 
+// copiesEvery spaces the looks for tasks to copy, each of which goes over all runs of steps that allow copies.
+const copiesEvery = 50 * time.Millisecond
+
 // planCopies starts second runs of tasks that allow it, where the first is on a worker that is silent, or takes much longer
 // than the others of its step; the first to be done counts.
 func (c *Cell) planCopies(plan *Plan, cfg *queues.Config, now time.Time) {
+	if len(c.copyable) == 0 {
+		return
+	}
+	if now.Before(c.copiesAt) {
+		plan.again(c.copiesAt)
+		return
+	}
+	c.copiesAt = now.Add(copiesEvery)
+	plan.again(c.copiesAt)
 	for _, id := range c.copied() {
 		s := c.copyable[id]
 		if s.left == 0 || s.job.state.Over() {
@@ -37,12 +49,18 @@
 
 func (c *Cell) planCopiesOf(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
 	missing := 0
+	median, enough := s.median()
 	for _, t := range s.tasks {
-		if t.done || len(t.placed) != 1 || !c.lags(t.placed[0], now) {
+		if t.done || len(t.placed) != 1 {
+			continue
+		}
+		first := t.placed[0]
+		late := enough && float64(now.Sub(first.sent)) > slowFactor*float64(median)
+		if !late && !first.unwanted && !c.silent(first.w) {
 			continue
 		}
 		w, ticket := c.best(s, t, advice != nil, now)
-		if w == nil || w == t.placed[0].w {
+		if w == nil || w == first.w {
 			missing++
 			continue
 		}
@@ -53,15 +71,6 @@
 	}
 }
 
-// lags reports whether a run is worth a copy of its task.
-func (c *Cell) lags(p *placement, now time.Time) bool {
-	if p.unwanted || c.silent(p.w) {
-		return true
-	}
-	median, ok := p.task.step.median()
-	return ok && float64(now.Sub(p.sent)) > slowFactor*float64(median)
-}
-
 // median returns the median run time of a step's tasks that are done, if there are enough of them.
 func (s *step) median() (time.Duration, bool) {
 	if len(s.took) < slowSamples {
