Say why a group is not handed over; hand over starts that may still arrive

A start that was given up with its worker's lease, and has still to be refused there, kept a runner from vouching for the rest.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -231,8 +231,10 @@
 		err := r.Run(ctx, sent)
 		g.mu.Lock()
 		delete(g.running, epoch.Part)
-		if h, ok := r.Cell().Left(time.Now()); ok {
+		if h, left := r.Cell().Left(time.Now()); left == nil {
 			g.left[epoch.Part] = leftBy{epoch.Token, h}
+		} else {
+			g.a.log.WithError(left).WithField("group", epoch.Part).Info("group can't be handed over")
 		}
 		if len(g.running) == 0 {
 			debug.SetGCPercent(gcPercent)
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -26,20 +26,31 @@
 	Runs    []LeftRun
 }
 
-// Left returns what this scheduler leaves; false if it never knew all that runs, or if ends that it has seen are not durable,
-// which the next one would not know.
-func (c *Cell) Left(now time.Time) (Handover, bool) {
+// NoHandoverError says why a scheduler can't vouch for what it leaves.
+type NoHandoverError struct {
+	Why string
+}
+
+// Error names the reason.
+func (e *NoHandoverError) Error() string { return "what is left is not known for sure: " + e.Why }
+
+// Left returns what this scheduler leaves, or *NoHandoverError if it never knew all that runs, or if ends that it has seen are
+// not durable, which the next one would not know.
+func (c *Cell) Left(now time.Time) (Handover, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.dirty) > 0 || !c.settled {
-		return Handover{}, false
+	switch {
+	case len(c.dirty) > 0:
+		return Handover{}, &NoHandoverError{"progress of jobs is not durable"}
+	case !c.settled:
+		return Handover{}, &NoHandoverError{"workers have not told what runs on them"}
 	}
 	var h Handover
 	for id, w := range c.workers {
-		if len(w.foreign) > 0 || len(w.closeOff) > 0 {
-			return Handover{}, false
+		if len(w.foreign) > 0 {
+			return Handover{}, &NoHandoverError{"runs of unknown jobs are on worker " + id}
 		}
-		if len(w.placed) > 0 {
+		if len(w.placed)+len(w.closeOff) > 0 {
 			h.Workers = append(h.Workers, w.info)
 		}
 		for key, p := range w.placed {
@@ -47,8 +58,12 @@
 				key.task, key.run, id, p.unwanted || p.confirmed.IsZero(), now.Sub(w.lastOrder()),
 			})
 		}
+		for _, o := range w.closeOff {
+			// It is over, but its start may still arrive.
+			h.Runs = append(h.Runs, LeftRun{o.Task, o.Run, id, true, c.settings.Lease + leaseSlack})
+		}
 	}
-	return h, true
+	return h, nil
 }
 
 // TakeOver takes what the last scheduler left, once the jobs are known: what is not named there runs nowhere, so that nothing
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -136,11 +136,11 @@
 
 // handsOver lets the next runner know what one that has ended left, if it can vouch for that.
 func (s *site) handsOver(r *runner.Runner) bool {
-	left, ok := r.Cell().Left(time.Now())
-	if ok {
+	left, err := r.Cell().Left(time.Now())
+	if err == nil {
 		s.handed = &left
 	}
-	return ok
+	return err == nil
 }
 
 // told hands over what a runner that has ended knows of workers that it could not reach.
