Forget a peak of urgent work by the second

By reading: the peak was scaled in every plan, some 200 times a second, and rounded down each time, so that the few accelerators of a peak were gone within a second. Not measured by itself.

--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/unit"
@@ -12,9 +13,10 @@
 	reserveShare = 0.5
 	// reserveMost bounds the reserve, as a share of the group's room.
 	reserveMost = 0.2
-	// peakMemory is how long it takes until a peak of urgent work has lost half of its weight; swings of demand come every
-	// 15 s or so.
+	// peakMemory is the time constant with which a peak of urgent work is forgotten; swings of demand come every 15 s or so.
 	peakMemory = 15 * time.Second
+	// fadeEvery spaces the steps of forgetting: in small ones the few accelerators of a peak would be rounded away.
+	fadeEvery = time.Second
 )
 
 // demand remembers the peak of the room that urgent work has taken.
@@ -36,11 +38,13 @@
 
 // remember lets the peak fade, but not below what is used now.
 func (d *demand) remember(now time.Time) {
-	fade := 1.0
-	if !d.at.IsZero() {
-		fade = 1 / (1 + now.Sub(d.at).Seconds()/peakMemory.Seconds())
+	if d.at.IsZero() {
+		d.at = now
 	}
-	d.peak, d.at = d.peak.Scale(fade).Max(d.used), now
+	if passed := now.Sub(d.at); passed >= fadeEvery {
+		d.peak, d.at = d.peak.Scale(math.Exp(-passed.Seconds()/peakMemory.Seconds())), now
+	}
+	d.peak = d.peak.Max(d.used)
 }
 
 // reserve returns how much room has to stay free of work that is not urgent: what urgent work may take beside what it has.
