--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: setup try test build lint race soak measure bench fuzz
+.PHONY: setup try test build lint race soak measure bench fuzz proto
 
 setup:
 	go mod download
@@ -43,3 +43,8 @@
 	go test -run '^$$' -fuzz FuzzHeaders -fuzztime 30s ./front
 	go test -run '^$$' -fuzz FuzzReadTrace -fuzztime 30s ./loads
 	go test -run '^$$' -fuzz FuzzDecoders -fuzztime 30s ./platform
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc; what it makes is committed.
+proto:
+	cd cellpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative *.proto
+	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peerpb/*.proto
