Renew tickets only with hosts that nobody else needs

Renewals now come after all other calls of a plan, and not at all while a step that could start has found no host.

--- a/cell/asking.go
+++ b/cell/asking.go
@@ -25,7 +25,8 @@
 	})
 }
 
-// keepTickets renews the tickets of a step that waits for room, so that it can start at once where room comes free.
+// keepTickets notes that a step waits for room, so that its tickets are to be renewed and it can start at once where room
+// comes free.
 func (c *Cell) keepTickets(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
 	if advice == nil || s.asking {
 		return
@@ -34,8 +35,26 @@
 		plan.again(s.ticketsUntil)
 		return
 	}
-	c.askWhere(plan, s, advice, maxAsked, anyFree, now, knownAllowed)
-	s.ticketsUntil = now.Add(ticketCheck)
+	plan.renewals = append(plan.renewals, renewal{s, advice})
+}
+
+// renewal is a step whose tickets are to be renewed.
+type renewal struct {
+	s      *step
+	advice *queues.Advice
+}
+
+// renew renews tickets of steps that wait for room, unless a step that could start has found no host for its call: what
+// waits longest would otherwise take every host for itself.
+func (c *Cell) renew(plan *Plan, now time.Time) {
+	for _, r := range plan.renewals {
+		if len(plan.busy) > 0 {
+			plan.again(now.Add(ticketCheck))
+			return
+		}
+		c.askWhere(plan, r.s, r.advice, maxAsked, anyFree, now, knownAllowed)
+		r.s.ticketsUntil = now.Add(ticketCheck)
+	}
 }
 
 // askWhere asks about workers that have room for a step by a measure of it.
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -40,6 +40,8 @@
 	desks Desks
 	// busy holds the least costs of calls for which no host was free.
 	busy map[time.Duration]bool
+	// renewals are calls that come after all others.
+	renewals []renewal
 }
 
 // free reports whether a host could call the advisor; once none could, none is asked again for this plan.
@@ -73,6 +75,7 @@
 		c.planStep(&plan, cand.s, cfg, now)
 	}
 	c.planCopies(&plan, cfg, now)
+	c.renew(&plan, now)
 	return plan
 }
 
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -559,6 +559,73 @@
 	w.c.Assert(n, qt.Equals, 40)
 }
 
+// fewDesks lets only so many calls to the advisor be made at a time.
+type fewDesks struct {
+	free int
+}
+
+// Free implements cell.Desks.
+func (d *fewDesks) Free(time.Duration) bool { return d.free > 0 }
+
+// Reserve implements cell.Desks.
+func (d *fewDesks) Reserve(time.Duration) (string, bool) {
+	if d.free == 0 {
+		return "", false
+	}
+	d.free--
+	return "here", true
+}
+
+// Pattern: urgent steps wait for room that does not come, and few hosts can call the advisor. Their tickets are not renewed at
+// the cost of less urgent work that could start.
+func TestRenewalsOfTicketsLeaveHostsToWorkThatCanStart(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	fixed := long(2)
+	fixed.ID, fixed.Steps[0].Checkpoint = "fixed", false
+	w.add(fixed)
+	full := w.plan().Starts[0].Worker.ID
+	advice := &queues.Advice{Base: 600 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	w.cfg.Queues[0].Advice, w.cfg.Queues[1].Advice = advice, advice
+	for i := range 3 {
+		// Lasting work is never too late to be worth a call.
+		urgent := short(fmt.Sprintf("urgent%d", i), 1)
+		urgent.Steps[0].Lasting = true
+		w.add(urgent)
+	}
+	const callTime, step = 700 * time.Millisecond, 50 * time.Millisecond
+	asked := map[string]int{}
+	out := map[time.Duration][]cell.Ask{}
+	d := &fewDesks{free: 1}
+	for at := time.Duration(0); at < 15*time.Second; at += step {
+		if at == 5*time.Second {
+			w.add(long(2))
+		}
+		for _, a := range out[at] {
+			d.free++
+			// Urgent steps are allowed on the full worker only, the others everywhere.
+			var permits []order.Permit
+			for _, id := range a.Workers {
+				if id == full || a.Step.Job == "l" {
+					permits = append(permits, order.Permit{Worker: id, Ticket: "t"})
+				}
+			}
+			w.cell.Advised(a, permits, 1500*time.Millisecond, nil, w.now)
+		}
+		plan := w.cell.Plan(w.cfg, d, w.now)
+		for _, a := range plan.Asks {
+			asked[a.Step.Job]++
+			out[at+callTime] = append(out[at+callTime], a)
+		}
+		if len(plan.Starts) > 0 {
+			w.c.Assert(plan.Starts[0].Order.Task.Job, qt.Equals, "l")
+			w.c.Assert(asked["urgent0"] > 1, qt.IsTrue)
+			return
+		}
+		w.pass(step)
+	}
+	w.c.Fatalf("the long job was never started; calls: %v", asked)
+}
+
 // inCenters spreads the workers over data centres by turns.
 func (w *world) inCenters(names ...string) {
 	for i := range len(w.workers) {
