Have one renewal call out at a time for a group

Change: a renewal is asked only while no other renewal of its group is out, so that they take at most one host from those who wait.

Ruled out: the table being away (the log shows its calls answered), and a lost acceptance (the step stood in the waiting list all along).

Before/after: the test shows several calls out before, one after.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -59,6 +59,8 @@
 	// Host makes the call.
 	Host string
 	s    *step
+	// renewal says that the call renews tickets of a step that waits for room.
+	renewal bool
 }
 
 // Desks are the hosts from which the advisor can be called; it takes one call at a time from each.
@@ -205,6 +207,9 @@
 	defer c.mu.Unlock()
 	s := a.s
 	s.asking = false
+	if a.renewal {
+		c.renewing = false
+	}
 	s.sought = time.Time{}
 	if err != nil {
 		s.askAfter = now.Add(askAgain)
--- a/cell/asking.go
+++ b/cell/asking.go
@@ -44,16 +44,20 @@
 	advice *queues.Advice
 }
 
-// renew renews tickets of steps that wait for room, unless a step that could start has found no host for its call: what
-// waits longest would otherwise take every host for itself.
+// renew renews tickets of steps that wait for room, one call at a time, and only if no step that could start has found no
+// host for its call: what waits longest would otherwise take every host for itself, from other groups too.
 func (c *Cell) renew(plan *Plan, now time.Time) {
 	for _, r := range plan.renewals {
-		if len(plan.busy) > 0 {
+		if len(plan.busy) > 0 || c.renewing {
 			plan.again(now.Add(ticketCheck))
 			return
 		}
+		calls := len(plan.Asks)
 		c.askWhere(plan, r.s, r.advice, maxAsked, anyFree, now, knownAllowed)
 		r.s.ticketsUntil = now.Add(ticketCheck)
+		if len(plan.Asks) > calls {
+			plan.Asks[calls].renewal, c.renewing = true, true
+		}
 	}
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -70,7 +70,9 @@
 	yields  map[int]int
 	learned *learned
 	advice  map[string]*adviceRate
-	stats   Stats
+	// renewing says that a call is out that renews tickets.
+	renewing bool
+	stats    Stats
 }
 
 // finished is what is remembered of a job that is over.
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -626,6 +626,34 @@
 	w.c.Fatalf("the long job was never started; calls: %v", asked)
 }
 
+// Pattern: the same, where hosts are many but shared with other groups; only one call at a time renews tickets.
+func TestOneCallAtATimeRenewsTickets(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	fixed := long(4)
+	fixed.Steps[0].Checkpoint = false
+	w.cfg.Queues[0].Advice = &queues.Advice{Base: 600 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	for i := range 4 {
+		urgent := short(fmt.Sprintf("urgent%d", i), 1)
+		urgent.Steps[0].Lasting = true
+		w.add(urgent)
+	}
+	first := w.plan().Asks
+	w.c.Assert(first, qt.HasLen, 4)
+	w.add(fixed)
+	w.c.Assert(w.plan().Starts, qt.HasLen, 4)
+	for _, a := range first {
+		w.cell.Advised(a, []order.Permit{{Worker: "w0", Ticket: "t"}}, 1500*time.Millisecond, nil, w.now)
+	}
+	w.pass(time.Second)
+	renewal := w.plan().Asks
+	w.c.Assert(renewal, qt.HasLen, 1)
+	w.pass(100 * time.Millisecond)
+	w.c.Assert(w.plan().Asks, qt.HasLen, 0)
+	w.cell.Advised(renewal[0], nil, 0, nil, w.now)
+	w.pass(100 * time.Millisecond)
+	w.c.Assert(w.plan().Asks, qt.HasLen, 1)
+}
+
 // inCenters spreads the workers over data centres by turns.
 func (w *world) inCenters(names ...string) {
 	for i := range len(w.workers) {
