Log and count runs that a scheduler has lost count of

Two runs of one task, and a worker above its capacity, can come from a run that was counted as ended and is still active. Nothing told such a run from one that an earlier scheduler had started: both gave the line 'run adopted'.

No decision changes.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -67,6 +68,19 @@
 	gauge("group_workers", "Workers of the groups that this host runs.", sum(func(w, _, _ int) int { return w }))
 	gauge("group_jobs", "Unfinished jobs of the groups that this host runs.", sum(func(_, j, _ int) int { return j }))
 	gauge("group_runs", "Runs placed by the groups that this host runs.", sum(func(_, _, p int) int { return p }))
+	sumStats := func(selectCount func(s cell.Stats) uint64) func() float64 {
+		return func() float64 {
+			n := uint64(0)
+			for _, r := range a.groups.runners() {
+				n += selectCount(r.Cell().Stats())
+			}
+			return float64(n)
+		}
+	}
+	gauge("group_resurfaced_runs", "Active runs that had been counted as ended, since this host runs their groups.",
+		sumStats(func(s cell.Stats) uint64 { return s.Resurfaced }))
+	gauge("group_overcommits", "Times that a worker's runs came to exceed its capacity, since this host runs its group.",
+		sumStats(func(s cell.Stats) uint64 { return s.Overcommits }))
 	gauge("requests_in_flight", "Requests without a whole answer yet.", func() float64 { return float64(a.inFlight.Load()) })
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if cfg := a.queues.Current(); cfg != nil {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -88,6 +88,10 @@
 	Ends        map[order.EndKind]uint64
 	Preemptions uint64
 	Lost        uint64
+	// Resurfaced counts the runs of this scheduler that a worker reported as active after they had been counted as ended.
+	Resurfaced uint64
+	// Overcommits counts how often the runs on a worker came to exceed its capacity.
+	Overcommits uint64
 }
 
 // New returns an empty group that is scheduled under a fencing token.
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -43,7 +43,9 @@
 // handleRestart starts a new incarnation of a worker. The new incarnation may have carried out, under the same id, a start
 // that was sent to the old one, so the old runs count as lost only if the next report does not list them.
 func (c *Cell) handleRestart(w *worker, startedAt, now time.Time) {
-	c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, fieldPlaced: len(w.placements)}).Warn("worker restarted")
+	c.log.WithFields(logrus.Fields{
+		fieldWorker: w.info.ID, fieldPlaced: len(w.placements), "before": w.info.StartedAt.UnixMilli(), "now": startedAt.UnixMilli(),
+	}).Warn("worker restarted")
 	for _, p := range w.placements {
 		if !p.confirmedAt.IsZero() {
 			p.confirmedAt = now
@@ -65,6 +67,7 @@
 		}
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
+			"since-renewal": now.Sub(w.lastRenewal()).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -18,9 +18,12 @@
 
 // StartResult is the outcome of a start order.
 type StartResult struct {
+	// Sent is when the last attempt was sent.
 	Sent  time.Time
 	Clock time.Duration
 	Err   error
+	// Unanswered counts the attempts that got no answer.
+	Unanswered int
 }
 
 // Started handles the outcome of a start. The allocation of a run that is known not to have started is freed.
@@ -42,7 +45,7 @@
 		return
 	}
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
-		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID,
+		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID, "unanswered": res.Unanswered,
 	}).Warn("start failed")
 	if !provesNotExecuted(res.Err) {
 		// The start may still be carried out: the run is fenced on the worker before the task is placed elsewhere.
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -181,6 +181,7 @@
 			delete(w.unknownRuns, key)
 		}
 	}
+	c.checkOvercommit(w)
 }
 
 func (c *Cell) handleRun(w *worker, r *order.Run, now time.Time) {
@@ -222,6 +223,7 @@
 	if t.lastRun >= r.Run && !t.done && len(t.placements) == 0 && t.lastRun > r.Run {
 		c.log.WithFields(logrus.Fields{fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID}).Warn("worker reports an older run of a task")
 	}
+	c.checkResurfaced(w, r)
 	p := c.place(t, w, r.Run, now)
 	p.confirmedAt, p.adopted = now, true
 	if t.done || j.state.Terminal() || len(t.placements) > 1 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -111,6 +111,8 @@
 	leavesAt time.Time
 	// lastPlanNumber is the number of the last plan in which the worker may get work.
 	lastPlanNumber uint64
+	// overcommitted says that the runs on the worker exceed its capacity.
+	overcommitted bool
 	// heldFor is the gang for which the worker is held until heldUntil.
 	heldFor       *step
 	heldUntil     time.Time
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -214,6 +214,7 @@
 		if !errors.As(res.Err, &unanswered) {
 			break
 		}
+		res.Unanswered++
 	}
 	if res.Sent.IsZero() {
 		res = cell.StartResult{Sent: time.Now(), Err: &order.BusyError{Worker: o.Worker.ID}}
