--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -70,9 +70,11 @@
 
 // cluster is a table, workers and a configuration, used by one runner after another.
 type cluster struct {
-	c          *qt.C
-	store      *fakes.Table
-	workers    *fakes.WorkerSet
+	c       *qt.C
+	store   *fakes.Table
+	workers *fakes.WorkerSet
+	// orders sends the orders of runners to workers.
+	orders     order.Workers
 	registry   *staticRegistry
 	configs    *queues.Store
 	epoch      elect.Epoch
@@ -91,6 +93,7 @@
 		registry: &staticRegistry{changes: make(chan func(func(order.Worker), func(string)))}, epoch: elect.Epoch{Group: service},
 	}
 	s.store.Latency = 4 * time.Millisecond
+	s.orders = s.workers
 	for i := range numWorkers {
 		w := s.workers.Add(order.Worker{
 			ID: fmt.Sprintf("w%d", i), Service: service, Capacity: size, Rack: fmt.Sprintf("r%d", i/2),
@@ -113,7 +116,7 @@
 	s.epoch = epoch
 	sinceBoot := func() time.Duration { return time.Since(s.startedAt) }
 	r := runner.New(runner.Config{
-		Epoch: epoch, Store: s.store, Workers: s.workers, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
+		Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: sinceBoot, Log: log, Unconfirmed: s.unconfirmed,
 		FetchHandover: func(context.Context) (cell.Handover, bool) {
 			if s.handover == nil {
