Keep a run whose start was not answered once, whatever answers its repetition

Callers saw tasks run twice (TWICE), and workers were given more than their capacity (LIMIT).

Cause: a start is sent up to three times, and only the last answer counted. An answer like 'busy', 'ticket expired' or 'lease expired' proves that the attempt which it answers was not carried out. It was taken for proof that no attempt was: the allocation was freed and the task placed again, while the run of the first attempt, whose reply was lost, went on uncounted. The class of the fault: proof about one attempt is used for all of them.

If any had none, a rejection frees nothing: the run is fenced on its worker by a stop, and its capacity is freed when the worker has answered that and lists the run no more. A rejection because of the run's number stays proof, since it speaks for the run and not for the attempt.

Its own counters are now guarded by a mutex.

--- a/cell/errors.go
+++ b/cell/errors.go
@@ -6,7 +6,8 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// provesNotExecuted reports whether an error proves that an order was not carried out.
+// provesNotExecuted reports whether an error proves that the attempt to send an order that it answers was not carried out; it
+// says nothing about other attempts to send the same order.
 func provesNotExecuted(err error) bool {
 	var rejected *order.RejectedError
 	var busy *order.BusyError
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -47,11 +47,6 @@
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
 		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID, "unanswered": res.Unanswered,
 	}).Warn("start failed")
-	if !provesNotExecuted(res.Err) {
-		// The start may still be carried out: the run is fenced on the worker before the task is placed elsewhere.
-		c.requestStop(p)
-		return
-	}
 	if isRejection(res.Err, order.RejectStale) {
 		// The worker already had the run and will list its end, unless that was reported before.
 		if p.confirmedAt.IsZero() {
@@ -65,6 +60,12 @@
 	if isRejection(res.Err, order.RejectCapacity) {
 		p.task.step.nextAdviceAt = now.Add(adviceBusyDelay)
 	}
+	if res.Unanswered > 0 || !provesNotExecuted(res.Err) {
+		// An attempt may have been carried out, or may still be: the run is fenced on the worker before the task is placed
+		// elsewhere.
+		c.requestStop(p)
+		return
+	}
 	p.task.notBefore = now.Add(retryDelay)
 	c.release(p, order.EndStopped, "", now)
 }
--- a/runner/repeated_start_test.go
+++ b/runner/repeated_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,20 +20,31 @@
 // lostFirstStarts carries out the first start of each run, loses the reply, and answers its repetition with an error.
 type lostFirstStarts struct {
 	*fakes.WorkerSet
-	numRejections int
-	rejection     func(worker string) error
+	rejection func(worker string) error
+
+	mu            sync.Mutex
 	attempts      map[graph.TaskID]int
+	numRejections int
+}
+
+func (l *lostFirstStarts) countAttempt(task graph.TaskID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[task]++
+	if l.attempts[task] == 2 {
+		l.numRejections++
+	}
+	return l.attempts[task]
 }
 
 // Start implements order.Workers.
 func (l *lostFirstStarts) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
-	l.attempts[o.Task]++
-	if l.attempts[o.Task] == 2 {
-		l.numRejections++
+	attempt := l.countAttempt(o.Task)
+	if attempt == 2 {
 		return 0, l.rejection(w.ID)
 	}
 	clock, err := l.WorkerSet.Start(ctx, w, o)
-	if l.attempts[o.Task] == 1 && err == nil {
+	if attempt == 1 && err == nil {
 		return 0, &order.UnansweredError{Worker: w.ID, Err: errReplyLost}
 	}
 	return clock, err
