Count a worker's lease from the time its starts are sent

Callers would see a task run twice (TWICE): on a worker that no longer answers, runs counted as ended before their lease was over.

Cause: a start renews the lease of all that runs on its worker, but the scheduler counted it from the time at which the run was placed, until its last attempt was over. At most three orders are sent to a worker at a time, so a start may be sent seconds after it was placed; a lease that ended by the earlier time was still valid on the worker.

In the runner, results of starts came often enough to keep the error below the lease's 6 s in all cases that were thought through, so this is not shown to be what the users saw.

Change: the renewal is recorded when the lease's end is computed, just before each attempt is sent, as with polls. TestLeaseCountsFromTheSendingOfDelayedStart failed before: its task was started elsewhere 1.5 s after the start was sent.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -103,13 +103,15 @@
 	return last
 }
 
-// LeaseEnd returns when the lease of a task that is started now ends on the worker's clock; 0 if that clock is not known.
-func (c *Cell) LeaseEnd(id string, now time.Time) time.Duration {
+// StartLease records that a start, which renews the leases on a worker, is about to be sent, and returns when the lease ends on
+// the worker's clock; 0 if that clock is not known.
+func (c *Cell) StartLease(id string, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
 	if !ok {
 		return 0
 	}
+	w.renewedAt = now
 	return w.leaseEnd(now, c.settings.Lease)
 }
--- /dev/null
+++ b/cell/leases_test.go
@@ -0,0 +1,30 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// A start that waited before it was sent renews its worker's lease when it is sent; until that lease ends, its task must not be
+// started elsewhere.
+func TestLeaseCountsFromTheSendingOfDelayedStart(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("j", 1))
+	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+	h.now = h.now.Add(5 * time.Second)
+	h.cell.StartLease(o.Worker.ID, h.now)
+	sentAt := h.now
+	unanswered := &order.UnansweredError{Worker: o.Worker.ID}
+	for h.now.Sub(sentAt) < 6*time.Second {
+		h.cell.PollMissed(o.Worker.ID, unanswered, h.now)
+		h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+		h.now = h.now.Add(250 * time.Millisecond)
+	}
+	h.now = h.now.Add(time.Second)
+	h.cell.PollMissed(o.Worker.ID, unanswered, h.now)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
+}
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -204,7 +204,7 @@
 			break
 		}
 		res.Sent = time.Now()
-		o.Order.LeaseUntil = r.cell.LeaseEnd(o.Worker.ID, res.Sent)
+		o.Order.LeaseUntil = r.cell.StartLease(o.Worker.ID, res.Sent)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
 		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
