Don't send the start of a run that counts as ended

Callers would see a task run twice (TWICE).

Cause: a start waits until fewer than three orders to its worker are in flight, and is sent up to three times. Before each attempt the runner asks whether a stop of the run was requested, but not whether the run has been counted as lost meanwhile. Such a start would begin a run of a task that is placed elsewhere, on a worker whose capacity is free by the books.

--- a/cell/leases_test.go
+++ b/cell/leases_test.go
@@ -28,3 +28,14 @@
 	h.cell.PollMissed(o.Worker.ID, unanswered, h.now)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// A start that is still to be sent when its run is counted as lost must not be sent, since its task may be placed elsewhere.
+func TestStartOfLostRunIsNotSent(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("j", 1))
+	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+	h.c.Assert(h.cell.Abandoned(o), qt.IsFalse)
+	h.cell.Replaced(o.Worker.ID, h.now)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
+	h.c.Assert(h.cell.Abandoned(o), qt.IsTrue)
+}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -9,11 +9,12 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// Abandoned reports whether a stop of the run was requested, so that its start must not be sent, or sent again.
+// Abandoned reports whether a stop of the run was requested, or the run counts as ended, so that its start must not be sent, or
+// sent again.
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return o.p.stopRequested
+	return o.p.stopRequested || !o.p.isCurrent()
 }
 
 // StartResult is the outcome of a start order.
@@ -32,7 +33,7 @@
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
-	if w.placements[runKey{p.task.id, p.run}] != p {
+	if !p.isCurrent() {
 		return
 	}
 	p.sentAt = res.Sent
@@ -77,7 +78,7 @@
 	p := o.p
 	w := p.w
 	var rejected *order.RejectedError
-	if w.placements[runKey{p.task.id, p.run}] != p || (err != nil && !errors.As(err, &rejected)) {
+	if !p.isCurrent() || (err != nil && !errors.As(err, &rejected)) {
 		return
 	}
 	w.updateClock(clock, p.stopSentAt, now)
--- a/cell/throttle.go
+++ b/cell/throttle.go
@@ -99,7 +99,7 @@
 func (c *Cell) planThrottles(plan *Plan) {
 	for p := range c.throttlesToSend {
 		delete(c.throttlesToSend, p)
-		if p.w.placements[runKey{p.task.id, p.run}] != p {
+		if !p.isCurrent() {
 			continue
 		}
 		plan.Throttles = append(plan.Throttles, ThrottleOrder{
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -69,6 +69,9 @@
 	endedAt      time.Time
 }
 
+// isCurrent reports whether the run has not ended.
+func (p *placement) isCurrent() bool { return p.w.placements[runKey{p.task.id, p.run}] == p }
+
 // worker is a worker of the group, with its placements.
 type worker struct {
 	info       order.Worker
