Give a restarted worker no work until the registry lists its new incarnation

Callers would see a worker with more than its capacity (LIMIT), or a task on a worker without the label that it requires (ROUTE).

Cause: a worker that restarts under its id may be of another kind. A runner learns of the restart from the worker's own report, which says neither capacity nor labels, and went on with those of the old incarnation. While the worker can't reach the registry, its stale entry stays for seconds.

Change: a worker is eligible only while the registry's entry describes the incarnation that is known to run. That holds too for workers that were handed over, whose capacity the last runner may have known from an older entry.

The runner tests' registry never listed a restarted worker; it does now, 1.5 s after the restart, as workers write their entries about that often.

--- a/cell/handover.go
+++ b/cell/handover.go
@@ -74,7 +74,8 @@
 	for i := range h.Workers {
 		if _, ok := c.workers[h.Workers[i].ID]; !ok {
 			c.setWorker(h.Workers[i], now)
-			c.workers[h.Workers[i].ID].listed = false
+			w := c.workers[h.Workers[i].ID]
+			w.listed, w.listedStart = false, time.Time{}
 		}
 	}
 	for i := range h.Runs {
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -59,6 +59,10 @@
 	clear(w.unknownRuns)
 }
 
+// isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
+// labels.
+func (w *worker) isEntryCurrent() bool { return w.listedStart.Equal(w.info.StartedAt) }
+
 // loseRuns ends all placements of a worker on which nothing can be running any more.
 func (c *Cell) loseRuns(w *worker, reason string, now time.Time) {
 	for key, p := range w.placements {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -74,10 +74,13 @@
 
 // worker is a worker of the group, with its placements.
 type worker struct {
-	info       order.Worker
-	listed     bool
-	used       unit.Size
-	placements map[runKey]*placement
+	// info is the registry's entry, with the start of the newest incarnation that is known.
+	info   order.Worker
+	listed bool
+	// listedStart is the start of the incarnation that the registry's entry describes; zero if there was no entry.
+	listedStart time.Time
+	used        unit.Size
+	placements  map[runKey]*placement
 	// toFence are runs whose start may still arrive and has to be refused.
 	toFence     []order.Stop
 	unknownRuns map[runKey]time.Time
@@ -178,7 +181,7 @@
 	if !ok {
 		w = &worker{
 			info: info, placements: map[runKey]*placement{}, unknownRuns: map[runKey]time.Time{}, wake: make(chan struct{}, 1),
-			listed: true, firstListedAt: now,
+			listed: true, listedStart: info.StartedAt, firstListedAt: now,
 		}
 		w.updateDrain(now)
 		c.workers[info.ID] = w
@@ -198,7 +201,7 @@
 			fieldWorker: info.ID, "draining": info.Draining, "remaining": info.Remaining.String(), fieldPlaced: len(w.placements),
 		}).Info("worker's drain state changed")
 	}
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedStart = info, true, info.StartedAt
 	w.updateDrain(now)
 	w.wakeUp()
 	return false
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -86,7 +86,7 @@
 		s.workers.SetUnreachable(worker, s.unreachable[worker])
 	case 2:
 		if !s.unreachable[worker] {
-			s.workers.Crash(worker)
+			s.registry.replaceLater(s.workers.Crash(worker))
 		}
 	case 3:
 		s.workers.LoseNextStartReply(worker)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,13 +32,39 @@
 
 // staticRegistry is a registry with a fixed list of workers, to which changes can be applied.
 type staticRegistry struct {
+	mu      sync.Mutex
 	workers []order.Worker
 	changes chan func(changed func(order.Worker), gone func(string))
 }
 
+// registryLag is the delay until a new incarnation of a worker is listed.
+const registryLag = 1500 * time.Millisecond
+
+// replaceLater replaces a worker's entry after registryLag, as its new incarnation does.
+func (l *staticRegistry) replaceLater(w order.Worker) {
+	go func() {
+		time.Sleep(registryLag)
+		l.mu.Lock()
+		for i := range l.workers {
+			if l.workers[i].ID == w.ID {
+				l.workers[i] = w
+			}
+		}
+		l.mu.Unlock()
+		select {
+		case l.changes <- func(changed func(order.Worker), _ func(string)) { changed(w) }:
+		case <-time.After(registryLag):
+			// No runner follows the registry; the next one gets the list.
+		}
+	}()
+}
+
 // Follow implements runner.Registry.
 func (l *staticRegistry) Follow(ctx context.Context, list func([]order.Worker), changed func(order.Worker), gone func(string)) {
-	list(l.workers)
+	l.mu.Lock()
+	workers := slices.Clone(l.workers)
+	l.mu.Unlock()
+	list(workers)
 	for {
 		select {
 		case <-ctx.Done():
@@ -517,7 +545,7 @@
 		defer stop()
 		s.submit("00000000000000aa", graph.Step{Count: 8, Size: cores(4)})
 		time.Sleep(500 * time.Millisecond)
-		s.workers.Crash("w0")
+		s.registry.replaceLater(s.workers.Crash("w0"))
 		s.awaitState(r, "00000000000000aa", graph.Completed, 40*time.Second)
 		s.assertNoFaults()
 	})
