Don't send a start to a later incarnation of its worker

Callers would see a worker with more than its capacity (LIMIT), or a task run twice (TWICE).

Cause: starts that waited for their turn, and repetitions of unanswered ones, were sent to whatever incarnation runs at the worker's address. The new one may have less capacity, and the runs of the old one are still counted until its first report.

Change: before each attempt the runner asks whether the worker is still in the incarnation for which the run was placed. TestStartIsNotSentToLaterIncarnation failed before.

--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
@@ -38,3 +39,18 @@
 		})
 	}
 }
+
+// A start that is still to be sent when its worker restarts must not reach the new incarnation, which may have less capacity.
+func TestStartIsNotSentToLaterIncarnation(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("j", 2))
+	starts := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts
+	h.c.Assert(starts, qt.HasLen, 2)
+	confirmed, waiting := starts[0], starts[1]
+	h.cell.Started(confirmed, cell.StartResult{Sent: h.now, Clock: time.Minute}, h.now)
+	h.c.Assert(h.cell.Abandoned(waiting), qt.IsFalse)
+	restarted := h.workers["w0"]
+	restarted.StartedAt = h.now
+	h.setWorker(restarted)
+	h.c.Assert(h.cell.Abandoned(waiting), qt.IsTrue)
+}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -9,12 +9,12 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// Abandoned reports whether a stop of the run was requested, or the run counts as ended, so that its start must not be sent, or
-// sent again.
+// Abandoned reports whether a start must not be sent, or sent again: a stop of the run was requested, the run counts as ended, or
+// its worker has restarted.
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return o.p.stopRequested || !o.p.isCurrent()
+	return o.p.stopRequested || !o.p.isCurrent() || !o.Worker.StartedAt.Equal(o.p.w.info.StartedAt)
 }
 
 // StartResult is the outcome of a start order.
