Count a job as pending until one of its tasks has started

Cause: a job counted as started, and was shown as running, from the placement of its first run. If the start was rejected, or got no answer, no task had started, but the job stayed out of the count.

Change: a job has started when a worker confirms a run of it, reports one, or lists an end. A job that was restored has started if its record says that it was running.

--- a/cell/ends.go
+++ b/cell/ends.go
@@ -29,6 +29,7 @@
 	c.stats.Ends[e.Kind]++
 	key := runKey{e.Task, e.Run}
 	if p, ok := w.placements[key]; ok {
+		p.task.step.job.started = true
 		p.endedAt = now
 		c.logEnd(w, e, now.Sub(p.sentAt))
 		c.release(p, e.Kind, e.Checkpoint, now)
@@ -58,6 +59,7 @@
 	if !j.restored && e.Kind != order.EndDone && e.Kind != order.EndFailed {
 		return
 	}
+	j.started = true
 	p := c.place(t, w, e.Run, now)
 	c.release(p, e.Kind, e.Checkpoint, now)
 }
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -99,7 +99,7 @@
 	p := c.place(t, w, run.Run, now.Add(-run.Age))
 	p.adopted = true
 	if !run.Stop {
-		p.confirmedAt = now
+		p.confirm(now)
 	}
 	if run.Stop || t.done || j.state.Terminal() {
 		c.requestStop(p)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -15,8 +15,9 @@
 	// version is the version of the durable progress; 0 means that there is none.
 	version uint64
 	// revision counts changes of the progress, so that a commit knows which ones it covers.
-	revision    uint64
-	cancelled   bool
+	revision  uint64
+	cancelled bool
+	// started says that a task of the job is known to have started.
 	started     bool
 	reason      string
 	occurrences []*occurrence
@@ -210,7 +211,7 @@
 }
 
 func (c *Cell) restore(j *job, p *graph.Progress) {
-	j.started = len(p.Done) > 0 || len(p.Tasks) > 0
+	j.started = p.State == graph.Running
 	for _, m := range p.Tasks {
 		if t := j.task(graph.TaskID{StepID: graph.StepID{Job: j.doc.ID, Occurrence: m.Occurrence, Step: m.Step}, Index: m.Index}); t != nil {
 			t.lastRun, t.failedRuns, t.checkpoint = m.LastRun, m.FailedRuns, m.Checkpoint
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -40,9 +40,7 @@
 	if res.Err == nil {
 		w.updateClock(res.Clock, res.Sent, now)
 		c.recordResponse(w, now)
-		if p.confirmedAt.IsZero() {
-			p.confirmedAt = now
-		}
+		p.confirm(now)
 		return
 	}
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
@@ -50,9 +48,7 @@
 	}).Warn("start failed")
 	if isRejection(res.Err, order.RejectStale) {
 		// The worker already had the run and will list its end, unless that was reported before.
-		if p.confirmedAt.IsZero() {
-			p.confirmedAt = now
-		}
+		p.confirm(now)
 		return
 	}
 	if isRejection(res.Err, order.RejectTicket) {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -192,9 +192,7 @@
 			return
 		}
 	}
-	if p.confirmedAt.IsZero() {
-		p.confirmedAt = now
-	}
+	p.confirm(now)
 	if r.Checkpoint != p.checkpoint {
 		p.checkpoint, p.checkpointAt = r.Checkpoint, now
 	}
@@ -225,7 +223,8 @@
 	}
 	c.checkResurfaced(w, r)
 	p := c.place(t, w, r.Run, now)
-	p.confirmedAt, p.adopted = now, true
+	p.confirm(now)
+	p.adopted = true
 	if t.done || j.state.Terminal() || len(t.placements) > 1 {
 		c.requestStop(p)
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -69,6 +69,14 @@
 	endedAt      time.Time
 }
 
+// confirm records that the worker has, or had, the run.
+func (p *placement) confirm(now time.Time) {
+	if p.confirmedAt.IsZero() {
+		p.confirmedAt = now
+	}
+	p.task.step.job.started = true
+}
+
 // isCurrent reports whether the run has not ended.
 func (p *placement) isCurrent() bool { return p.w.placements[runKey{p.task.id, p.run}] == p }
 
@@ -217,7 +225,6 @@
 	t.lastRun = max(t.lastRun, run)
 	t.step.numPerWorker[w]++
 	t.step.job.numPlaced++
-	t.step.job.started = true
 	w.used = w.used.Add(p.size)
 	w.placements[runKey{t.id, run}] = p
 	if t.step.doc.Speculative && !t.step.doc.Gang && !t.step.doc.LongRunning {
