Fence new incarnations of a worker against starts sent to earlier ones

Cause: a start without an answer may be carried out seconds later, and its worker may have restarted under its id by then. The new incarnation has seen no stop, no run and no token. Runs whose start might still arrive were fenced by one stop, sent once: if the worker did not answer, or restarted after it, nothing kept it from carrying the start out. A start that was sent again and answered, or stopped, counted as settled for good.

Change: a stop that fences a run is repeated until the worker's present incarnation has answered it, and until then the worker gets no work. Unanswered starts are remembered for 13 s, longer than one may be carried out late, and each new incarnation is fenced against them. A run on a silent worker whose start was never answered keeps its task from being placed elsewhere for that time, not only until its lease has ended.

--- /dev/null
+++ b/cell/fence.go
@@ -0,0 +1,71 @@
+package cell
+
+import (
+	"maps"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// lateStartLimit is how long after it was sent an unanswered start may still be carried out.
+const lateStartLimit = 13 * time.Second
+
+// fence adds a run whose start may still arrive to those that the worker is told to refuse, until it has answered that.
+func (w *worker) fence(key runKey) {
+	if w.toFence == nil {
+		w.toFence = map[runKey]struct{}{}
+	}
+	w.toFence[key] = struct{}{}
+}
+
+// recordUnanswered records that an attempt to start a run in an incarnation of a worker got no answer. It is not needed for a start
+// with a ticket, which no other incarnation accepts.
+func (w *worker) recordUnanswered(key runKey, incarnation, sent time.Time) {
+	if w.unansweredStarts == nil {
+		w.unansweredStarts = map[runKey]time.Time{}
+	}
+	w.unansweredStarts[key] = sent
+	if !incarnation.Equal(w.info.StartedAt) {
+		w.fence(key)
+	}
+}
+
+// fenceUnanswered fences, in a new incarnation of a worker, the runs whose starts were sent to an earlier one and may still be
+// carried out: the new one knows nothing of the stops and runs of the earlier one.
+func (w *worker) fenceUnanswered(now time.Time) {
+	w.forgetUnanswered(now)
+	for key := range w.unansweredStarts {
+		w.fence(key)
+	}
+}
+
+// forgetUnanswered forgets the unanswered starts that can't be carried out any more.
+func (w *worker) forgetUnanswered(now time.Time) {
+	maps.DeleteFunc(w.unansweredStarts, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > lateStartLimit })
+}
+
+// mayStartLate reports whether a later incarnation of a worker that does not answer may still carry out the start of a run.
+func (p *placement) mayStartLate(now time.Time) bool {
+	return p.confirmedAt.IsZero() && !p.ticketed && !p.adopted && now.Sub(p.sentAt) <= lateStartLimit
+}
+
+// runsToFence returns the stops that fence a worker's runs, if it answers.
+func (c *Cell) runsToFence(w *worker) []order.Stop {
+	if w.missedPolls > 0 {
+		return nil
+	}
+	var stops []order.Stop
+	for key := range w.toFence {
+		stops = append(stops, order.Stop{Task: key.task, Run: key.run, Token: c.token})
+	}
+	return stops
+}
+
+// RunFenced records that an incarnation of a worker has answered a stop that fences a run.
+func (c *Cell) RunFenced(incarnation order.Worker, o order.Stop) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[incarnation.ID]; ok && w.info.StartedAt.Equal(incarnation.StartedAt) {
+		delete(w.toFence, runKey{o.Task, o.Run})
+	}
+}
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -58,9 +58,9 @@
 				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal()),
 			})
 		}
-		for _, o := range w.toFence {
+		for key := range w.toFence {
 			// The run has ended, but its start may still arrive.
-			h.Runs = append(h.Runs, HandoverRun{o.Task, o.Run, id, true, c.settings.Lease + leaseMargin})
+			h.Runs = append(h.Runs, HandoverRun{key.task, key.run, id, true, c.settings.Lease + leaseMargin})
 		}
 	}
 	return h, nil
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -57,17 +57,21 @@
 	w.renewedAt, w.restartedAt = time.Time{}, now
 	w.missedPolls = 0
 	clear(w.unknownRuns)
+	w.fenceUnanswered(now)
 }
 
 // isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
 // labels.
 func (w *worker) isEntryCurrent() bool { return w.listedStart.Equal(w.info.StartedAt) }
 
-// loseRuns ends all placements of a worker on which nothing can be running any more.
-func (c *Cell) loseRuns(w *worker, reason string, now time.Time) {
+// loseRuns ends the placements of a worker on which nothing can be running any more, but for those that keep returns.
+func (c *Cell) loseRuns(w *worker, reason string, now time.Time, keep func(p *placement) bool) {
 	for key, p := range w.placements {
+		if keep(p) {
+			continue
+		}
 		if p.confirmedAt.IsZero() {
-			w.toFence = append(w.toFence, order.Stop{Task: key.task, Run: key.run, Token: c.token})
+			w.fence(key)
 		}
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
@@ -92,7 +96,7 @@
 		return
 	}
 	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin {
-		c.loseRuns(w, "its lease has expired", now)
+		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool { return p.mayStartLate(now) })
 	}
 }
 
@@ -107,15 +111,11 @@
 	return last
 }
 
-// StartLease records that a start, which renews the leases on a worker, is about to be sent, and returns when the lease ends on
+// StartLease records that a start, which renews the leases on its worker, is about to be sent, and returns when the lease ends on
 // the worker's clock; 0 if that clock is not known.
-func (c *Cell) StartLease(id string, now time.Time) time.Duration {
+func (c *Cell) StartLease(o StartOrder, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w, ok := c.workers[id]
-	if !ok {
-		return 0
-	}
-	w.renewedAt = now
-	return w.leaseEnd(now, c.settings.Lease)
+	o.p.sentAt, o.p.w.renewedAt = now, now
+	return o.p.w.leaseEnd(now, c.settings.Lease)
 }
--- a/cell/index.go
+++ b/cell/index.go
@@ -34,7 +34,7 @@
 	idx.free = unit.Size{}
 	var capacity unit.Size
 	for _, w := range c.workers {
-		if !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil) || len(w.unknownRuns) > 0 ||
+		if !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil) || len(w.unknownRuns) > 0 || len(w.toFence) > 0 ||
 			!c.recordedWorkers[w.info.ID] {
 			continue
 		}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -33,6 +33,9 @@
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
+	if res.Unanswered > 0 && !p.ticketed {
+		w.recordUnanswered(runKey{p.task.id, p.run}, o.Worker.StartedAt, res.Sent)
+	}
 	if !p.isCurrent() {
 		return
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -242,6 +242,7 @@
 
 func (c *Cell) start(plan *Plan, t *task, w *worker, ticket string, run int, now time.Time) {
 	p := c.place(t, w, run, now)
+	p.ticketed = ticket != ""
 	c.candidateIndex.free = c.candidateIndex.free.Sub(p.size)
 	c.stats.Starts++
 	plan.Starts = append(plan.Starts, StartOrder{
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -36,13 +36,15 @@
 		return NextPoll{Gone: true}
 	}
 	c.expireLeases(w, now)
+	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
-	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 {
+	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 && len(w.unansweredStarts) == 0 {
 		delete(c.workers, id)
 		next.Gone = true
 		return next
 	}
-	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent || len(w.unknownRuns) > 0
+	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent ||
+		len(w.unknownRuns) > 0 || len(w.toFence) > 0
 	if w.polled && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
 		// The worker would report the unacknowledged end again at once.
 		next.Needed, next.IdleTimeout = false, unackedPollDelay
@@ -75,8 +77,7 @@
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
 		next.Order.Wait, next.Delay = 0, absenceGrace
 	}
-	next.ToFence = w.toFence
-	w.toFence = nil
+	next.ToFence = c.runsToFence(w)
 	return next
 }
 
@@ -125,8 +126,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w, ok := c.workers[id]; ok {
-		c.loseRuns(w, "another worker has its address", now)
-		w.toFence = nil
+		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
+		clear(w.toFence)
+		clear(w.unansweredStarts)
 		w.listed = false
 		w.polled = false
 	}
@@ -172,6 +174,9 @@
 		if running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
 			continue
 		}
+		if _, unfenced := w.toFence[key]; unfenced {
+			continue
+		}
 		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopAnswered}).
 			Info("run is no longer on its worker")
 		c.release(p, order.EndExpired, p.checkpoint, now)
@@ -213,7 +218,7 @@
 		if !ok {
 			w.unknownRuns[key] = now
 		} else if now.Sub(firstSeen) > unknownRunGrace {
-			w.toFence = append(w.toFence, order.Stop{Task: r.Task, Run: r.Run, Token: c.token})
+			w.fence(key)
 		}
 		return nil
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -53,9 +53,11 @@
 	adopted       bool
 	stopRequested bool
 	stopSentAt    time.Time
-	stopAnswered  bool
-	checkpoint    string
-	checkpointAt  time.Time
+	// ticketed says that the start carries a ticket.
+	ticketed     bool
+	stopAnswered bool
+	checkpoint   string
+	checkpointAt time.Time
 	// reportedThrottle and throttle are the percentage of its CPU limit that the run may use, as last reported by the worker and
 	// as wanted here.
 	reportedThrottle int
@@ -89,9 +91,11 @@
 	listedStart time.Time
 	used        unit.Size
 	placements  map[runKey]*placement
-	// toFence are runs whose start may still arrive and has to be refused.
-	toFence     []order.Stop
-	unknownRuns map[runKey]time.Time
+	// toFence holds the runs whose start may still arrive and has to be refused by the worker, which has not confirmed that.
+	toFence map[runKey]struct{}
+	// unansweredStarts holds the starts without a ticket of which an attempt was not answered, and when that was sent.
+	unansweredStarts map[runKey]time.Time
+	unknownRuns      map[runKey]time.Time
 	// lastEndSeen is the number of the last end received, lastEndDurable that of the last end that is durable here, and
 	// lastAckSent that of the last acknowledged one.
 	lastEndSeen    uint64
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -169,15 +169,20 @@
 	return func() { timer.Stop() }
 }
 
-// fenceRuns makes a worker reject starts that were sent to an earlier incarnation of it and may still arrive.
+// fenceRuns makes a worker reject starts that may still arrive. A stop without an answer is sent again after the next poll.
 func (r *Runner) fenceRuns(ctx context.Context, w *order.Worker, stops []order.Stop) {
 	for _, s := range stops {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err := r.cfg.Workers.Stop(call, w, s)
 		cancel()
-		if err != nil {
-			r.log.WithError(err).WithField("task", s.Task.String()).Warn("can't fence a run whose start may still arrive")
+		r.checkFenced(err)
+		var rejected *order.RejectedError
+		if err == nil || errors.As(err, &rejected) {
+			r.cell.RunFenced(*w, s)
+			continue
 		}
+		r.log.WithError(err).WithField("task", s.Task.String()).Warn("can't fence a run whose start may still arrive")
+		return
 	}
 }
 
@@ -204,7 +209,7 @@
 			break
 		}
 		res.Sent = time.Now()
-		o.Order.LeaseUntil = r.cell.StartLease(o.Worker.ID, res.Sent)
+		o.Order.LeaseUntil = r.cell.StartLease(o, res.Sent)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
 		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
