Poll workers while unanswered starts may arrive, and hand over each run once

A restart of an idle worker was noticed only when it was listed or after 5 s; until then its new incarnation was not fenced against late starts. It is polled now for as long as one may arrive.

TestRunToFenceIsHandedOverOnce failed before.

--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -89,3 +89,17 @@
 	h.missPolls(o.Worker.ID, 2*time.Second)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// A run that is to be fenced and has not ended yet must be handed over once: the next scheduler would never see the end of the other.
+func TestRunToFenceIsHandedOverOnce(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.cell.HoldRestored(time.Time{})
+	h.add(shortJob("j", 1))
+	o := h.unanswered()
+	h.restart(o.Worker.ID)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	handover, err := h.cell.Handover(h.now)
+	h.c.Assert(err, qt.IsNil)
+	h.c.Assert(handover.Runs, qt.HasLen, 1)
+	h.c.Assert(handover.Runs[0].Stop, qt.IsTrue)
+}
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -59,6 +59,9 @@
 			})
 		}
 		for key := range w.toFence {
+			if _, ok := w.placements[key]; ok {
+				continue
+			}
 			// The run has ended, but its start may still arrive.
 			h.Runs = append(h.Runs, HandoverRun{key.task, key.run, id, true, c.settings.Lease + leaseMargin})
 		}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -44,7 +44,7 @@
 		return next
 	}
 	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent ||
-		len(w.unknownRuns) > 0 || len(w.toFence) > 0
+		len(w.unknownRuns) > 0 || len(w.toFence) > 0 || len(w.unansweredStarts) > 0
 	if w.polled && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
 		// The worker would report the unacknowledged end again at once.
 		next.Needed, next.IdleTimeout = false, unackedPollDelay
