Give a restarted worker no work while a late acknowledgement may reach it

Callers would see a task run again after it was done (TWICE).

Cause: an acknowledgement without an answer may be carried out seconds later. If its worker has restarted under its id by then, the new incarnation, whose ends are numbered from 1 again, drops ends that nobody has received; their runs count as gone and their tasks are started again.

Change: if a worker restarts while an acknowledgement is unanswered, its new incarnation gets no work until 13 s after that was sent.

TestLateAcknowledgementDropsNoEnds, whose second case got work at once without the change.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -7,8 +7,8 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// lateStartLimit is how long after it was sent an unanswered start may still be carried out.
-const lateStartLimit = 13 * time.Second
+// lateOrderLimit is how long after it was sent an unanswered order may still be carried out.
+const lateOrderLimit = 13 * time.Second
 
 // fence adds a run whose start may still arrive to those that the worker is told to refuse, until it has answered that.
 func (w *worker) fence(key runKey) {
@@ -41,12 +41,12 @@
 
 // forgetUnanswered forgets the unanswered starts that can't be carried out any more.
 func (w *worker) forgetUnanswered(now time.Time) {
-	maps.DeleteFunc(w.unansweredStarts, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > lateStartLimit })
+	maps.DeleteFunc(w.unansweredStarts, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > lateOrderLimit })
 }
 
 // mayStartLate reports whether a later incarnation of a worker that does not answer may still carry out the start of a run.
 func (p *placement) mayStartLate(now time.Time) bool {
-	return p.confirmedAt.IsZero() && !p.ticketed && !p.adopted && now.Sub(p.sentAt) <= lateStartLimit
+	return p.confirmedAt.IsZero() && !p.ticketed && !p.adopted && now.Sub(p.sentAt) <= lateOrderLimit
 }
 
 // runsToFence returns the stops that fence a worker's runs, if it answers.
--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -103,3 +103,39 @@
 	h.c.Assert(handover.Runs, qt.HasLen, 1)
 	h.c.Assert(handover.Runs[0].Stop, qt.IsTrue)
 }
+
+// An acknowledgement without an answer may be carried out by a new incarnation of its worker, which would drop ends of its own; until
+// then it must get no work.
+func TestLateAcknowledgementDropsNoEnds(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answered bool
+		starts   int
+	}{
+		{"answered", true, 1},
+		{"not answered", false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 4)
+			h.add(shortJob("first", 1))
+			for _, o := range h.plan().Starts {
+				h.finish("w0", o.Order.Task, order.EndDone)
+			}
+			h.advance(time.Second)
+			h.cell.Committed(h.cell.Collect(10), 2, h.now)
+			poll := h.cell.NextPoll("w0", h.now).Order
+			h.c.Assert(poll.Acked, qt.Equals, uint64(1))
+			h.cell.PollSent("w0", poll, h.now)
+			if test.answered {
+				report := order.Report{Clock: 2 * time.Minute, StartedAt: h.workers["w0"].StartedAt}
+				h.cell.Polled("w0", report, poll.Acked, h.now, h.now)
+			}
+			h.restart("w0")
+			h.pollAll()
+			h.add(shortJob("second", 1))
+			h.c.Assert(h.plan().Starts, qt.HasLen, test.starts)
+			h.advance(13 * time.Second)
+			h.c.Assert(len(h.plan().Starts)+test.starts, qt.Equals, 1)
+		})
+	}
+}
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -58,6 +58,9 @@
 	w.missedPolls = 0
 	clear(w.unknownRuns)
 	w.fenceUnanswered(now)
+	if !w.unansweredAckAt.IsZero() {
+		w.lateAckUntil, w.unansweredAckAt = w.unansweredAckAt.Add(lateOrderLimit), time.Time{}
+	}
 }
 
 // isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
--- a/cell/index.go
+++ b/cell/index.go
@@ -34,8 +34,7 @@
 	idx.free = unit.Size{}
 	var capacity unit.Size
 	for _, w := range c.workers {
-		if !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil) || len(w.unknownRuns) > 0 || len(w.toFence) > 0 ||
-			!c.recordedWorkers[w.info.ID] {
+		if !c.mayGetWork(w, now) {
 			continue
 		}
 		w.lastPlanNumber = idx.planNumber
@@ -57,6 +56,19 @@
 	})
 }
 
+// mayGetWork reports whether a worker may get any work.
+func (c *Cell) mayGetWork(w *worker, now time.Time) bool {
+	switch {
+	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !c.recordedWorkers[w.info.ID]:
+		return false
+	case !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil):
+		return false
+	default:
+		// It must run nothing that is not known, and must not drop the ends of new runs for a late acknowledgement.
+		return len(w.unknownRuns) == 0 && len(w.toFence) == 0 && !now.Before(w.lateAckUntil)
+	}
+}
+
 // contains reports whether a worker may get work in this plan.
 func (idx *candidateIndex) contains(w *worker) bool { return w.lastPlanNumber == idx.planNumber }
 
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -96,13 +96,20 @@
 	return pollWait
 }
 
-// RecordRenewal records that an order that renews leases is about to be sent.
-func (c *Cell) RecordRenewal(id string, now time.Time) {
+// PollSent records that a poll is about to be sent.
+func (c *Cell) PollSent(id string, o order.Poll, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.workers[id]; ok {
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	if o.LeaseUntil > 0 {
 		w.renewedAt = now
 	}
+	if o.Acked > 0 {
+		w.unansweredAckAt = now
+	}
 }
 
 // PollMissed records that a poll got no answer.
@@ -155,6 +162,9 @@
 	w.updateClock(report.Clock, sent, now)
 	w.missedPolls, w.mayHaveRestarted = 0, false
 	c.recordResponse(w, now)
+	if acked > 0 {
+		w.unansweredAckAt = time.Time{}
+	}
 	w.lastAckSent = max(w.lastAckSent, acked)
 	if len(report.Ended) > 0 && report.Ended[0].Number <= w.lastEndDurable && acked == 0 {
 		// It still lists acknowledged ends: the poll that acknowledged them was lost.
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -128,9 +128,7 @@
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := time.Now()
-	if next.Order.LeaseUntil > 0 {
-		r.cell.RecordRenewal(id, sent)
-	}
+	r.cell.PollSent(id, next.Order, sent)
 	stopTimer := r.watchResponse(id, next.Order.Wait, sent)
 	report, err := r.cfg.Workers.Poll(call, &next.Worker, next.Order)
 	stopTimer()
