Keep a reported run whose start got no answer

Callers saw jobs take longer than needed while answers of orders were lost.

Cause: a run whose start got no answer was stopped and its task placed again, even if its worker had reported the run meanwhile.

Change: the run is stopped only if no report has listed it. TestReportedRunIsKeptWithoutAnswerToItsStart failed before in all three cases.

--- a/cell/ends_test.go
+++ b/cell/ends_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
@@ -75,3 +76,32 @@
 		})
 	}
 }
+
+// A run that its worker reports must not be stopped because no answer to its start has arrived.
+func TestReportedRunIsKeptWithoutAnswerToItsStart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		err  func(worker string) error
+	}{
+		{"no answer", func(worker string) error { return &order.UnansweredError{Worker: worker} }},
+		{"repetition refused by a busy worker", func(worker string) error { return &order.BusyError{Worker: worker} }},
+		{"repetition with an expired ticket", func(worker string) error {
+			return &order.RejectedError{Worker: worker, Reason: order.RejectTicket}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 2, 4)
+			h.add(shortJob("j", 1))
+			o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+			h.running[o.Worker.ID] = []order.Run{{Task: o.Order.Task, Run: o.Order.Run, CPUPercent: 100, Gauge: 1000}}
+			h.advance(time.Second)
+			h.cell.Started(o, cell.StartResult{Sent: h.now, Err: test.err(o.Worker.ID), Unanswered: 1}, h.now)
+			plan := h.plan()
+			h.c.Assert(plan.Stops, qt.HasLen, 0)
+			h.c.Assert(plan.Starts, qt.HasLen, 0)
+			h.finish(o.Worker.ID, o.Order.Task, order.EndDone)
+			h.advance(time.Second)
+			h.c.Assert(h.cell.Collect(1).Changes[0].Progress.State, qt.Equals, graph.Completed)
+		})
+	}
+}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -61,9 +61,11 @@
 		p.task.step.nextAdviceAt = now.Add(adviceBusyDelay)
 	}
 	if res.Unanswered > 0 || !provesNotExecuted(res.Err) {
-		// An attempt may have been carried out, or may still be: the run is fenced on the worker before the task is placed
-		// elsewhere.
-		c.requestStop(p)
+		if p.confirmedAt.IsZero() {
+			// An attempt may have been carried out, or may still be: the run is fenced on the worker before the task is placed
+			// elsewhere.
+			c.requestStop(p)
+		}
 		return
 	}
 	p.task.notBefore = now.Add(retryDelay)
