Keep a task back for as long as an unanswered start without a ticket may run

Callers would see a task run twice (TWICE), on queues without advice.

Change: as long as an unanswered start without a ticket may be carried out, its run is neither given up on a silent worker nor taken for absent from an incarnation other than the one for which it was placed; on a silent worker a lease is added to that. The tests TestUnansweredStartBlocksItsTaskWhileItMayRun and TestUnansweredStartBlocksItsTaskAfterRestart failed before.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -44,9 +44,16 @@
 	maps.DeleteFunc(w.unansweredStarts, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > lateOrderLimit })
 }
 
-// mayStartLate reports whether a later incarnation of a worker that does not answer may still carry out the start of a run.
-func (p *placement) mayStartLate(now time.Time) bool {
-	return p.confirmedAt.IsZero() && !p.ticketed && !p.adopted && now.Sub(p.sentAt) <= lateOrderLimit
+// lateUntil returns until when a later incarnation of the worker may carry out the start of a run; the zero time if it can't.
+func (p *placement) lateUntil() time.Time {
+	last := p.unansweredAt
+	if p.confirmedAt.IsZero() && p.sentAt.After(last) {
+		last = p.sentAt
+	}
+	if p.ticketed || p.adopted || last.IsZero() {
+		return time.Time{}
+	}
+	return last.Add(lateOrderLimit)
 }
 
 // runsToFence returns the stops that fence a worker's runs, if it answers.
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -99,7 +99,9 @@
 		return
 	}
 	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin {
-		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool { return p.mayStartLate(now) })
+		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
+			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
+		})
 	}
 }
 
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -14,7 +14,7 @@
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return o.p.stopRequested || !o.p.isCurrent() || !o.Worker.StartedAt.Equal(o.p.w.info.StartedAt)
+	return o.p.stopRequested || !o.p.isCurrent() || !o.p.incarnation.Equal(o.p.w.info.StartedAt)
 }
 
 // StartResult is the outcome of a start order.
@@ -34,7 +34,8 @@
 	p := o.p
 	w := p.w
 	if res.Unanswered > 0 && !p.ticketed {
-		w.recordUnanswered(runKey{p.task.id, p.run}, o.Worker.StartedAt, res.Sent)
+		w.recordUnanswered(runKey{p.task.id, p.run}, p.incarnation, res.Sent)
+		p.unansweredAt = res.Sent
 	}
 	if !p.isCurrent() {
 		return
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -187,6 +187,10 @@
 		if _, unfenced := w.toFence[key]; unfenced {
 			continue
 		}
+		if !p.incarnation.Equal(w.info.StartedAt) && now.Before(p.lateUntil()) {
+			// The worker may restart again before the start is carried out.
+			continue
+		}
 		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopAnswered}).
 			Info("run is no longer on its worker")
 		c.release(p, order.EndExpired, p.checkpoint, now)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -54,7 +54,11 @@
 	stopRequested bool
 	stopSentAt    time.Time
 	// ticketed says that the start carries a ticket.
-	ticketed     bool
+	ticketed bool
+	// unansweredAt is when the last attempt to start the run was sent, if one was not answered.
+	unansweredAt time.Time
+	// incarnation is the start of the worker's incarnation for which the run was placed.
+	incarnation  time.Time
 	stopAnswered bool
 	checkpoint   string
 	checkpointAt time.Time
@@ -225,7 +229,10 @@
 
 // place records a run on a worker and allocates its resources.
 func (c *Cell) place(t *task, w *worker, run int, now time.Time) *placement {
-	p := &placement{task: t, w: w, run: run, size: allocationOf(t.step.doc), sentAt: now, reportedThrottle: unthrottled, throttle: unthrottled}
+	p := &placement{
+		task: t, w: w, run: run, size: allocationOf(t.step.doc), sentAt: now, incarnation: w.info.StartedAt,
+		reportedThrottle: unthrottled, throttle: unthrottled,
+	}
 	if t.isWaiting() {
 		t.step.numWaiting--
 	}
