Count late renewals to earlier incarnations towards a worker's lease

Callers would see a task run twice (TWICE).

Cause: a renewal without an answer may be carried out seconds later. Its end of the lease is on the worker's clock, which starts anew with each incarnation, so in a later incarnation it renews the leases for their maximum from its arrival. The scheduler counted the leases from its last order, and gave the runs of a silent worker up too early. The same holds for late acknowledgements: an earlier unanswered one was forgotten when a later one was answered.

Change: what polls and starts without an answer may still do is worked out at each restart: until when ends may be acknowledged, and until when leases may be renewed.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -30,13 +30,37 @@
 	}
 }
 
-// fenceUnanswered fences, in a new incarnation of a worker, the runs whose starts were sent to an earlier one and may still be
-// carried out: the new one knows nothing of the stops and runs of the earlier one.
-func (w *worker) fenceUnanswered(now time.Time) {
+// sentPoll is a poll that has been sent.
+type sentPoll struct {
+	at     time.Time
+	renews bool
+	acks   bool
+}
+
+// recordUnansweredPoll records that the poll in flight, if there is one, was not answered.
+func (w *worker) recordUnansweredPoll() {
+	if w.pollInFlight.acks {
+		w.unansweredAckAt = w.pollInFlight.at
+	}
+	if w.pollInFlight.renews {
+		w.unansweredRenewalAt = w.pollInFlight.at
+	}
+	w.pollInFlight = sentPoll{}
+}
+
+// expectLateOrders prepares for orders that were sent to earlier incarnations of a worker and may be carried out by the new one,
+// which knows nothing of the stops and runs of the earlier ones, numbers its ends anew and has another clock.
+func (w *worker) expectLateOrders(now time.Time) {
+	w.recordUnansweredPoll()
 	w.forgetUnanswered(now)
-	for key := range w.unansweredStarts {
+	renewedAt := w.unansweredRenewalAt
+	for key, sent := range w.unansweredStarts {
 		w.fence(key)
+		if sent.After(renewedAt) {
+			renewedAt = sent
+		}
 	}
+	w.lateRenewalUntil, w.lateAckUntil = renewedAt.Add(lateOrderLimit), w.unansweredAckAt.Add(lateOrderLimit)
 }
 
 // forgetUnanswered forgets the unanswered starts that can't be carried out any more.
--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -165,7 +165,9 @@
 			poll := h.cell.NextPoll("w0", h.now).Order
 			h.c.Assert(poll.Acked, qt.Equals, uint64(1))
 			h.cell.PollSent("w0", poll, h.now)
-			if test.answered {
+			if !test.answered {
+				h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
+			} else {
 				report := order.Report{Clock: 2 * time.Minute, StartedAt: h.workers["w0"].StartedAt}
 				h.cell.Polled("w0", report, poll.Acked, h.now, h.now)
 			}
@@ -178,3 +180,22 @@
 		})
 	}
 }
+
+// A renewal without an answer may be carried out by a new incarnation of its worker, whose leases it renews whatever the old clock said;
+// the tasks of a worker that falls silent after its restart must not be started elsewhere before those end.
+func TestLateRenewalProlongsLeasesOfNewIncarnation(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.cell.PollSent("w0", order.Poll{LeaseUntil: time.Minute}, h.now)
+	h.cell.PollSent("w1", order.Poll{LeaseUntil: time.Minute}, h.now)
+	sentAt := h.now
+	h.restart("w0")
+	h.restart("w1")
+	h.pollAll()
+	h.add(shortJob("j", 1))
+	o := h.plan().Starts[0]
+	h.advance(time.Second)
+	h.missPolls(o.Worker.ID, 19*time.Second-h.now.Sub(sentAt))
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+	h.missPolls(o.Worker.ID, time.Second)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
+}
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -55,7 +55,7 @@
 		}
 		for key, p := range w.placements {
 			h.Runs = append(h.Runs, HandoverRun{
-				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal()),
+				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal(now)),
 			})
 		}
 		for key := range w.toFence {
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -57,10 +57,7 @@
 	w.renewedAt, w.restartedAt = time.Time{}, now
 	w.missedPolls = 0
 	clear(w.unknownRuns)
-	w.fenceUnanswered(now)
-	if !w.unansweredAckAt.IsZero() {
-		w.lateAckUntil, w.unansweredAckAt = w.unansweredAckAt.Add(lateOrderLimit), time.Time{}
-	}
+	w.expectLateOrders(now)
 }
 
 // isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
@@ -78,7 +75,7 @@
 		}
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
-			"since-renewal": now.Sub(w.lastRenewal()).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
+			"since-renewal": now.Sub(w.lastRenewal(now)).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
@@ -98,16 +95,23 @@
 	if w.missedPolls < missedPollLimit || len(w.placements) == 0 {
 		return
 	}
-	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin {
+	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin {
 		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
 		})
 	}
 }
 
-// lastRenewal returns when the last order was sent that renewed the leases on a worker.
-func (w *worker) lastRenewal() time.Time {
+// lastRenewal returns the last time, up to now, at which an order that renews the leases on a worker was sent, or at which one that
+// was sent to an earlier incarnation may have arrived.
+func (w *worker) lastRenewal(now time.Time) time.Time {
+	if now.Before(w.lateRenewalUntil) {
+		return now
+	}
 	last := w.renewedAt
+	if w.lateRenewalUntil.After(last) {
+		last = w.lateRenewalUntil
+	}
 	for _, p := range w.placements {
 		if p.sentAt.After(last) {
 			last = p.sentAt
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -104,12 +104,10 @@
 	if !ok {
 		return
 	}
+	w.pollInFlight = sentPoll{at: now, renews: o.LeaseUntil > 0, acks: o.Acked > 0}
 	if o.LeaseUntil > 0 {
 		w.renewedAt = now
 	}
-	if o.Acked > 0 {
-		w.unansweredAckAt = now
-	}
 }
 
 // PollMissed records that a poll got no answer.
@@ -120,6 +118,7 @@
 	if !ok {
 		return
 	}
+	w.recordUnansweredPoll()
 	w.missedPolls++
 	if w.missedPolls == missedPollLimit {
 		w.unresponsiveSince = now
@@ -153,18 +152,17 @@
 		if report.StartedAt.Before(w.info.StartedAt) {
 			return
 		}
+		w.pollInFlight = sentPoll{}
 		c.handleRestart(w, report.StartedAt, now)
 		acked = 0
 	}
+	w.pollInFlight = sentPoll{}
 	if w.missedPolls >= missedPollLimit {
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.unresponsiveSince).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
 	w.updateClock(report.Clock, sent, now)
 	w.missedPolls, w.mayHaveRestarted = 0, false
 	c.recordResponse(w, now)
-	if acked > 0 {
-		w.unansweredAckAt = time.Time{}
-	}
 	w.lastAckSent = max(w.lastAckSent, acked)
 	if len(report.Ended) > 0 && report.Ended[0].Number <= w.lastEndDurable && acked == 0 {
 		// It still lists acknowledged ends: the poll that acknowledged them was lost.
--- a/cell/record.go
+++ b/cell/record.go
@@ -43,7 +43,7 @@
 	}
 	for id, w := range c.workers {
 		if w.polled && c.isSuspect(w) {
-			unconfirmed[id] = max(0, w.lastRenewal().Add(c.settings.Lease+leaseMargin).Sub(now))
+			unconfirmed[id] = max(0, w.lastRenewal(now).Add(c.settings.Lease+leaseMargin).Sub(now))
 		}
 	}
 	return unconfirmed
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -99,11 +99,16 @@
 	toFence map[runKey]struct{}
 	// unansweredStarts holds the starts without a ticket of which an attempt was not answered, and when that was sent.
 	unansweredStarts map[runKey]time.Time
-	// unansweredAckAt is when an acknowledgement that has not been answered was sent; zero if there is none.
-	unansweredAckAt time.Time
-	// lateAckUntil is until when an acknowledgement sent to an earlier incarnation may still be carried out.
-	lateAckUntil time.Time
-	unknownRuns  map[runKey]time.Time
+	// pollInFlight is the poll that has been sent; zero if it has been answered or missed.
+	pollInFlight sentPoll
+	// unansweredAckAt and unansweredRenewalAt are when the last unanswered polls were sent that acknowledge ends and renew leases.
+	unansweredAckAt     time.Time
+	unansweredRenewalAt time.Time
+	// lateAckUntil and lateRenewalUntil are until when orders sent to earlier incarnations may still acknowledge ends and renew
+	// leases.
+	lateAckUntil     time.Time
+	lateRenewalUntil time.Time
+	unknownRuns      map[runKey]time.Time
 	// lastEndSeen is the number of the last end received, lastEndDurable that of the last end that is durable here, and
 	// lastAckSent that of the last acknowledged one.
 	lastEndSeen    uint64
