Log through which host advice was requested, and how long it took

A step that waits for advice left no trace of why: the log named neither the host that sent the request nor how long the answer took beside the expected time.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -58,8 +58,9 @@
 	// Cost is the expected duration of the call.
 	Cost time.Duration
 	// Host is the host that sends the request.
-	Host string
-	s    *step
+	Host   string
+	s      *step
+	sentAt time.Time
 	// renewal says that the request renews tickets of a step that waits for capacity.
 	renewal bool
 }
@@ -220,7 +221,7 @@
 		if errors.As(err, &busy) {
 			s.nextAdviceAt = now.Add(adviceBusyDelay)
 		}
-		c.log.WithError(err).WithField("step", request.Step.String()).Warn("advice request failed")
+		c.log.WithError(err).WithFields(request.logFields(now)).Warn("advice request failed")
 		return
 	}
 	rate := c.adviceRateOf(request.Queue)
@@ -243,7 +244,12 @@
 	if len(permits) == 0 {
 		s.nextAdviceAt = now.Add(adviceBusyDelay / 10)
 	}
-	c.log.WithFields(logrus.Fields{
-		fieldJob: request.Step.Job, "step": request.Step.String(), "asked": len(request.Workers), "allowed": len(permits),
-	}).Info("advised")
+	c.log.WithFields(request.logFields(now)).WithField("allowed", len(permits)).Info("advised")
+}
+
+func (r *AdviceRequest) logFields(now time.Time) logrus.Fields {
+	return logrus.Fields{
+		fieldJob: r.Step.Job, "step": r.Step.String(), "asked": len(r.Workers), "renewal": r.renewal, "via": r.Host,
+		"expected": r.Cost.String(), fieldTook: now.Sub(r.sentAt).Round(time.Millisecond).String(),
+	}
 }
--- a/cell/request.go
+++ b/cell/request.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	if request.Host, ok = plan.slots.Reserve(request.Cost); ok {
-		s.advicePending = true
+		s.advicePending, request.sentAt = true, now
 		plan.AdviceRequests = append(plan.AdviceRequests, request)
 	}
 	return true
