Let groups take turns at each host's calls to the advisor

The advisor takes one call at a time from each host, and two groups share the few hosts for long calls. One group's calls took 0.63 s, the other's 0.19 s with a timeout of 0.49 s: behind a longer call they expired. The host was sound, but the caller took the expiry for that of an unreachable host and did not use it for 4 s; soon it had no host left for long calls, while the other group kept all four busy. The expired calls stayed in the advisor's queue.

Now each host queues the calls itself, in the order of their arrival, and sends one long call or two short ones at a time.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/graph"
@@ -19,7 +22,7 @@
 	// maxShortInFlight is how many short calls may be in flight at one host, so that network latency overlaps with a call.
 	maxShortInFlight = 2
 	// adviseSlack is added to a call's expected duration to get its timeout. It covers the round trip to a distant host and
-	// one other call of that host. A short step must not wait for a partitioned host.
+	// the wait for other calls of that host. A short step must not wait for a partitioned host.
 	adviseSlack = 300 * time.Millisecond
 )
 
@@ -47,7 +50,8 @@
 	if req.Host == b.self {
 		permits, validity, err := b.advisor.Advise(ctx, req.Step, req.Workers)
 		var busy *order.AdvisorBusyError
-		if err != nil && !errors.As(err, &busy) {
+		var queueTimeout *queueTimeoutError
+		if err != nil && !errors.As(err, &busy) && !errors.As(err, &queueTimeout) {
 			b.hosts.backOff(b.self, time.Now())
 		}
 		return permits, validity, err
@@ -57,7 +61,7 @@
 		return nil, 0, &order.AdvisorBusyError{}
 	}
 	permits, validity, err := b.adviseRemotely(ctx, h, req)
-	if err != nil {
+	if err != nil && status.Code(err) != codes.Aborted {
 		b.hosts.backOff(h.Name, time.Now())
 	}
 	return permits, validity, err
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,8 +96,9 @@
 func New(s platform.Settings, path string, log logrus.FieldLogger) *Agent {
 	a := &Agent{
 		started: time.Now(), settings: s, settingsPath: path, incarnation: uuid.NewString(), log: log, queues: &queues.Store{},
-		leases: elect.NewView(), hosts: newHosts(s.Name, s.DataCenter), advisor: platform.NewAdvisor(s.Advisor),
+		leases: elect.NewView(), hosts: newHosts(s.Name, s.DataCenter),
 	}
+	a.advisor = newAdvisorQueue(platform.NewAdvisor(s.Advisor), a.hosts)
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
 	a.direct = table.NewHealth(&instrumentedStore{platform.NewStore(s.Table), a.metrics})
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -168,6 +168,12 @@
 	return fastPath, rest
 }
 
+func (h *hosts) isFastPath(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fastPath[name]
+}
+
 func (h *hosts) find(name string) (host, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -45,6 +46,10 @@
 // Advise implements cellpb.CellsServer.
 func (p *peerServer) Advise(ctx context.Context, r *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
 	permits, validity, err := p.a.advisor.Advise(ctx, stepFromProto(r), r.GetWorkers())
+	var queueTimeout *queueTimeoutError
+	if errors.As(err, &queueTimeout) {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
