Make long calls to the advisor through reserved hosts where no other host is usable

Each data centre reserves a third of its hosts, at least one, for short calls. With one host a data centre, as in a small deployment or in the midst of a rolling stop, all are reserved, and long calls were never made: steps whose advice takes more than 0.1 s did not start at all. The same held while all other hosts were backed off.

Whether a call takes the whole of a host's queue now follows from its deadline and no longer from the host, so that a short call does not wait at the advisor behind a long one there.

The test fails on the state before: no host is returned.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -87,7 +87,7 @@
 }
 
 // pickHost returns a host with no call of this host in flight. Long calls avoid the fast-path hosts, where up to
-// maxShortInFlight short calls may overlap.
+// maxShortInFlight short calls may overlap, unless no other host can be used.
 func (b *advisorBalancer) pickHost(cost time.Duration, now time.Time) (string, bool) {
 	fastPath, rest := b.hosts.splitFastPath(now)
 	if len(fastPath)+len(rest) == 0 {
@@ -102,6 +102,9 @@
 			}
 		}
 	}
+	if len(rest) == 0 {
+		rest = fastPath
+	}
 	for i := range rest {
 		h := rest[(b.nextHost+i)%len(rest)]
 		if b.inFlight[h.Name] == 0 {
--- a/agent/advise_test.go
+++ b/agent/advise_test.go
@@ -66,6 +66,26 @@
 	c.Assert(other.fastPath, qt.DeepEquals, b.hosts.fastPath)
 }
 
+// Guards against long calls that are never made where every host of a data centre is reserved for short ones, or no other
+// responds.
+func TestLongAdvisorCallsUseFastPathHostsIfNoOtherIsUsable(t *testing.T) {
+	c := qt.New(t)
+	one := newAdvisorBalancer(1)
+	_, ok := one.Reserve(time.Second)
+	c.Assert(ok, qt.IsTrue)
+
+	b := newAdvisorBalancer(2)
+	now := time.Now()
+	for name := range b.hosts.known {
+		if !b.hosts.fastPath[name] {
+			b.hosts.backOff(name, now)
+		}
+	}
+	name, ok := b.pickHost(time.Second, now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(b.hosts.fastPath[name], qt.IsTrue)
+}
+
 // No calls are made for a while from a host whose call to the advisor failed; other hosts are used.
 func TestFailedAdvisorCallBacksOffHost(t *testing.T) {
 	c := qt.New(t)
--- a/agent/advisor_queue.go
+++ b/agent/advisor_queue.go
@@ -30,18 +30,19 @@
 // a busy host from one that is unreachable.
 type advisorQueue struct {
 	order.Advisor
-	hosts *hosts
+	host string
+	// slots has maxShortInFlight units, one for each short call; a long call takes them all.
 	slots *semaphore.Weighted
 }
 
-func newAdvisorQueue(advisor order.Advisor, h *hosts) *advisorQueue {
-	return &advisorQueue{Advisor: advisor, hosts: h, slots: semaphore.NewWeighted(maxShortInFlight)}
+func newAdvisorQueue(advisor order.Advisor, host string) *advisorQueue {
+	return &advisorQueue{Advisor: advisor, host: host, slots: semaphore.NewWeighted(maxShortInFlight)}
 }
 
-// Advise implements order.Advisor.
+// Advise implements order.Advisor. The deadline of ctx, a call's expected duration and adviseSlack, says whether it is short.
 func (q *advisorQueue) Advise(ctx context.Context, step graph.StepID, workers []string) ([]order.Permit, time.Duration, error) {
 	n := int64(maxShortInFlight)
-	if q.hosts.isFastPath(q.hosts.self) {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= maxShortCallDuration+adviseSlack {
 		n = 1
 	}
 	wait, cancel := context.WithTimeout(ctx, maxAdvisorQueueWait)
@@ -50,7 +51,7 @@
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
 		}
-		return nil, 0, &queueTimeoutError{q.hosts.self}
+		return nil, 0, &queueTimeoutError{q.host}
 	}
 	defer q.slots.Release(n)
 	return q.Advisor.Advise(ctx, step, workers)
--- a/agent/advisor_queue_test.go
+++ b/agent/advisor_queue_test.go
@@ -62,7 +62,7 @@
 		}
 	}
 	h.sort()
-	return &advisorBalancer{self: h.self, advisor: newAdvisorQueue(advisor, h), hosts: h, inFlight: map[string]int{}}
+	return &advisorBalancer{self: h.self, advisor: newAdvisorQueue(advisor, h.self), hosts: h, inFlight: map[string]int{}}
 }
 
 // Guards against steps whose requests for advice expire behind longer calls that another group makes through the same hosts,
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -98,7 +98,7 @@
 		started: time.Now(), settings: s, settingsPath: path, incarnation: uuid.NewString(), log: log, queues: &queues.Store{},
 		leases: elect.NewView(), hosts: newHosts(s.Name, s.DataCenter),
 	}
-	a.advisor = newAdvisorQueue(platform.NewAdvisor(s.Advisor), a.hosts)
+	a.advisor = newAdvisorQueue(platform.NewAdvisor(s.Advisor), s.Name)
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
 	a.direct = table.NewHealth(&instrumentedStore{platform.NewStore(s.Table), a.metrics})
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -50,7 +50,7 @@
 	dataCenter string
 	// sorted holds the known hosts by distance: this one, those of its data centre, and the others.
 	sorted []host
-	// fastPath holds the hosts from which no long calls to the advisor are made; all hosts choose the same ones, whichever
+	// fastPath holds the hosts that are reserved for short calls to the advisor; all hosts choose the same ones, whichever
 	// groups they run.
 	fastPath map[string]bool
 	conns    map[netip.AddrPort]*grpc.ClientConn
@@ -168,12 +168,6 @@
 	return fastPath, rest
 }
 
-func (h *hosts) isFastPath(name string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.fastPath[name]
-}
-
 func (h *hosts) find(name string) (host, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
