Tell incarnations of a worker apart by order of events, not by their start times

Callers would see a job that is never completed (LOST): nothing that the worker reports counts, and since it answers, its runs are never given up either.

Cause: a report with an earlier start time than the known one was passed over as old. The start time is a time of day, which may be set back; and another writer may leave an entry with a later one under the worker's id. After either, all reports of the worker were passed over for good.

Change: a report whose poll was sent before the last restart was noticed is old; any other with another start time is that of a new incarnation. An entry with an earlier start time has the worker polled, and says nothing by itself.

TestRestartWithEarlierStartTimeIsSeen and TestWrongStartTimeInEntryDoesNotHideReports failed before. In TestRestartedWorkerGetsNoWorkUntilListed the worker is polled once more before it gets work, as such an entry asks for.

--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
@@ -35,6 +36,7 @@
 			h.add(shortJob("j", 4))
 			h.c.Assert(h.plan().Starts, qt.HasLen, 0)
 			h.cell.SetWorker(restarted, h.now)
+			h.pollAll()
 			h.c.Assert(h.plan().Starts, qt.HasLen, 2)
 		})
 	}
@@ -54,3 +56,47 @@
 	h.setWorker(restarted)
 	h.c.Assert(h.cell.Abandoned(waiting), qt.IsTrue)
 }
+
+// The time of day of a worker may have been set back before it restarts; the reports of its new incarnation must not be passed over as
+// old ones.
+func TestRestartWithEarlierStartTimeIsSeen(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// list applies the new incarnation's entry, before its first report or not at all.
+		list func(h *harness, restarted order.Worker)
+	}{
+		{"reported by the worker", func(*harness, order.Worker) {}},
+		{"listed first", func(h *harness, restarted order.Worker) { h.cell.SetWorker(restarted, h.now) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 4)
+			h.add(shortJob("j", 1))
+			h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+			h.advance(time.Second)
+			restarted := h.workers["w0"]
+			restarted.StartedAt = restarted.StartedAt.Add(-time.Hour)
+			h.workers["w0"], h.running["w0"] = restarted, nil
+			test.list(h, restarted)
+			h.advance(time.Second)
+			h.advance(time.Second)
+			h.setWorker(restarted)
+			h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+		})
+	}
+}
+
+// An entry with a wrong start time under a worker's id must not keep the worker's own reports from being processed.
+func TestWrongStartTimeInEntryDoesNotHideReports(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("j", 1))
+	o := h.plan().Starts[0]
+	h.advance(time.Second)
+	wrong := h.workers["w0"]
+	wrong.StartedAt = h.now.Add(time.Hour)
+	h.cell.SetWorker(wrong, h.now)
+	h.advance(time.Second)
+	h.finish("w0", o.Order.Task, order.EndDone)
+	h.advance(time.Second)
+	h.c.Assert(h.cell.Collect(1).Changes[0].Progress.State, qt.Equals, graph.Completed)
+	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -149,7 +149,8 @@
 		return
 	}
 	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(w.info.StartedAt) {
-		if report.StartedAt.Before(w.info.StartedAt) {
+		if sent.Before(w.restartedAt) {
+			// The incarnation before the present one has answered.
 			return
 		}
 		w.pollInFlight = sentPoll{}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -215,8 +215,9 @@
 	}
 	if !info.StartedAt.Equal(w.info.StartedAt) {
 		if info.StartedAt.Before(w.info.StartedAt) {
-			// The entry is older than the worker's own report, but the worker is listed.
-			w.listed = true
+			// The entry is old, or of an incarnation that started after the time of day was set back: a report will tell.
+			w.listed, w.polled = true, false
+			w.wakeUp()
 			return false
 		}
 		c.handleRestart(w, info.StartedAt, now)
