Don't run a job whose stored progress can't be decoded

Callers would see tasks run again that were done (TWICE).

Cause: a row of progress that could not be decoded was logged and passed over, so its job looked like one of which nothing had ever been started.

Change: the job is logged and left alone. TestJobWithUnreadableProgressIsNotStarted failed before (2 starts instead of 1).

--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -64,7 +64,7 @@
 	sweepInterval = 30 * time.Second
 )
 
-// storedProgress is the progress of a job as read from the table, and the version of its row.
+// storedProgress is the progress of a job as read from the table, nil if it can't be decoded, and the version of its row.
 type storedProgress struct {
 	progress *graph.Progress
 	version  uint64
@@ -92,8 +92,7 @@
 		for _, row := range rows {
 			p, err := graph.DecodeProgress(row.Value)
 			if err != nil {
-				r.log.WithError(err).WithField("job", row.Name).Error("stored progress of a job can't be decoded")
-				continue
+				r.log.WithError(err).WithField("job", row.Name).Error("stored progress of a job can't be decoded; the job is not run")
 			}
 			progressByJob[row.Name] = storedProgress{p, row.Version}
 		}
@@ -114,7 +113,11 @@
 				defer r.cell.Cancel(id, now)
 				continue
 			}
-			stored := progressByJob[row.Name]
+			stored, hasProgress := progressByJob[row.Name]
+			if hasProgress && stored.progress == nil {
+				// What has run of the job is not known, so nothing of it may be started.
+				continue
+			}
 			if stored.progress != nil && stored.progress.State.Terminal() {
 				// Most rows at a takeover belong to finished jobs, whose documents need not be decoded.
 				r.cell.AddFinished(row.Name, stored.progress, now)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -593,3 +593,21 @@
 		s.c.Assert(s.workers.NumStarts(), qt.Equals, 60)
 	})
 }
+
+// A job whose stored progress can't be decoded must not be taken for one of which nothing has run.
+func TestJobWithUnreadableProgressIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 1, bigWorker)
+		s.workers.Outcome = fixedDuration(100 * time.Millisecond)
+		key := table.Key{Table: runner.TableRuns, Partition: service, Name: "00000000000000aa"}
+		_, err := s.store.Commit(t.Context(), table.Tx{Writes: []table.Write{{Key: key, Value: []byte("{")}}})
+		s.c.Assert(err, qt.IsNil)
+		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(1)})
+		s.submit("00000000000000bb", graph.Step{Count: 1, Size: cores(1)})
+		r, stop := s.runner()
+		defer stop()
+		s.awaitState(r, "00000000000000bb", graph.Completed, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		s.c.Assert(s.workers.NumStarts(), qt.Equals, 1)
+	})
+}
