Let fake workers delay orders, refuse as busy, lose answers and restart as others

The randomized test found neither TWICE nor LIMIT, which the users saw. It lacked the disruptions that their platform lists.

New in fakes.WorkerSet: a fault for each order (refused as busy, dropped, carried out without an answer, carried out up to any time later by whatever incarnation runs then), a worker that stays down and restarts as another kind, slow clocks, tickets that expire, runs that take time to stop, workers that enforce their capacity. As on the platform, a rejected start renews the lease if its run number is old or there is no room. A poll that waits ends with its worker.

Stricter: a start after a successful end counts as a violation also if that end is acknowledged only after the start, unless the lease expired in between; labels and the limit per worker are checked. In steps with copies, an order that a worker carried out late is no longer judged by an acknowledged end, as the users' rules say for late orders.

--- a/fakes/table.go
+++ b/fakes/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -26,6 +27,14 @@
 	faultFor func(op string) TableFault
 	// numCommits counts the transactions that took effect.
 	numCommits int
+	rng        *rand.Rand
+	// changes holds every change with its time, for stale reads.
+	changes []timedRow
+}
+
+type timedRow struct {
+	at  time.Time
+	row table.Row
 }
 
 // TableFault is the fault that is injected into a call.
@@ -41,12 +50,25 @@
 	TableNoReply
 	// TableReplyLost lets a commit take effect and loses the reply; it has no effect on other calls.
 	TableReplyLost
+	// TableLate lets a commit take effect between lateCommitMin and lateCommitMax later, if its checks hold then, without a reply; it
+	// blocks other calls until their context is done.
+	TableLate
+	// TableStale lets a read return the rows as of staleBy before, and lets no call for changes see any; it has no effect on commits.
+	TableStale
+)
+
+// Delays of the faults TableLate and TableStale.
+const (
+	lateCommitMin = time.Second
+	lateCommitMax = 6 * time.Second
+	staleBy       = 3 * time.Second
 )
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		rows: map[table.Key]table.Row{}, changed: make(chan struct{}), faultFor: func(string) TableFault { return TableOK },
+		rng: rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -60,6 +82,13 @@
 	t.faultFor = faultFor
 }
 
+// SetLatency sets how long a call takes.
+func (t *Table) SetLatency(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Latency = d
+}
+
 // DropHistory drops the history of changes, so that Changes after an older version fails.
 func (t *Table) DropHistory() {
 	t.mu.Lock()
@@ -85,16 +114,18 @@
 var errConnLost = errors.New("connection lost")
 
 func (t *Table) injectFault(ctx context.Context, op string) (TableFault, error) {
-	if t.Latency > 0 {
-		select {
-		case <-ctx.Done():
-			return TableNoReply, &table.UnansweredError{Op: op, Err: ctx.Err()}
-		case <-time.After(t.Latency):
-		}
+	t.mu.Lock()
+	latency := t.Latency
+	t.mu.Unlock()
+	if latency > 0 && !sleep(ctx, latency) {
+		return TableNoReply, &table.UnansweredError{Op: op, Err: ctx.Err()}
 	}
 	t.mu.Lock()
 	fault := t.faultFor(op)
 	t.mu.Unlock()
+	if fault == TableLate && op != opCommit {
+		fault = TableNoReply
+	}
 	switch fault {
 	case TableUnavailable:
 		return fault, &table.RefusedError{Op: op, Status: 503}
@@ -108,18 +139,33 @@
 
 // Commit implements table.Store.
 func (t *Table) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
-	const op = "commit"
-	fault, err := t.injectFault(ctx, op)
+	fault, err := t.injectFault(ctx, opCommit)
 	if err != nil {
 		return 0, err
 	}
+	if fault == TableLate {
+		time.AfterFunc(t.lateBy(), func() { _, _ = t.commit(tx) })
+		<-ctx.Done()
+		return 0, &table.UnansweredError{Op: opCommit, Err: ctx.Err()}
+	}
 	version, err := t.commit(tx)
 	if fault == TableReplyLost {
-		return 0, &table.UnansweredError{Op: op, Err: errConnLost}
+		return 0, &table.UnansweredError{Op: opCommit, Err: errConnLost}
 	}
 	return version, err
 }
 
+const opCommit = "commit"
+
+func (t *Table) lateBy() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lateCommitMin + time.Duration(t.rng.Int64N(int64(lateCommitMax-lateCommitMin)))
+}
+
+// Apply applies a transaction without latency or faults.
+func (t *Table) Apply(tx table.Tx) (uint64, error) { return t.commit(tx) }
+
 func (t *Table) commit(tx table.Tx) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,26 +185,53 @@
 	for _, w := range tx.Writes {
 		row := table.Row{Key: w.Key, Value: w.Value, Version: t.version}
 		t.rows[w.Key] = row
-		t.history = append(t.history, row)
+		t.recordChange(row)
 	}
 	for _, k := range tx.Removes {
 		delete(t.rows, k)
-		t.history = append(t.history, table.Row{Key: k, Version: t.version, Deleted: true})
+		t.recordChange(table.Row{Key: k, Version: t.version, Deleted: true})
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return t.version, nil
 }
 
+func (t *Table) recordChange(row table.Row) {
+	t.history = append(t.history, row)
+	t.changes = append(t.changes, timedRow{time.Now(), row})
+}
+
+// rowsAsOf returns the rows as of a time, and their version.
+func (t *Table) rowsAsOf(at time.Time) (map[table.Key]table.Row, uint64) {
+	rows, version := map[table.Key]table.Row{}, uint64(0)
+	for _, change := range t.changes {
+		if change.at.After(at) {
+			break
+		}
+		version = change.row.Version
+		if change.row.Deleted {
+			delete(rows, change.row.Key)
+			continue
+		}
+		rows[change.row.Key] = change.row
+	}
+	return rows, version
+}
+
 // Read implements table.Store.
 func (t *Table) Read(ctx context.Context, q table.Range) (table.Page, error) {
-	if _, err := t.injectFault(ctx, "read"); err != nil {
+	fault, err := t.injectFault(ctx, "read")
+	if err != nil {
 		return table.Page{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	page := table.Page{Version: t.version}
-	for k, row := range t.rows {
+	rows, version := t.rows, t.version
+	if fault == TableStale {
+		rows, version = t.rowsAsOf(time.Now().Add(-staleBy))
+	}
+	page := table.Page{Version: version}
+	for k, row := range rows {
 		if k.Table == q.Table && k.Partition == q.Partition && k.Name >= q.From && (q.To == "" || k.Name < q.To) {
 			page.Rows = append(page.Rows, row)
 		}
@@ -172,9 +245,16 @@
 
 // Changes implements table.Store.
 func (t *Table) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
-	if _, err := t.injectFault(ctx, "changes"); err != nil {
+	fault, err := t.injectFault(ctx, "changes")
+	if err != nil {
 		return table.Changes{}, err
 	}
+	if fault == TableStale {
+		if !sleep(ctx, wait) {
+			return table.Changes{}, &table.UnansweredError{Op: "changes", Err: ctx.Err()}
+		}
+		return table.Changes{Version: after}, nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -18,34 +18,51 @@
 	Outcome func(worker string, task graph.TaskID, run int) (time.Duration, order.EndKind)
 	// MaxLease caps the lease of every worker.
 	MaxLease time.Duration
+	// StopGrace is how long a run takes to stop; until then it uses its resources.
+	StopGrace time.Duration
+	// EnforceCapacity makes the workers reject runs that exceed their capacity.
+	EnforceCapacity bool
 
 	mu      sync.Mutex
 	workers map[string]*workerState
-	// speculative holds the steps whose tasks may have several runs at a time.
-	speculative map[graph.StepID]bool
-	// taskSizes holds the resources that each task of a step allocates, for the check of capacity.
-	taskSizes map[graph.StepID]unit.Size
-	completed map[graph.TaskID]bool
-	// ackedDone holds the tasks whose successful end was acknowledged.
-	ackedDone  map[graph.TaskID]bool
+	// stepRules holds what the starts of each step are checked against.
+	stepRules map[graph.StepID]stepRules
+	// starts and doneEnds hold the starts and the successful ends of each task.
+	starts   map[graph.TaskID][]startRecord
+	doneEnds map[graph.TaskID][]*doneEnd
+	tickets  map[string]ticket
+	// lastEvent numbers starts and ends in the order in which they happened.
+	lastEvent  int
 	violations []string
+	events     []WorkerEvent
+	recording  bool
 	numStarts  int
+	// faultFor returns the fault of an order; it is called before the order is sent.
+	faultFor func(OrderCall) OrderFault
 }
 
 // workerState is the state of one incarnation of a worker.
 type workerState struct {
 	worker    order.Worker
 	startedAt time.Time
-	token     uint64
-	leaseEnd  time.Time
-	runs      map[runKey]*activeRun
+	// clockDrift is the share of the elapsed time by which the clock lags.
+	clockDrift float64
+	token      uint64
+	// leaseEnd is on the worker's clock.
+	leaseEnd time.Duration
+	runs     map[runKey]*activeRun
 	// highestClosed holds, by task, the highest run that ended or was stopped; starts up to it are rejected as stale.
-	highestClosed      map[graph.TaskID]int
-	unackedEnds        []order.End
-	lastEndNumber      uint64
+	highestClosed map[graph.TaskID]int
+	unackedEnds   []order.End
+	lastEndNumber uint64
+	// lapsedEnds is the number of the last end before the lease last expired.
+	lapsedEnds         uint64
 	changed            chan struct{}
 	unreachable        bool
+	down               bool
 	loseNextStartReply bool
+	// crashed is closed when this incarnation has crashed.
+	crashed chan struct{}
 }
 
 type runKey struct {
@@ -56,13 +73,14 @@
 type activeRun struct {
 	checkpoint string
 	timer      *time.Timer
+	stopping   bool
 }
 
 // NewWorkerSet returns a set without workers.
 func NewWorkerSet(maxLease time.Duration) *WorkerSet {
 	return &WorkerSet{
-		MaxLease: maxLease, workers: map[string]*workerState{}, taskSizes: map[graph.StepID]unit.Size{},
-		completed: map[graph.TaskID]bool{}, speculative: map[graph.StepID]bool{}, ackedDone: map[graph.TaskID]bool{},
+		MaxLease: maxLease, workers: map[string]*workerState{}, stepRules: map[graph.StepID]stepRules{},
+		starts: map[graph.TaskID][]startRecord{}, doneEnds: map[graph.TaskID][]*doneEnd{}, tickets: map[string]ticket{},
 	}
 }
 
@@ -70,28 +88,25 @@
 func (s *WorkerSet) Add(w order.Worker) order.Worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.add(w, 0)
+}
+
+func (s *WorkerSet) add(w order.Worker, clockDrift float64) order.Worker {
 	if w.StartedAt.IsZero() {
 		w.StartedAt = time.Now()
 	}
 	s.workers[w.ID] = &workerState{
-		worker: w, startedAt: time.Now(), runs: map[runKey]*activeRun{}, highestClosed: map[graph.TaskID]int{},
-		changed: make(chan struct{}),
+		worker: w, startedAt: time.Now(), clockDrift: clockDrift, runs: map[runKey]*activeRun{}, highestClosed: map[graph.TaskID]int{},
+		changed: make(chan struct{}), crashed: make(chan struct{}),
 	}
 	return w
 }
 
-// SetTaskSize declares the resources that each task of a step allocates.
-func (s *WorkerSet) SetTaskSize(step graph.StepID, size unit.Size) {
+// SetClockDrift makes a worker's clock lag by a share of the time that has elapsed since its start.
+func (s *WorkerSet) SetClockDrift(id string, share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.taskSizes[step] = size
-}
-
-// AllowSpeculative allows the tasks of a step to have several runs at a time.
-func (s *WorkerSet) AllowSpeculative(step graph.StepID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.speculative[step] = true
+	s.workers[id].clockDrift = share
 }
 
 // SetUnreachable makes a worker unreachable, or reachable again. Its tasks keep running until their lease expires.
@@ -103,22 +118,56 @@
 
 // Crash stops all runs of a worker and restarts it as a new incarnation with the same id.
 func (s *WorkerSet) Crash(id string) order.Worker {
+	s.TakeDown(id)
+	return s.Restart(id, nil)
+}
+
+// TakeDown makes a worker crash and stay down.
+func (s *WorkerSet) TakeDown(id string) {
 	s.mu.Lock()
-	old := s.workers[id]
-	for _, r := range old.runs {
+	defer s.mu.Unlock()
+	ws := s.workers[id]
+	if ws.down {
+		return
+	}
+	s.expireRuns(ws)
+	for key, r := range ws.runs {
 		r.timer.Stop()
+		delete(ws.runs, key)
 	}
+	ws.down = true
+	close(ws.crashed)
+	s.record(id, graph.TaskID{}, 0, "crashed")
+}
+
+// IsDown reports whether a worker is down.
+func (s *WorkerSet) IsDown(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[id].down
+}
+
+// Restart starts a new incarnation of a worker that is down; change, if set, changes it first.
+func (s *WorkerSet) Restart(id string, change func(*order.Worker)) order.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.workers[id]
 	w := old.worker
-	s.mu.Unlock()
 	w.StartedAt = time.Now()
-	return s.Add(w)
+	if change != nil {
+		change(&w)
+	}
+	s.record(id, graph.TaskID{}, 0, "restarted with %v and labels %v", w.Capacity, w.Labels)
+	s.add(w, old.clockDrift)
+	s.workers[id].unreachable = old.unreachable
+	return w
 }
 
-// Violations returns the violations that were recorded.
-func (s *WorkerSet) Violations() []string {
+// Worker returns a worker's present incarnation as the registry would list it.
+func (s *WorkerSet) Worker(id string) order.Worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]string(nil), s.violations...)
+	return s.workers[id].worker
 }
 
 // NumStarts returns the number of runs that were started.
@@ -137,49 +186,34 @@
 	return len(ws.runs)
 }
 
-func (s *WorkerSet) addViolation(format string, args ...any) {
-	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+func (ws *workerState) clock() time.Duration {
+	elapsed := time.Since(ws.startedAt)
+	return elapsed - time.Duration(ws.clockDrift*float64(elapsed))
 }
 
-// reach returns the worker that an order is for. If the worker is unreachable, it blocks until ctx is done.
-func (s *WorkerSet) reach(ctx context.Context, w *order.Worker) (*workerState, error) {
-	s.mu.Lock()
-	ws, ok := s.workers[w.ID]
-	unreachable := ok && ws.unreachable
-	s.mu.Unlock()
-	if !ok {
-		return nil, &order.GoneError{Worker: w.ID}
-	}
-	if unreachable {
-		<-ctx.Done()
-		return nil, &order.UnansweredError{Worker: w.ID, Err: ctx.Err()}
-	}
-	return ws, nil
+func (ws *workerState) rejection(reason order.RejectReason) error {
+	return &order.RejectedError{Worker: ws.worker.ID, Reason: reason, Clock: ws.clock()}
 }
 
-func (ws *workerState) clock() time.Duration { return time.Since(ws.startedAt) }
-
 // acceptToken rejects a fencing token that is lower than the last one and stores it otherwise.
 func (ws *workerState) acceptToken(token uint64) error {
 	if token < ws.token {
-		return &order.RejectedError{Worker: ws.worker.ID, Reason: order.RejectFenced, Clock: ws.clock()}
+		return ws.rejection(order.RejectFenced)
 	}
 	ws.token = token
 	return nil
 }
 
 func (s *WorkerSet) renewLease(ws *workerState, leaseUntil time.Duration) {
-	leaseEnd := ws.startedAt.Add(min(leaseUntil, ws.clock()+s.MaxLease))
-	if leaseEnd.After(ws.leaseEnd) {
-		ws.leaseEnd = leaseEnd
-	}
+	ws.leaseEnd = max(ws.leaseEnd, min(leaseUntil, ws.clock()+s.MaxLease))
 }
 
 // expireRuns ends all runs on a worker if its lease has expired.
 func (s *WorkerSet) expireRuns(ws *workerState) {
-	if time.Now().Before(ws.leaseEnd) {
+	if ws.clock() < ws.leaseEnd {
 		return
 	}
+	ws.lapsedEnds = ws.lastEndNumber
 	for key := range ws.runs {
 		s.endRun(ws, key, order.EndExpired)
 	}
@@ -187,32 +221,39 @@
 
 // Start implements order.Workers.
 func (s *WorkerSet) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
-	ws, err := s.reach(ctx, w)
-	if err != nil {
-		return 0, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireRuns(ws)
+	call := OrderCall{Op: OpStart, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	return send(ctx, s, call, func(ws *workerState, late bool) (time.Duration, error) { return s.start(ws, o, late) })
+}
+
+func (s *WorkerSet) start(ws *workerState, o order.Start, late bool) (time.Duration, error) {
 	if err := ws.acceptToken(o.Token); err != nil {
 		return 0, err
 	}
 	key := runKey{o.Task, o.Run}
 	if _, ok := ws.runs[key]; ok {
+		s.renewLease(ws, o.LeaseUntil)
 		return ws.clock(), nil
 	}
 	if o.Run <= ws.highestClosed[o.Task] {
-		return 0, &order.RejectedError{Worker: w.ID, Reason: order.RejectStale, Clock: ws.clock()}
+		s.renewLease(ws, o.LeaseUntil)
+		return 0, ws.rejection(order.RejectStale)
 	}
 	if o.LeaseUntil <= ws.clock() {
-		return 0, &order.RejectedError{Worker: w.ID, Reason: order.RejectLate, Clock: ws.clock()}
+		return 0, ws.rejection(order.RejectLate)
 	}
-	s.checkStart(ws, key)
+	if !s.acceptsTicket(ws, o) {
+		return 0, ws.rejection(order.RejectTicket)
+	}
+	if s.EnforceCapacity && !s.usedWith(ws, o.Task.StepID).Fits(ws.worker.Capacity) {
+		s.renewLease(ws, o.LeaseUntil)
+		return 0, ws.rejection(order.RejectCapacity)
+	}
+	s.checkStart(ws, key, late)
 	s.renewLease(ws, o.LeaseUntil)
 	s.beginRun(ws, key, o.Checkpoint)
 	if ws.loseNextStartReply {
 		ws.loseNextStartReply = false
-		return 0, &order.UnansweredError{Worker: w.ID, Err: errConnLost}
+		return 0, &order.UnansweredError{Worker: ws.worker.ID, Err: errConnLost}
 	}
 	return ws.clock(), nil
 }
@@ -224,29 +265,6 @@
 	s.workers[id].loseNextStartReply = true
 }
 
-// checkStart records the violations that a start causes.
-func (s *WorkerSet) checkStart(ws *workerState, key runKey) {
-	if s.ackedDone[key.task] {
-		s.addViolation("%s run %d started on %s after its end was acknowledged", key.task, key.run, ws.worker.ID)
-	}
-	used := s.taskSizes[key.task.StepID]
-	for otherRun := range ws.runs {
-		used = used.Add(s.taskSizes[otherRun.task.StepID])
-	}
-	if !used.Fits(ws.worker.Capacity) {
-		s.addViolation("%s run %d started on %s beyond its capacity", key.task, key.run, ws.worker.ID)
-	}
-	for _, otherWorker := range s.workers {
-		s.expireRuns(otherWorker)
-		for otherRun := range otherWorker.runs {
-			if otherRun.task == key.task && !s.speculative[key.task.StepID] {
-				s.addViolation("%s run %d started on %s while run %d is on %s",
-					key.task, key.run, ws.worker.ID, otherRun.run, otherWorker.worker.ID)
-			}
-		}
-	}
-}
-
 func (s *WorkerSet) beginRun(ws *workerState, key runKey, checkpoint string) {
 	s.numStarts++
 	runTime, kind := time.Duration(0), order.EndDone
@@ -254,17 +272,23 @@
 		runTime, kind = s.Outcome(ws.worker.ID, key.task, key.run)
 	}
 	run := &activeRun{checkpoint: checkpoint}
-	run.timer = time.AfterFunc(runTime, func() {
+	run.timer = s.endAfter(ws, key, run, runTime, kind)
+	ws.runs[key] = run
+}
+
+// endAfter ends a run after some time, unless it has ended or its lease has expired by then.
+func (s *WorkerSet) endAfter(ws *workerState, key runKey, run *activeRun, after time.Duration, kind order.EndKind) *time.Timer {
+	return time.AfterFunc(after, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if ws.runs[key] == run && s.workers[ws.worker.ID] == ws {
-			s.expireRuns(ws)
-			if ws.runs[key] == run {
-				s.endRun(ws, key, kind)
-			}
+		if ws.runs[key] != run || (run.stopping && kind != order.EndStopped) {
+			return
+		}
+		s.expireRuns(ws)
+		if ws.runs[key] == run {
+			s.endRun(ws, key, kind)
 		}
 	})
-	ws.runs[key] = run
 }
 
 func (s *WorkerSet) endRun(ws *workerState, key runKey, kind order.EndKind) {
@@ -276,8 +300,9 @@
 	ws.unackedEnds = append(ws.unackedEnds, order.End{
 		Number: ws.lastEndNumber, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.checkpoint,
 	})
+	s.record(ws.worker.ID, key.task, key.run, "ended %s, number %d", kind, ws.lastEndNumber)
 	if kind == order.EndDone {
-		s.completed[key.task] = true
+		s.recordDone(ws, key)
 	}
 	close(ws.changed)
 	ws.changed = make(chan struct{})
@@ -285,18 +310,22 @@
 
 // Stop implements order.Workers.
 func (s *WorkerSet) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
-	ws, err := s.reach(ctx, w)
-	if err != nil {
-		return 0, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireRuns(ws)
+	call := OrderCall{Op: OpStop, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	return send(ctx, s, call, func(ws *workerState, _ bool) (time.Duration, error) { return s.stop(ws, o) })
+}
+
+func (s *WorkerSet) stop(ws *workerState, o order.Stop) (time.Duration, error) {
 	if err := ws.acceptToken(o.Token); err != nil {
 		return 0, err
 	}
-	if _, ok := ws.runs[runKey{o.Task, o.Run}]; ok {
-		s.endRun(ws, runKey{o.Task, o.Run}, order.EndStopped)
+	key := runKey{o.Task, o.Run}
+	switch r, ok := ws.runs[key]; {
+	case ok && s.StopGrace == 0:
+		s.endRun(ws, key, order.EndStopped)
+	case ok && !r.stopping:
+		r.stopping = true
+		r.timer.Stop()
+		r.timer = s.endAfter(ws, key, r, s.StopGrace, order.EndStopped)
 	}
 	ws.highestClosed[o.Task] = max(ws.highestClosed[o.Task], o.Run)
 	return ws.clock(), nil
@@ -304,63 +333,130 @@
 
 // Throttle implements order.Workers.
 func (s *WorkerSet) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
-	ws, err := s.reach(ctx, w)
-	if err != nil {
-		return 0, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return ws.clock(), ws.acceptToken(o.Token)
+	call := OrderCall{Op: OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	return send(ctx, s, call, func(ws *workerState, _ bool) (time.Duration, error) { return ws.clock(), ws.acceptToken(o.Token) })
+}
+
+// pollReply is the result of a poll that may have to wait for a change.
+type pollReply struct {
+	report  order.Report
+	changed <-chan struct{}
+	crashed <-chan struct{}
+	ws      *workerState
 }
 
 // Poll implements order.Workers.
 func (s *WorkerSet) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
-	ws, err := s.reach(ctx, w)
-	if err != nil {
-		return order.Report{}, err
-	}
-	deadline := time.NewTimer(o.Wait)
+	call := OrderCall{Op: OpPoll, Worker: w.ID, Token: o.Token}
+	fault := s.fault(call)
+	deadline := time.NewTimer(fault.Transit + o.Wait)
 	defer deadline.Stop()
-	for first := true; ; first = false {
-		rep, changed, err := s.pollOnce(ws, o, first)
-		if err != nil || len(rep.Ended) > 0 || o.Wait == 0 {
-			return rep, err
-		}
+	reply, err := sendWith(ctx, s, call, fault, func(ws *workerState, _ bool) (pollReply, error) { return s.poll(ws, o, true) })
+	for err == nil && len(reply.report.Ended) == 0 && o.Wait > 0 {
+		waiting := true
 		select {
 		case <-ctx.Done():
 			return order.Report{}, &order.UnansweredError{Worker: w.ID, Err: ctx.Err()}
+		case <-reply.crashed:
+			return order.Report{}, &order.UnansweredError{Worker: w.ID, Err: errConnLost}
 		case <-deadline.C:
-			rep, _, err = s.pollOnce(ws, o, false)
-			return rep, err
-		case <-changed:
+			waiting = false
+		case <-reply.changed:
+		}
+		reply, err = s.pollAgain(reply.ws, o)
+		if !waiting {
+			break
 		}
 	}
+	if err == nil && s.isUnreachable(reply.ws) {
+		<-ctx.Done()
+		return order.Report{}, &order.UnansweredError{Worker: w.ID, Err: ctx.Err()}
+	}
+	return reply.report, err
 }
 
-func (s *WorkerSet) pollOnce(ws *workerState, o order.Poll, renewLease bool) (order.Report, <-chan struct{}, error) {
+func (s *WorkerSet) pollAgain(ws *workerState, o order.Poll) (pollReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.workers[ws.worker.ID] != ws {
+		return pollReply{}, &order.UnansweredError{Worker: ws.worker.ID, Err: errConnLost}
+	}
 	s.expireRuns(ws)
+	return s.poll(ws, o, false)
+}
+
+func (s *WorkerSet) isUnreachable(ws *workerState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ws.unreachable
+}
+
+func (s *WorkerSet) poll(ws *workerState, o order.Poll, first bool) (pollReply, error) {
 	if err := ws.acceptToken(o.Token); err != nil {
-		return order.Report{}, nil, err
-	}
-	if renewLease && o.LeaseUntil > 0 {
-		s.renewLease(ws, o.LeaseUntil)
+		return pollReply{}, err
 	}
-	for len(ws.unackedEnds) > 0 && ws.unackedEnds[0].Number <= o.Acked {
-		if ws.unackedEnds[0].Kind == order.EndDone {
-			s.ackedDone[ws.unackedEnds[0].Task] = true
+	if first {
+		if o.LeaseUntil > 0 {
+			s.renewLease(ws, o.LeaseUntil)
+		}
+		for len(ws.unackedEnds) > 0 && ws.unackedEnds[0].Number <= o.Acked {
+			s.acknowledge(ws, &ws.unackedEnds[0])
+			ws.unackedEnds = ws.unackedEnds[1:]
 		}
-		ws.unackedEnds = ws.unackedEnds[1:]
 	}
 	rep := order.Report{Clock: ws.clock(), StartedAt: ws.worker.StartedAt, Ended: append([]order.End(nil), ws.unackedEnds...)}
 	for key, r := range ws.runs {
 		rep.Running = append(rep.Running, order.Run{
-			Task: key.task, Run: key.run, Checkpoint: r.checkpoint, CPUPercent: 100, Gauge: float64(s.taskSizes[key.task.StepID].CPUMilli),
+			Task: key.task, Run: key.run, Checkpoint: r.checkpoint, CPUPercent: 100, Gauge: float64(s.stepRules[key.task.StepID].size.CPUMilli),
 		})
 	}
-	return rep, ws.changed, nil
+	return pollReply{rep, ws.changed, ws.crashed, ws}, nil
 }
 
 // Forget implements order.Workers.
 func (s *WorkerSet) Forget(*order.Worker) {}
+
+// WorkerEvent is something that happened on a worker.
+type WorkerEvent struct {
+	At     time.Time
+	Worker string
+	Task   graph.TaskID
+	Run    int
+	Text   string
+}
+
+// String implements fmt.Stringer.
+func (e WorkerEvent) String() string {
+	return fmt.Sprintf("%s %s %s run %d: %s", e.At.Format("04:05.000"), e.Worker, e.Task, e.Run, e.Text)
+}
+
+// Record makes the set keep a list of events.
+func (s *WorkerSet) Record() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recording = true
+}
+
+// Events returns the recorded events.
+func (s *WorkerSet) Events() []WorkerEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]WorkerEvent(nil), s.events...)
+}
+
+func (s *WorkerSet) record(worker string, task graph.TaskID, run int, format string, args ...any) {
+	if s.recording {
+		s.events = append(s.events, WorkerEvent{time.Now(), worker, task, run, fmt.Sprintf(format, args...)})
+	}
+}
+
+// stepRules are the rules for the starts of a step.
+type stepRules struct {
+	// size is what each task allocates.
+	size unit.Size
+	// speculative allows a task to have several runs at a time.
+	speculative  bool
+	label        string
+	maxPerWorker int
+	needsTicket  bool
+}
--- a/runner/chaos_test.go
+++ b/runner/chaos_test.go
@@ -53,6 +53,7 @@
 				s := &chaos{cluster: newCluster(t, 5, bigWorker), rng: rand.New(rand.NewPCG(seed, 0)), handoverRNG: rand.New(rand.NewPCG(seed, 1)), unreachable: map[string]bool{}}
 				s.workers.Outcome = s.runResult
 				s.runner, s.kill = s.cluster.runner()
+				defer func() { s.kill() }()
 				for range 60 {
 					s.randomEvent()
 					time.Sleep(time.Duration(s.rng.IntN(900)) * time.Millisecond)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -122,6 +122,8 @@
 	}
 	s.store.Latency = 4 * time.Millisecond
 	s.orders = s.workers
+	// A test must not end before its goroutines.
+	t.Cleanup(func() { time.Sleep(2 * registryLag) })
 	for i := range numWorkers {
 		w := s.workers.Add(order.Worker{
 			ID: fmt.Sprintf("w%d", i), Service: service, Capacity: size, Rack: fmt.Sprintf("r%d", i/2),
@@ -190,14 +192,7 @@
 	raw, err := doc.Encode()
 	s.c.Assert(err, qt.IsNil)
 	for i := range steps {
-		size := steps[i].Size
-		if steps[i].Backfill {
-			size.CPUMilli = 0
-		}
-		s.workers.SetTaskSize(graph.StepID{Job: id, Step: i}, size)
-		if steps[i].Speculative {
-			s.workers.AllowSpeculative(graph.StepID{Job: id, Step: i})
-		}
+		s.workers.SetStep(graph.StepID{Job: id, Step: i}, &steps[i], false)
 	}
 	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
 	_, err = s.store.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
