--- a/cell/handover.go
+++ b/cell/handover.go
@@ -58,9 +58,12 @@
 				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal()),
 			})
 		}
-		for _, o := range w.toFence {
+		for key := range w.toFence {
+			if _, ok := w.placements[key]; ok {
+				continue
+			}
 			// The run has ended, but its start may still arrive.
-			h.Runs = append(h.Runs, HandoverRun{o.Task, o.Run, id, true, c.settings.Lease + leaseMargin})
+			h.Runs = append(h.Runs, HandoverRun{key.task, key.run, id, true, c.settings.Lease + leaseMargin})
 		}
 	}
 	return h, nil
@@ -99,7 +102,7 @@
 	p := c.place(t, w, run.Run, now.Add(-run.Age))
 	p.adopted = true
 	if !run.Stop {
-		p.confirmedAt = now
+		p.confirm(now)
 	}
 	if run.Stop || t.done || j.state.Terminal() {
 		c.requestStop(p)
