--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -58,6 +58,9 @@
 	w.missedPolls = 0
 	clear(w.unknownRuns)
 	w.fenceUnanswered(now)
+	if !w.unansweredAckAt.IsZero() {
+		w.lateAckUntil, w.unansweredAckAt = w.unansweredAckAt.Add(lateOrderLimit), time.Time{}
+	}
 }
 
 // isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
@@ -96,7 +99,9 @@
 		return
 	}
 	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin {
-		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool { return p.mayStartLate(now) })
+		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
+			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
+		})
 	}
 }
 
