Add a randomized test of hosts that take over while others stand still

The randomized test stopped one runner before it started the next, and lacked most disruptions of the users' platform. TestRandomDisruptions has three hosts that acquire the lease by elect.View as package agent does, so that a frozen host and its successor overlap. Hosts freeze (also just before they send a start), are killed or stopped and lose the table or paths to workers; the table is down, slow, drops its history, loses answers and commits late; workers refuse as busy, lose answers, carry orders out 2 to 12 s late, are cut off one way or both, lapse from the registry, crash and restart under their id, behind a cut and as another kind; their clocks are up to 2% slow, tickets expire after 2 s, stops take up to 400 ms.

Reads of the fake table are not stale: the platform's are linearizable. Instead its changes can be held back before the history is dropped.

--- /dev/null
+++ b/runner/host_test.go
@@ -0,0 +1,471 @@
+package runner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/clock"
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/runner"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Parameters of acquiring and releasing the lease, as in package agent.
+const (
+	campaignInterval  = 50 * time.Millisecond
+	rankDelay         = 120 * time.Millisecond
+	leaseReadInterval = 200 * time.Millisecond
+	confirmationTTL   = 500 * time.Millisecond
+	maxUnrenewed      = 6 * time.Second
+	stopLimit         = 3 * time.Second
+)
+
+var errHostDead = errors.New("host is dead")
+
+// network is a set of hosts that compete for the lease of one group.
+type network struct {
+	store     *fakes.Table
+	workers   *fakes.WorkerSet
+	registry  *fakes.Registry
+	configs   *queues.Store
+	advisor   runner.Advisors
+	log       logrus.FieldLogger
+	startedAt time.Time
+
+	mu    sync.Mutex
+	hosts []*host
+}
+
+// host is one process of a host, which acquires the group's lease by the rules of package agent.
+type host struct {
+	n       *network
+	rank    int
+	name    string
+	process string
+	view    *elect.View
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu   sync.Mutex
+	dead bool
+	// thawed is closed when the host is no longer frozen; nil if it is not frozen.
+	thawed chan struct{}
+	// freezeAtStart freezes the host for that time as it is about to send its next start.
+	freezeAtStart time.Duration
+	// tableFault is the fault of this host's calls to the table.
+	tableFault fakes.TableFault
+	// pathFaults holds the faults of the paths to workers.
+	pathFaults  map[string]fakes.OrderFaultKind
+	stopping    bool
+	stopRunner  context.CancelFunc
+	runner      *runner.Runner
+	token       uint64
+	handovers   map[uint64]cell.Handover
+	confirmedAt time.Time
+}
+
+// startHost starts a process of the host with the given rank.
+func (n *network) startHost(rank int, process string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &host{
+		n: n, rank: rank, name: fmt.Sprintf("host%d", rank), process: process, view: elect.NewView(), ctx: ctx, cancel: cancel,
+		pathFaults: map[string]fakes.OrderFaultKind{}, handovers: map[uint64]cell.Handover{},
+	}
+	n.mu.Lock()
+	for len(n.hosts) <= rank {
+		n.hosts = append(n.hosts, nil)
+	}
+	n.hosts[rank] = h
+	others := append([]*host(nil), n.hosts...)
+	n.mu.Unlock()
+	for _, other := range others {
+		if other != nil {
+			other.goAsync(func() { other.announced(h) })
+			h.goAsync(func() { h.announced(other) })
+		}
+	}
+	f := table.Follower{
+		Store: &hostStore{h}, Table: elect.Table, Partitions: func() []string { return []string{service} }, Load: h.applyLeases, Apply: h.applyLeases,
+		OnAnswer: func() { h.view.TableAnswered(time.Now()) }, Pause: func() time.Duration { return leaseReadInterval }, Log: n.log,
+	}
+	h.goAsync(func() { f.Run(ctx) })
+	h.goAsync(h.campaign)
+}
+
+func (h *host) goAsync(f func()) {
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		f()
+	}()
+}
+
+// announced tells this host about the newest process of another, which it reads from the table.
+func (h *host) announced(other *host) {
+	if clock.Pause(h.ctx, leaseReadInterval) && h.awaitThaw() == nil {
+		h.view.SetIncarnation(other.name, other.process, time.Now())
+	}
+}
+
+func (h *host) applyLeases(rows []table.Row) { _ = h.view.Apply(rows, time.Now()) }
+
+// freeze makes the host stand still for some time: its calls neither leave nor return, and its clocks can't be read.
+func (h *host) freeze(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.freezeLocked(d)
+}
+
+func (h *host) freezeLocked(d time.Duration) {
+	if h.thawed != nil || h.dead {
+		return
+	}
+	thawed := make(chan struct{})
+	h.thawed = thawed
+	h.n.log.WithFields(logrus.Fields{"host": h.name, "for": d.String()}).Info("harness: host freezes")
+	time.AfterFunc(d, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.thawed = nil
+		close(thawed)
+	})
+}
+
+// awaitThaw waits until the host is not frozen, and fails if it is dead.
+func (h *host) awaitThaw() error {
+	for {
+		h.mu.Lock()
+		dead, thawed := h.dead, h.thawed
+		h.mu.Unlock()
+		switch {
+		case dead:
+			return errHostDead
+		case thawed == nil:
+			return nil
+		}
+		<-thawed
+	}
+}
+
+func (h *host) isFrozen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.thawed != nil
+}
+
+// sinceBoot is the boot clock; reading it takes as long as the host is frozen.
+func (h *host) sinceBoot() time.Duration {
+	if h.awaitThaw() != nil {
+		return math.MaxInt64 / 2
+	}
+	return time.Since(h.n.startedAt)
+}
+
+// kill ends the process at once; nothing that it still does reaches anyone.
+func (h *host) kill() {
+	h.mu.Lock()
+	h.dead = true
+	h.mu.Unlock()
+	h.n.log.WithField("host", h.name).Info("harness: host is killed")
+	h.cancel()
+}
+
+// stop ends the process gracefully: it releases the lease and then ends.
+func (h *host) stop() {
+	h.n.log.WithField("host", h.name).Info("harness: host is stopped")
+	h.mu.Lock()
+	h.stopping = true
+	stopRunner := h.stopRunner
+	h.mu.Unlock()
+	if stopRunner != nil {
+		stopRunner()
+	}
+	time.AfterFunc(stopLimit, h.kill)
+}
+
+func (h *host) campaign() {
+	for clock.Pause(h.ctx, campaignInterval) {
+		if h.awaitThaw() == nil {
+			h.tryAcquire()
+		}
+	}
+}
+
+func (h *host) tryAcquire() {
+	h.mu.Lock()
+	busy := h.runner != nil || h.stopping
+	h.mu.Unlock()
+	if busy {
+		return
+	}
+	previous, acquirable := h.view.Acquirable(service, time.Duration(h.rank)*rankDelay, time.Now())
+	if !acquirable || h.holderConfirms(previous) {
+		return
+	}
+	previousOrdersUntil, unconfirmed := h.view.OrdersUntil(service, time.Now()), h.view.Unconfirmed(service)
+	sentAt := h.sinceBoot()
+	epoch, err := elect.Acquire(h.ctx, &hostStore{h}, previous, elect.Candidate{
+		Name: h.name, Incarnation: h.process, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(h.rank+1)),
+	})
+	if err != nil {
+		clock.Pause(h.ctx, rankDelay)
+		return
+	}
+	h.run(epoch, sentAt, previousOrdersUntil, unconfirmed, previous)
+}
+
+func (h *host) holderConfirms(previous elect.Epoch) bool {
+	unrenewed, ok := h.view.UnresponsiveFor(service, time.Now())
+	if !ok || unrenewed > maxUnrenewed || previous.Holder == h.name {
+		return false
+	}
+	if time.Since(h.confirmedAt) < confirmationTTL {
+		return true
+	}
+	holder := h.n.findHost(previous.Holder)
+	if holder == nil || holder.isFrozen() || !holder.holds(previous.Token) {
+		return false
+	}
+	h.confirmedAt = time.Now()
+	return true
+}
+
+func (n *network) findHost(name string) *host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *host) holds(token uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.dead && !h.stopping && h.runner != nil && h.token == token
+}
+
+// fetchHandover requests the handover state of a released lease from the host that released it.
+func (n *network) fetchHandover(previous elect.Epoch) (cell.Handover, bool) {
+	if previous.Holder != "" || !previous.HandoverAddress.IsValid() {
+		return cell.Handover{}, false
+	}
+	h := n.findHost(fmt.Sprintf("host%d", previous.HandoverAddress.Port()-1))
+	if h == nil || h.isFrozen() {
+		return cell.Handover{}, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	handover, ok := h.handovers[previous.Token]
+	return handover, ok && !h.dead
+}
+
+func (h *host) run(
+	epoch elect.Epoch, sentAt time.Duration, previousOrdersUntil time.Time, unconfirmed map[string]time.Time, previous elect.Epoch,
+) {
+	log := h.n.log.WithField("host", h.name)
+	r := runner.New(runner.Config{
+		Epoch: epoch, Store: &hostStore{h}, Workers: &hostWorkers{h}, Registry: &hostRegistry{h}, Advisors: h.n.advisor, Queues: h.n.configs,
+		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed,
+		SinceBoot: h.sinceBoot, Log: log,
+		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.n.fetchHandover(previous) },
+	})
+	ctx, stopRunner := context.WithCancel(h.ctx)
+	h.mu.Lock()
+	h.runner, h.token, h.stopRunner = r, epoch.Token, stopRunner
+	h.mu.Unlock()
+	h.goAsync(func() {
+		err := r.Run(ctx, sentAt)
+		handover, handoverErr := r.Cell().Handover(time.Now())
+		h.mu.Lock()
+		h.runner, h.stopRunner = nil, nil
+		if handoverErr == nil {
+			h.handovers[epoch.Token] = handover
+		}
+		h.mu.Unlock()
+		var lost *elect.LostError
+		if errors.As(err, &lost) {
+			return
+		}
+		for h.ctx.Err() == nil {
+			err := elect.Release(h.ctx, &hostStore{h}, epoch, r.Unconfirmed(time.Now()))
+			var conflict *table.ConflictError
+			if err == nil || errors.As(err, &conflict) {
+				return
+			}
+			clock.Pause(h.ctx, rankDelay)
+		}
+	})
+}
+
+// hostStore is the table as one host reaches it.
+type hostStore struct {
+	h *host
+}
+
+func (s *hostStore) enter(ctx context.Context, op string) error {
+	if err := s.h.awaitThaw(); err != nil {
+		return &table.UnansweredError{Op: op, Err: err}
+	}
+	s.h.mu.Lock()
+	fault := s.h.tableFault
+	s.h.mu.Unlock()
+	switch fault {
+	case fakes.TableUnavailable:
+		return &table.RefusedError{Op: op, Status: 503}
+	case fakes.TableNoReply:
+		<-ctx.Done()
+		return &table.UnansweredError{Op: op, Err: ctx.Err()}
+	default:
+		return nil
+	}
+}
+
+// leave holds back a reply while the host is frozen, and loses it if the host is dead or its caller has given up.
+func (s *hostStore) leave(ctx context.Context, op string, err error) error {
+	if thawErr := s.h.awaitThaw(); thawErr != nil {
+		return &table.UnansweredError{Op: op, Err: thawErr}
+	}
+	if err == nil && ctx.Err() != nil {
+		return &table.UnansweredError{Op: op, Err: ctx.Err()}
+	}
+	return err
+}
+
+// Commit implements table.Store.
+func (s *hostStore) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
+	if err := s.enter(ctx, "commit"); err != nil {
+		return 0, err
+	}
+	version, err := s.h.n.store.Commit(ctx, tx)
+	return version, s.leave(ctx, "commit", err)
+}
+
+// Read implements table.Store.
+func (s *hostStore) Read(ctx context.Context, q table.Range) (table.Page, error) {
+	if err := s.enter(ctx, "read"); err != nil {
+		return table.Page{}, err
+	}
+	page, err := s.h.n.store.Read(ctx, q)
+	return page, s.leave(ctx, "read", err)
+}
+
+// Changes implements table.Store.
+func (s *hostStore) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
+	if err := s.enter(ctx, "changes"); err != nil {
+		return table.Changes{}, err
+	}
+	changes, err := s.h.n.store.Changes(ctx, name, after, wait)
+	return changes, s.leave(ctx, "changes", err)
+}
+
+// hostWorkers are the workers as one host reaches them.
+type hostWorkers struct {
+	h *host
+}
+
+// sendOrder sends an order over the path to a worker. An order that is about to be sent when the host freezes is sent when it
+// runs again.
+func sendOrder[T any](ctx context.Context, h *host, op, worker string, do func(ctx context.Context) (T, error)) (T, error) {
+	var none T
+	h.mu.Lock()
+	if op == fakes.OpStart && h.freezeAtStart > 0 {
+		d := h.freezeAtStart
+		h.freezeAtStart = 0
+		h.freezeLocked(d)
+	}
+	h.mu.Unlock()
+	if err := h.awaitThaw(); err != nil {
+		return none, &order.UnansweredError{Worker: worker, Err: err}
+	}
+	h.mu.Lock()
+	fault := h.pathFaults[worker]
+	h.mu.Unlock()
+	if fault == fakes.OrderDropped {
+		<-ctx.Done()
+		return none, &order.UnansweredError{Worker: worker, Err: ctx.Err()}
+	}
+	reply, err := do(ctx)
+	if thawErr := h.awaitThaw(); thawErr != nil {
+		return none, &order.UnansweredError{Worker: worker, Err: thawErr}
+	}
+	if fault == fakes.OrderNoReply {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return none, &order.UnansweredError{Worker: worker, Err: ctx.Err()}
+	}
+	return reply, err
+}
+
+// Start implements order.Workers.
+func (s *hostWorkers) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
+	return sendOrder(ctx, s.h, fakes.OpStart, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Start(ctx, w, o) })
+}
+
+// Stop implements order.Workers.
+func (s *hostWorkers) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
+	return sendOrder(ctx, s.h, fakes.OpStop, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
+}
+
+// Throttle implements order.Workers.
+func (s *hostWorkers) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
+	return sendOrder(ctx, s.h, fakes.OpThrottle, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
+}
+
+// Poll implements order.Workers.
+func (s *hostWorkers) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
+	return sendOrder(ctx, s.h, fakes.OpPoll, w.ID, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
+}
+
+// Forget implements order.Workers.
+func (s *hostWorkers) Forget(*order.Worker) {}
+
+// hostRegistry is the registry as one host reads it from the table.
+type hostRegistry struct {
+	h *host
+}
+
+// Follow implements runner.Registry.
+func (s *hostRegistry) Follow(ctx context.Context, list func([]order.Worker), changed func(order.Worker), gone func(string)) {
+	store := &hostStore{s.h}
+	// readable waits until the table serves this host.
+	readable := func() bool {
+		for ctx.Err() == nil {
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			_, err := store.Read(call, table.Range{Table: "servers", Limit: 1})
+			cancel()
+			if err == nil {
+				return true
+			}
+			clock.Pause(ctx, 150*time.Millisecond)
+		}
+		return false
+	}
+	if !readable() {
+		return
+	}
+	s.h.n.registry.Follow(ctx, list, func(w order.Worker) {
+		if readable() {
+			changed(w)
+		}
+	}, func(id string) {
+		if readable() {
+			gone(id)
+		}
+	})
+}
