Reproduce: a late poll renews the lease of a new incarnation

Callers would see a task run twice (TWICE), also on queues with tickets.

A poll names the lease's end on the worker's clock, so one that is carried out late renews nothing. If the worker has restarted meanwhile, the clock of the new incarnation is behind, the end lies far ahead, and the lease is renewed for the 6 s from the arrival of the poll. The scheduler counts the runs of a silent worker as ended 6.35 s after its own last order. The platform allows this: a call without an answer may be executed seconds later, a restarted worker's clock starts anew, and a longer lease is shortened to the maximum.

The test delays a poll by 9 s.

--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -1,10 +1,12 @@
 package runner_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 )
@@ -37,3 +39,41 @@
 		})
 	}
 }
+
+// A poll that was sent to an earlier incarnation of a worker names the lease's end on that one's clock, so the new one renews its lease
+// when it carries the poll out late, and its tasks must not be started elsewhere before that lease has expired.
+func TestLatePollRenewsLeaseOfNewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 2, bigWorker)
+		s.workers.Outcome = fixedDuration(20 * time.Second)
+		s.workers.SetUnreachable("w1", true)
+		var delayNextPoll, cut atomic.Bool
+		pollDelayed := make(chan struct{})
+		s.workers.SetFault(func(call fakes.OrderCall) fakes.OrderFault {
+			switch {
+			case call.Worker != "w0":
+			case call.Op == fakes.OpPoll && delayNextPoll.CompareAndSwap(true, false):
+				close(pollDelayed)
+				return fakes.OrderFault{Transit: 9 * time.Second}
+			case cut.Load():
+				return fakes.OrderFault{Kind: fakes.OrderDropped}
+			}
+			return fakes.OrderFault{}
+		})
+		r, stop := s.runner()
+		defer stop()
+		time.Sleep(time.Minute)
+		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(4)})
+		time.Sleep(2 * time.Second)
+		delayNextPoll.Store(true)
+		<-pollDelayed
+		s.registry.replaceLater(s.workers.Crash("w0"))
+		time.Sleep(4 * time.Second)
+		cut.Store(true)
+		s.workers.SetUnreachable("w1", false)
+		time.Sleep(20 * time.Second)
+		cut.Store(false)
+		s.awaitState(r, "00000000000000aa", graph.Completed, 90*time.Second)
+		s.assertNoFaults()
+	})
+}
