Let fake workers move, drain and enforce their capacity in the randomized test

Also jobs that last, recur, are cancelled, differ in priority or use spare CPU. An order to an address that another process has gets no more than that answer.

--- a/fakes/orderfaults.go
+++ b/fakes/orderfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/graph"
@@ -23,6 +24,8 @@
 	Task   graph.TaskID
 	Run    int
 	Token  uint64
+	// Address is the address to which the order is sent.
+	Address netip.AddrPort
 }
 
 // OrderFault is the fault that is injected into an order.
@@ -121,6 +124,9 @@
 	if !ok {
 		return none, &order.GoneError{Worker: call.Worker}
 	}
+	if ws.worker.Address != call.Address {
+		return none, &order.GoneError{Worker: call.Worker}
+	}
 	if ws.down {
 		return none, &order.UnansweredError{Worker: call.Worker, Err: errConnLost}
 	}
--- a/fakes/registry.go
+++ b/fakes/registry.go
@@ -82,5 +82,5 @@
 }
 
 func equalEntries(a, b *order.Worker) bool {
-	return a.StartedAt.Equal(b.StartedAt) && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
+	return a.StartedAt.Equal(b.StartedAt) && a.Address == b.Address && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -221,7 +221,7 @@
 
 // Start implements order.Workers.
 func (s *WorkerSet) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
-	call := OrderCall{Op: OpStart, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	call := OrderCall{Op: OpStart, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token, Address: w.Address}
 	return send(ctx, s, call, func(ws *workerState, late bool) (time.Duration, error) { return s.start(ws, o, late) })
 }
 
@@ -310,7 +310,7 @@
 
 // Stop implements order.Workers.
 func (s *WorkerSet) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
-	call := OrderCall{Op: OpStop, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	call := OrderCall{Op: OpStop, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token, Address: w.Address}
 	return send(ctx, s, call, func(ws *workerState, _ bool) (time.Duration, error) { return s.stop(ws, o) })
 }
 
@@ -333,7 +333,7 @@
 
 // Throttle implements order.Workers.
 func (s *WorkerSet) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
-	call := OrderCall{Op: OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token}
+	call := OrderCall{Op: OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run, Token: o.Token, Address: w.Address}
 	return send(ctx, s, call, func(ws *workerState, _ bool) (time.Duration, error) { return ws.clock(), ws.acceptToken(o.Token) })
 }
 
@@ -347,7 +347,7 @@
 
 // Poll implements order.Workers.
 func (s *WorkerSet) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
-	call := OrderCall{Op: OpPoll, Worker: w.ID, Token: o.Token}
+	call := OrderCall{Op: OpPoll, Worker: w.ID, Token: o.Token, Address: w.Address}
 	fault := s.fault(call)
 	deadline := time.NewTimer(fault.Transit + o.Wait)
 	defer deadline.Stop()
--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -89,13 +90,22 @@
 	tableFaults map[int]func(op string, rng *rand.Rand) fakes.TableFault
 	lastFault   int
 	// unlisted counts, by worker, the disruptions that keep it from the registry.
-	unlisted     map[string]int
+	unlisted map[string]int
+	// moveTo holds the addresses at which workers start again.
+	moveTo       map[string]netip.AddrPort
+	nextPort     uint16
 	numProcesses int
-	jobs         []jobRef
+	jobs         []*jobRef
+
+	jobsMu   sync.Mutex
+	jobsByID map[string]*jobRef
 }
 
 type jobRef struct {
 	id, queue string
+	// lasting says that the job runs until it is cancelled.
+	lasting   bool
+	cancelled bool
 }
 
 // disruption is a kind of disruption.
@@ -171,6 +181,33 @@
 		}},
 		{"worker-crash", func(d *disruptions) { d.crashWorker(d.randomWorker(), false) }},
 		{"worker-crash-changed", func(d *disruptions) { d.crashWorker(d.randomWorker(), true) }},
+		{"worker-crash-moved", func(d *disruptions) {
+			worker := d.randomWorker()
+			if !d.workers.IsDown(worker) {
+				d.mu.Lock()
+				d.nextPort++
+				d.moveTo[worker] = netip.AddrPortFrom(netip.IPv4Unspecified(), d.nextPort)
+				d.mu.Unlock()
+				d.crashWorker(worker, false)
+			}
+		}},
+		{"worker-drain", func(d *disruptions) {
+			worker := d.randomWorker()
+			entry := d.workers.Worker(worker)
+			entry.Draining, entry.Remaining = true, 2*time.Second
+			d.mu.Lock()
+			unlisted := d.unlisted[worker] > 0
+			d.mu.Unlock()
+			if !unlisted {
+				d.registry.Set(entry)
+				d.later(2000, 5000, func() { d.crashWorker(worker, false) })
+			}
+		}},
+		{"job-cancel", func(d *disruptions) {
+			if len(d.jobs) > 0 {
+				d.cancel(d.jobs[d.intN(len(d.jobs))])
+			}
+		}},
 		{"worker-reborn-behind-cut", func(d *disruptions) {
 			worker := d.cutWorker([]fakes.OrderFaultKind{fakes.OrderDropped, fakes.OrderNoReply}[d.intN(2)], d.intN(4) > 0)
 			changed := d.intN(2) == 0
@@ -438,6 +475,11 @@
 	d.unlist(worker)
 	d.later(0, 3000, func() {
 		d.workers.Restart(worker, func(w *order.Worker) {
+			d.mu.Lock()
+			if address, ok := d.moveTo[worker]; ok {
+				w.Address = address
+			}
+			d.mu.Unlock()
 			if changed {
 				w.Capacity = cores(int64(8 + 8*d.intN(3)))
 				w.Capacity.MemoryMiB = bigWorker.MemoryMiB
@@ -455,7 +497,7 @@
 	d := &disruptions{
 		t: t, c: qt.New(t), rng: rand.New(rand.NewPCG(seed, 0)), seed: seed,
 		orderFaults: map[int]func(fakes.OrderCall, *rand.Rand) fakes.OrderFault{},
-		tableFaults: map[int]func(string, *rand.Rand) fakes.TableFault{}, unlisted: map[string]int{},
+		tableFaults: map[int]func(string, *rand.Rand) fakes.TableFault{}, unlisted: map[string]int{}, moveTo: map[string]netip.AddrPort{}, jobsByID: map[string]*jobRef{},
 	}
 	log := logrus.New()
 	log.SetOutput(&d.log)
@@ -468,6 +510,7 @@
 	d.store.SetFault(d.nextTableFault)
 	workers.SetFault(d.nextOrderFault)
 	workers.Outcome = d.runResult
+	workers.EnforceCapacity = d.intN(4) == 0
 	workers.StopGrace = time.Duration(d.intN(400)) * time.Millisecond
 	advice := guardedAdvice
 	d.configs.Install(&queues.Config{Version: 1, Queues: []queues.Queue{
@@ -490,6 +533,9 @@
 
 // runResult makes the duration of a run depend on the run alone.
 func (d *disruptions) runResult(_ string, task graph.TaskID, run int) (time.Duration, order.EndKind) {
+	if job := d.findJob(task.Job); job != nil && job.lasting {
+		return time.Hour, order.EndDone
+	}
 	n := task.Index*37 + run*91 + task.Step*53
 	if n%4 == 0 {
 		return time.Duration(2000+n*7%7000) * time.Millisecond, order.EndDone
@@ -497,6 +543,12 @@
 	return time.Duration(50+n%2500) * time.Millisecond, order.EndDone
 }
 
+func (d *disruptions) findJob(id string) *jobRef {
+	d.jobsMu.Lock()
+	defer d.jobsMu.Unlock()
+	return d.jobsByID[id]
+}
+
 func (d *disruptions) submitRandom() {
 	id := jobName(len(d.jobs))
 	q := []string{queue, guardedQueue}[d.intN(2)]
@@ -516,16 +568,40 @@
 	if d.intN(4) == 0 {
 		steps[0].Label = "kind1"
 	}
-	doc := &graph.Job{ID: id, Queue: q, Service: service, Steps: steps, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2}
+	doc := &graph.Job{
+		ID: id, Queue: q, Service: service, Steps: steps, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2, Priority: d.intN(3),
+	}
+	job := &jobRef{id: id, queue: q}
+	switch d.intN(8) {
+	case 0:
+		job.lasting = true
+		doc.Steps = []graph.Step{{Count: 1 + d.intN(4), Size: cores(2), LongRunning: true, MaxUnavailable: -1}}
+	case 1:
+		doc.Repetitions, doc.FirstAt, doc.Interval = 3, time.Now().Add(time.Second), 2*time.Second
+	case 2:
+		doc.Steps = append(doc.Steps, graph.Step{Count: 2, Size: cores(4), Backfill: true})
+	}
 	raw, err := doc.Encode()
 	d.c.Assert(err, qt.IsNil)
-	for i := range steps {
-		d.workers.SetStep(graph.StepID{Job: id, Step: i}, &steps[i], q == guardedQueue)
+	for k := range doc.Occurrences() {
+		for i := range doc.Steps {
+			d.workers.SetStep(graph.StepID{Job: id, Occurrence: k, Step: i}, &doc.Steps[i], q == guardedQueue)
+		}
 	}
 	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
+	d.jobsMu.Lock()
+	d.jobsByID[id] = job
+	d.jobsMu.Unlock()
 	_, err = d.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
 	d.c.Assert(err, qt.IsNil)
-	d.jobs = append(d.jobs, jobRef{id, q})
+	d.jobs = append(d.jobs, job)
+}
+
+func (d *disruptions) cancel(job *jobRef) {
+	job.cancelled = true
+	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, job.id), Name: job.id + runner.CancelSuffix}
+	_, err := d.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: []byte("1")}}})
+	d.c.Assert(err, qt.IsNil)
 }
 
 // heal waits until all disruptions have ended, and restores what they have changed.
@@ -541,7 +617,7 @@
 	}
 }
 
-func (d *disruptions) state(job jobRef) graph.State {
+func (d *disruptions) state(job *jobRef) graph.State {
 	d.network.mu.Lock()
 	hosts := append([]*host(nil), d.hosts...)
 	d.network.mu.Unlock()
@@ -555,11 +631,14 @@
 	return ""
 }
 
-// awaitJobs waits until all jobs are completed.
+// awaitJobs waits until all jobs are completed, after cancelling those that last.
 func (d *disruptions) awaitJobs(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
 	for _, job := range d.jobs {
-		for d.state(job) != graph.Completed {
+		if job.lasting && !job.cancelled {
+			d.cancel(job)
+		}
+		for state := d.state(job); state != graph.Completed && (!job.cancelled || state != graph.Cancelled); state = d.state(job) {
 			if time.Now().After(deadline) {
 				d.t.Errorf("job %s is %q after %v", job.id, d.state(job), timeout)
 				return
