--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -50,7 +50,7 @@
 	dataCenter string
 	// sorted holds the known hosts by distance: this one, those of its data centre, and the others.
 	sorted []host
-	// fastPath holds the hosts from which no long calls to the advisor are made; all hosts choose the same ones, whichever
+	// fastPath holds the hosts that are reserved for short calls to the advisor; all hosts choose the same ones, whichever
 	// groups they run.
 	fastPath map[string]bool
 	conns    map[netip.AddrPort]*grpc.ClientConn
