--- a/fakes/table.go
+++ b/fakes/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	faultFor func(op string) TableFault
 	// numCommits counts the transactions that took effect.
 	numCommits int
+	// rng decides how late a commit with the fault TableLate takes effect.
+	rng *rand.Rand
 }
 
 // TableFault is the fault that is injected into a call.
@@ -41,12 +44,24 @@
 	TableNoReply
 	// TableReplyLost lets a commit take effect and loses the reply; it has no effect on other calls.
 	TableReplyLost
+	// TableLate lets a commit take effect between lateCommitMin and lateCommitMax later, if its checks hold then, without a reply; it
+	// blocks other calls until their context is done.
+	TableLate
+	// TableNoChanges lets a call for changes see none; it has no effect on other calls.
+	TableNoChanges
+)
+
+// Delays of commits with the fault TableLate.
+const (
+	lateCommitMin = time.Second
+	lateCommitMax = 6 * time.Second
 )
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		rows: map[table.Key]table.Row{}, changed: make(chan struct{}), faultFor: func(string) TableFault { return TableOK },
+		rng: rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -60,6 +75,13 @@
 	t.faultFor = faultFor
 }
 
+// SetLatency sets how long a call takes.
+func (t *Table) SetLatency(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Latency = d
+}
+
 // DropHistory drops the history of changes, so that Changes after an older version fails.
 func (t *Table) DropHistory() {
 	t.mu.Lock()
@@ -85,16 +107,18 @@
 var errConnLost = errors.New("connection lost")
 
 func (t *Table) injectFault(ctx context.Context, op string) (TableFault, error) {
-	if t.Latency > 0 {
-		select {
-		case <-ctx.Done():
-			return TableNoReply, &table.UnansweredError{Op: op, Err: ctx.Err()}
-		case <-time.After(t.Latency):
-		}
+	t.mu.Lock()
+	latency := t.Latency
+	t.mu.Unlock()
+	if latency > 0 && !sleep(ctx, latency) {
+		return TableNoReply, &table.UnansweredError{Op: op, Err: ctx.Err()}
 	}
 	t.mu.Lock()
 	fault := t.faultFor(op)
 	t.mu.Unlock()
+	if fault == TableLate && op != opCommit {
+		fault = TableNoReply
+	}
 	switch fault {
 	case TableUnavailable:
 		return fault, &table.RefusedError{Op: op, Status: 503}
@@ -108,18 +132,33 @@
 
 // Commit implements table.Store.
 func (t *Table) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
-	const op = "commit"
-	fault, err := t.injectFault(ctx, op)
+	fault, err := t.injectFault(ctx, opCommit)
 	if err != nil {
 		return 0, err
 	}
+	if fault == TableLate {
+		time.AfterFunc(t.lateBy(), func() { _, _ = t.commit(tx) })
+		<-ctx.Done()
+		return 0, &table.UnansweredError{Op: opCommit, Err: ctx.Err()}
+	}
 	version, err := t.commit(tx)
 	if fault == TableReplyLost {
-		return 0, &table.UnansweredError{Op: op, Err: errConnLost}
+		return 0, &table.UnansweredError{Op: opCommit, Err: errConnLost}
 	}
 	return version, err
 }
 
+const opCommit = "commit"
+
+func (t *Table) lateBy() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lateCommitMin + time.Duration(t.rng.Int64N(int64(lateCommitMax-lateCommitMin)))
+}
+
+// Apply applies a transaction without latency or faults.
+func (t *Table) Apply(tx table.Tx) (uint64, error) { return t.commit(tx) }
+
 func (t *Table) commit(tx table.Tx) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -172,9 +211,16 @@
 
 // Changes implements table.Store.
 func (t *Table) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
-	if _, err := t.injectFault(ctx, "changes"); err != nil {
+	fault, err := t.injectFault(ctx, "changes")
+	if err != nil {
 		return table.Changes{}, err
 	}
+	if fault == TableNoChanges {
+		if !sleep(ctx, wait) {
+			return table.Changes{}, &table.UnansweredError{Op: "changes", Err: ctx.Err()}
+		}
+		return table.Changes{Version: after}, nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
