Check the version of the record of workers when it is replaced

Callers would see a task run twice (TWICE).

Cause: the record of the workers in use was replaced by commits that checked the lease only. A commit that dropped a worker and got no answer could take effect after the worker was back: if it was done at once, the runner went on believing that the worker was recorded; if it was done late, it overwrote the newer record. A runner that took over then did not wait for that worker's runs.

Change: a commit of the record checks the version of its row, and takes over the version of an earlier one whose answer was lost. While one is not answered, only workers that both records name count as recorded, and only those get work.

--- a/cell/record.go
+++ b/cell/record.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -72,6 +73,14 @@
 	return ids, changed || len(c.recordedWorkers) > len(ids)
 }
 
+// Recording records that a commit of a durable record with these workers is about to be sent. Until it is answered, the record is only
+// known to name workers that both it and the one before name.
+func (c *Cell) Recording(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.recordedWorkers, func(id string, _ bool) bool { return !slices.Contains(ids, id) })
+}
+
 // Recorded records that the durable record names exactly these workers.
 func (c *Cell) Recorded(ids []string) {
 	c.mu.Lock()
--- a/runner/record.go
+++ b/runner/record.go
@@ -43,6 +43,7 @@
 			if err := json.Unmarshal(row.Value, &ids); err != nil {
 				return fmt.Errorf("decode record of workers: %w", err)
 			}
+			r.recordVersion = row.Version
 		}
 		r.cell.ExpectWorkers(ids, r.unconfirmedUntil)
 		return nil
@@ -69,20 +70,24 @@
 		if err != nil {
 			return err
 		}
+		r.cell.Recording(ids)
 		call, cancel := context.WithTimeout(ctx, r.cfg.Timeout(tableTimeout))
-		_, err = r.cfg.Store.Commit(call, table.Tx{
-			Checks: []table.Check{r.cfg.Epoch.Check()}, Writes: []table.Write{{Key: r.recordKey(), Value: raw}},
+		version, err := r.cfg.Store.Commit(call, table.Tx{
+			Checks: []table.Check{r.cfg.Epoch.Check(), {Key: r.recordKey(), Version: r.recordVersion}},
+			Writes: []table.Write{{Key: r.recordKey(), Value: raw}},
 		})
 		cancel()
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
+			r.recordVersion = version
 			r.cell.Recorded(ids)
 			r.wakePlan()
 		case errors.As(err, &conflict):
-			lost := &elect.LostError{Group: r.cfg.Epoch.Group}
-			r.cancel(lost)
-			return lost
+			if lost := r.resolveRecordConflict(conflict); lost != nil {
+				r.cancel(lost)
+				return lost
+			}
 		default:
 			r.log.WithError(err).Warn("record of used workers can't be written")
 			clock.Pause(ctx, tableRetryDelay)
@@ -90,3 +95,21 @@
 	}
 	return ctx.Err()
 }
+
+// resolveRecordConflict adopts the version of the record that an earlier commit without an answer has written, or returns
+// *elect.LostError if the lease has changed.
+func (r *Runner) resolveRecordConflict(conflict *table.ConflictError) error {
+	version := uint64(0)
+	for _, row := range conflict.Rows {
+		switch row.Key {
+		case r.cfg.Epoch.Check().Key:
+			if row.Version != r.cfg.Epoch.Version {
+				return &elect.LostError{Group: r.cfg.Epoch.Group}
+			}
+		case r.recordKey():
+			version = row.Version
+		}
+	}
+	r.recordVersion = version
+	return nil
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -59,6 +59,8 @@
 	renewalSentAt atomic.Int64
 	// renewedAt is when the last renewal that took effect was sent.
 	renewedAt atomic.Int64
+	// recordVersion is the version of the durable record of workers; only loadRecord and then recordLoop use it.
+	recordVersion uint64
 	// loaded is set once all jobs accepted before have been read.
 	loaded     atomic.Bool
 	planWake   chan struct{}
