Don't send a start to a worker that is leaving

Cause: a start was placed before the worker drained, got no answer, and was repeated until 1.8 s later, when the runner knew that the worker was draining. Starts that wait for their turn are sent late in the same way.

Change: a start is not sent, or sent again, once the worker drains or has left the registry. TestStartIsNotSentToLeavingWorker failed before in both cases.

--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -100,3 +100,26 @@
 	h.c.Assert(h.cell.Collect(1).Changes[0].Progress.State, qt.Equals, graph.Completed)
 	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
 }
+
+// A worker that is known to drain, or has left the registry, must not be sent starts that waited or are repeated.
+func TestStartIsNotSentToLeavingWorker(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave func(h *harness, w order.Worker)
+	}{
+		{"draining", func(h *harness, w order.Worker) {
+			w.Draining = true
+			h.cell.SetWorker(w, h.now)
+		}},
+		{"unlisted", func(h *harness, w order.Worker) { h.cell.Unlist(w.ID) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 4)
+			h.add(shortJob("j", 1))
+			o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+			h.c.Assert(h.cell.Abandoned(o), qt.IsFalse)
+			test.leave(h, h.workers["w0"])
+			h.c.Assert(h.cell.Abandoned(o), qt.IsTrue)
+		})
+	}
+}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -10,11 +10,12 @@
 )
 
 // Abandoned reports whether a start must not be sent, or sent again: a stop of the run was requested, the run counts as ended, or
-// its worker has restarted.
+// its worker has restarted or is leaving.
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return o.p.stopRequested || !o.p.isCurrent() || !o.p.incarnation.Equal(o.p.w.info.StartedAt)
+	w := o.p.w
+	return o.p.stopRequested || !o.p.isCurrent() || !o.p.incarnation.Equal(w.info.StartedAt) || !w.listed || w.info.Draining
 }
 
 // StartResult is the outcome of a start order.
