--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -88,19 +88,13 @@
 		n.hosts = append(n.hosts, nil)
 	}
 	n.hosts[rank] = h
-	others := append([]*host(nil), n.hosts...)
 	n.mu.Unlock()
-	for _, other := range others {
-		if other != nil {
-			other.goAsync(func() { other.announced(h) })
-			h.goAsync(func() { h.announced(other) })
-		}
-	}
 	f := table.Follower{
-		Store: &hostStore{h}, Table: elect.Table, Partitions: func() []string { return []string{service} }, Load: h.applyLeases, Apply: h.applyLeases,
+		Store: &hostStore{h}, Table: elect.Table, Partitions: func() []string { return []string{service, hostsPartition} }, Load: h.applyLeases, Apply: h.applyLeases,
 		OnAnswer: func() { h.view.TableAnswered(time.Now()) }, Pause: func() time.Duration { return leaseReadInterval }, Log: n.log,
 	}
 	h.goAsync(func() { f.Run(ctx) })
+	h.goAsync(h.announce)
 	h.goAsync(h.campaign)
 }
 
@@ -112,14 +106,30 @@
 	}()
 }
 
-// announced tells this host about the newest process of another, which it reads from the table.
-func (h *host) announced(other *host) {
-	if clock.Pause(h.ctx, leaseReadInterval) && h.awaitThaw() == nil {
-		h.view.SetIncarnation(other.name, other.process, time.Now())
+// hostsPartition is the partition of the hosts' newest processes.
+const hostsPartition = "hosts"
+
+// announce writes the host's process to the table, where the others read it.
+func (h *host) announce() {
+	key := table.Key{Table: elect.Table, Partition: hostsPartition, Name: h.name}
+	for h.ctx.Err() == nil {
+		call, cancel := context.WithTimeout(h.ctx, time.Second)
+		_, err := (&hostStore{h}).Commit(call, table.Tx{Writes: []table.Write{{Key: key, Value: []byte(h.process)}}})
+		cancel()
+		if err == nil || !clock.Pause(h.ctx, campaignInterval) {
+			return
+		}
 	}
 }
 
-func (h *host) applyLeases(rows []table.Row) { _ = h.view.Apply(rows, time.Now()) }
+func (h *host) applyLeases(rows []table.Row) {
+	_ = h.view.Apply(rows, time.Now())
+	for _, row := range rows {
+		if row.Partition == hostsPartition {
+			h.view.SetIncarnation(row.Name, string(row.Value), time.Now())
+		}
+	}
+}
 
 // freeze makes the host stand still for some time: its calls neither leave nor return, and its clocks can't be read.
 func (h *host) freeze(d time.Duration) {
