Reproduce: a late announcement of an earlier process frees a lease

Hosts count a lease as free at once if a newer process of its holder's host is announced. An announcement is written without a check, so one of an earlier process that gets no answer and is carried out seconds later replaces that of the running process, and stays. Each lease that the host holds then counts as free: another host acquires it at once, and assumes that the replaced holder has stopped sending orders.

The platform allows it: a call without an answer may be performed seconds later if its condition still holds; this one has none.

--- /dev/null
+++ b/agent/announce_test.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// The announcement of an earlier process that the table carries out late must not make the lease of the host's running process free.
+func TestLateAnnouncementDoesNotFreeLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), context.Background()
+		store := fakes.NewTable()
+		store.SetFault(func(string) fakes.TableFault { return fakes.TableLate })
+		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		c.Assert(announce(call, store, host{Name: "a", Incarnation: "first"}), qt.IsNotNil)
+		store.SetFault(nil)
+		c.Assert(announce(ctx, store, host{Name: "a", Incarnation: "second"}), qt.IsNil)
+		epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: testService}, elect.Candidate{Name: "a", Incarnation: "second"})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(7 * time.Second)
+		c.Assert(elect.Renew(ctx, store, epoch, 7*time.Second), qt.IsNil)
+		b := newTestAgent("b")
+		for _, partition := range []string{testService, hostsPartition} {
+			rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
+			c.Assert(err, qt.IsNil)
+			c.Assert(b.leases.Apply(rows, time.Now()), qt.IsNil)
+			c.Assert(b.hosts.apply(rows, b.leases.SetIncarnation), qt.IsNil)
+		}
+		b.leases.TableAnswered(time.Now())
+		_, acquirable := b.leases.Acquirable(testService, 0, time.Now())
+		c.Assert(acquirable, qt.IsFalse)
+	})
+}
