Hear from an idle worker before a start is sent to it

Callers would see a worker with more than its capacity (LIMIT), or a task on a worker without the label that it requires (ROUTE).

Cause: a worker without runs is polled every 5 s, and the registry lists a new incarnation up to 1.5 s late. A worker that restarted under its id as another kind in between got work by its old entry; a ticket does not help, as it is issued for the present incarnation.

Change: if a worker's last report is older than 1.5 s, its starts wait for the next one, which is asked for at once and not held back. A worker that does not answer within 250 ms gets no start, and its tasks are placed elsewhere, instead of three unanswered attempts.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -45,7 +45,7 @@
 	}
 	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent ||
 		len(w.unknownRuns) > 0 || len(w.toFence) > 0 || len(w.unansweredStarts) > 0
-	if w.polled && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
+	if w.polled && w.reportAwaited == nil && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
 		// The worker would report the unacknowledged end again at once.
 		next.Needed, next.IdleTimeout = false, unackedPollDelay
 	}
@@ -71,7 +71,7 @@
 	if w.missedPolls < missedPollLimit {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
-	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent {
+	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && now.Sub(w.lastReportAt) <= maxReportAge {
 		next.Order.Wait = c.pollWaitFor(w)
 	}
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
@@ -163,6 +163,7 @@
 	}
 	w.updateClock(report.Clock, sent, now)
 	w.missedPolls, w.mayHaveRestarted = 0, false
+	w.recordReport(now)
 	c.recordResponse(w, now)
 	w.lastAckSent = max(w.lastAckSent, acked)
 	if len(report.Ended) > 0 && report.Ended[0].Number <= w.lastEndDurable && acked == 0 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -122,6 +122,9 @@
 	polled      bool
 	renewedAt   time.Time
 	restartedAt time.Time
+	// lastReportAt is when the worker last answered a poll, and reportAwaited is closed at its next answer.
+	lastReportAt  time.Time
+	reportAwaited chan struct{}
 	// lastResponseAt is when the worker last answered an order.
 	lastResponseAt time.Time
 	// suspectedAt is since when an order has been unanswered for unusually long.
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -196,14 +196,32 @@
 	return ch
 }
 
+// awaitReport waits for a report of a start's worker if its last one is old, and reports whether the worker has answered in time.
+func (r *Runner) awaitReport(ctx context.Context, o cell.StartOrder) bool {
+	awaited := r.cell.ReportToAwait(o, time.Now())
+	if awaited == nil {
+		return true
+	}
+	timer := time.NewTimer(suspectAfter)
+	defer timer.Stop()
+	select {
+	case <-awaited:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // sendStart sends a start up to maxStartAttempts times until there is a reply, and passes the result to the cell.
 func (r *Runner) sendStart(ctx context.Context, o cell.StartOrder) {
+	reported := r.awaitReport(ctx, o)
 	slot := r.orderSlot(o.Worker.ID)
 	slot <- struct{}{}
 	defer func() { <-slot }()
 	var res cell.StartResult
 	for range maxStartAttempts {
-		if ctx.Err() != nil || !r.holds() || r.cell.Abandoned(o) {
+		if !reported || ctx.Err() != nil || !r.holds() || r.cell.Abandoned(o) {
 			break
 		}
 		res.Sent = time.Now()
