--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -43,7 +43,9 @@
 // handleRestart starts a new incarnation of a worker. The new incarnation may have carried out, under the same id, a start
 // that was sent to the old one, so the old runs count as lost only if the next report does not list them.
 func (c *Cell) handleRestart(w *worker, startedAt, now time.Time) {
-	c.log.WithFields(logrus.Fields{fieldWorker: w.info.ID, fieldPlaced: len(w.placements)}).Warn("worker restarted")
+	c.log.WithFields(logrus.Fields{
+		fieldWorker: w.info.ID, fieldPlaced: len(w.placements), "before": w.info.StartedAt.UnixMilli(), "now": startedAt.UnixMilli(),
+	}).Warn("worker restarted")
 	for _, p := range w.placements {
 		if !p.confirmedAt.IsZero() {
 			p.confirmedAt = now
@@ -55,16 +57,28 @@
 	w.renewedAt, w.restartedAt = time.Time{}, now
 	w.missedPolls = 0
 	clear(w.unknownRuns)
+	w.fenceUnanswered(now)
+	if !w.unansweredAckAt.IsZero() {
+		w.lateAckUntil, w.unansweredAckAt = w.unansweredAckAt.Add(lateOrderLimit), time.Time{}
+	}
 }
 
-// loseRuns ends all placements of a worker on which nothing can be running any more.
-func (c *Cell) loseRuns(w *worker, reason string, now time.Time) {
+// isEntryCurrent reports whether the registry's entry describes the newest incarnation. Another one may have other capacity and
+// labels.
+func (w *worker) isEntryCurrent() bool { return w.listedStart.Equal(w.info.StartedAt) }
+
+// loseRuns ends the placements of a worker on which nothing can be running any more, but for those that keep returns.
+func (c *Cell) loseRuns(w *worker, reason string, now time.Time, keep func(p *placement) bool) {
 	for key, p := range w.placements {
+		if keep(p) {
+			continue
+		}
 		if p.confirmedAt.IsZero() {
-			w.toFence = append(w.toFence, order.Stop{Task: key.task, Run: key.run, Token: c.token})
+			w.fence(key)
 		}
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
+			"since-renewal": now.Sub(w.lastRenewal()).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
@@ -85,7 +99,9 @@
 		return
 	}
 	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin {
-		c.loseRuns(w, "its lease has expired", now)
+		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
+			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
+		})
 	}
 }
 
@@ -100,13 +116,11 @@
 	return last
 }
 
-// LeaseEnd returns when the lease of a task that is started now ends on the worker's clock; 0 if that clock is not known.
-func (c *Cell) LeaseEnd(id string, now time.Time) time.Duration {
+// StartLease records that a start, which renews the leases on its worker, is about to be sent, and returns when the lease ends on
+// the worker's clock; 0 if that clock is not known.
+func (c *Cell) StartLease(o StartOrder, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w, ok := c.workers[id]
-	if !ok {
-		return 0
-	}
-	return w.leaseEnd(now, c.settings.Lease)
+	o.p.sentAt, o.p.w.renewedAt = now, now
+	return o.p.w.leaseEnd(now, c.settings.Lease)
 }
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -9,18 +9,22 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// Abandoned reports whether a stop of the run was requested, so that its start must not be sent, or sent again.
+// Abandoned reports whether a start must not be sent, or sent again: a stop of the run was requested, the run counts as ended, or
+// its worker has restarted.
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return o.p.stopRequested
+	return o.p.stopRequested || !o.p.isCurrent() || !o.p.incarnation.Equal(o.p.w.info.StartedAt)
 }
 
 // StartResult is the outcome of a start order.
 type StartResult struct {
+	// Sent is when the last attempt was sent.
 	Sent  time.Time
 	Clock time.Duration
 	Err   error
+	// Unanswered counts the attempts that got no answer.
+	Unanswered int
 }
 
 // Started handles the outcome of a start. The allocation of a run that is known not to have started is freed.
@@ -29,31 +33,26 @@
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
-	if w.placements[runKey{p.task.id, p.run}] != p {
+	if res.Unanswered > 0 && !p.ticketed {
+		w.recordUnanswered(runKey{p.task.id, p.run}, p.incarnation, res.Sent)
+		p.unansweredAt = res.Sent
+	}
+	if !p.isCurrent() {
 		return
 	}
 	p.sentAt = res.Sent
 	if res.Err == nil {
 		w.updateClock(res.Clock, res.Sent, now)
 		c.recordResponse(w, now)
-		if p.confirmedAt.IsZero() {
-			p.confirmedAt = now
-		}
+		p.confirm(now)
 		return
 	}
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
-		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID,
+		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID, "unanswered": res.Unanswered,
 	}).Warn("start failed")
-	if !provesNotExecuted(res.Err) {
-		// The start may still be carried out: the run is fenced on the worker before the task is placed elsewhere.
-		c.requestStop(p)
-		return
-	}
 	if isRejection(res.Err, order.RejectStale) {
 		// The worker already had the run and will list its end, unless that was reported before.
-		if p.confirmedAt.IsZero() {
-			p.confirmedAt = now
-		}
+		p.confirm(now)
 		return
 	}
 	if isRejection(res.Err, order.RejectTicket) {
@@ -62,6 +61,14 @@
 	if isRejection(res.Err, order.RejectCapacity) {
 		p.task.step.nextAdviceAt = now.Add(adviceBusyDelay)
 	}
+	if res.Unanswered > 0 || !provesNotExecuted(res.Err) {
+		if p.confirmedAt.IsZero() {
+			// An attempt may have been carried out, or may still be: the run is fenced on the worker before the task is placed
+			// elsewhere.
+			c.requestStop(p)
+		}
+		return
+	}
 	p.task.notBefore = now.Add(retryDelay)
 	c.release(p, order.EndStopped, "", now)
 }
@@ -73,7 +80,7 @@
 	p := o.p
 	w := p.w
 	var rejected *order.RejectedError
-	if w.placements[runKey{p.task.id, p.run}] != p || (err != nil && !errors.As(err, &rejected)) {
+	if !p.isCurrent() || (err != nil && !errors.As(err, &rejected)) {
 		return
 	}
 	w.updateClock(clock, p.stopSentAt, now)
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -36,13 +36,15 @@
 		return NextPoll{Gone: true}
 	}
 	c.expireLeases(w, now)
+	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
-	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 {
+	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 && len(w.unansweredStarts) == 0 {
 		delete(c.workers, id)
 		next.Gone = true
 		return next
 	}
-	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent || len(w.unknownRuns) > 0
+	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent ||
+		len(w.unknownRuns) > 0 || len(w.toFence) > 0 || len(w.unansweredStarts) > 0
 	if w.polled && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
 		// The worker would report the unacknowledged end again at once.
 		next.Needed, next.IdleTimeout = false, unackedPollDelay
@@ -75,8 +77,7 @@
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
 		next.Order.Wait, next.Delay = 0, absenceGrace
 	}
-	next.ToFence = w.toFence
-	w.toFence = nil
+	next.ToFence = c.runsToFence(w)
 	return next
 }
 
@@ -95,13 +96,20 @@
 	return pollWait
 }
 
-// RecordRenewal records that an order that renews leases is about to be sent.
-func (c *Cell) RecordRenewal(id string, now time.Time) {
+// PollSent records that a poll is about to be sent.
+func (c *Cell) PollSent(id string, o order.Poll, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.workers[id]; ok {
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	if o.LeaseUntil > 0 {
 		w.renewedAt = now
 	}
+	if o.Acked > 0 {
+		w.unansweredAckAt = now
+	}
 }
 
 // PollMissed records that a poll got no answer.
@@ -125,8 +133,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w, ok := c.workers[id]; ok {
-		c.loseRuns(w, "another worker has its address", now)
-		w.toFence = nil
+		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
+		clear(w.toFence)
+		clear(w.unansweredStarts)
 		w.listed = false
 		w.polled = false
 	}
@@ -153,6 +162,9 @@
 	w.updateClock(report.Clock, sent, now)
 	w.missedPolls, w.mayHaveRestarted = 0, false
 	c.recordResponse(w, now)
+	if acked > 0 {
+		w.unansweredAckAt = time.Time{}
+	}
 	w.lastAckSent = max(w.lastAckSent, acked)
 	if len(report.Ended) > 0 && report.Ended[0].Number <= w.lastEndDurable && acked == 0 {
 		// It still lists acknowledged ends: the poll that acknowledged them was lost.
@@ -172,6 +184,13 @@
 		if running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
 			continue
 		}
+		if _, unfenced := w.toFence[key]; unfenced {
+			continue
+		}
+		if !p.incarnation.Equal(w.info.StartedAt) && now.Before(p.lateUntil()) {
+			// The worker may restart again before the start is carried out.
+			continue
+		}
 		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopAnswered}).
 			Info("run is no longer on its worker")
 		c.release(p, order.EndExpired, p.checkpoint, now)
@@ -181,6 +200,7 @@
 			delete(w.unknownRuns, key)
 		}
 	}
+	c.checkOvercommit(w)
 }
 
 func (c *Cell) handleRun(w *worker, r *order.Run, now time.Time) {
@@ -191,9 +211,7 @@
 			return
 		}
 	}
-	if p.confirmedAt.IsZero() {
-		p.confirmedAt = now
-	}
+	p.confirm(now)
 	if r.Checkpoint != p.checkpoint {
 		p.checkpoint, p.checkpointAt = r.Checkpoint, now
 	}
@@ -214,7 +232,7 @@
 		if !ok {
 			w.unknownRuns[key] = now
 		} else if now.Sub(firstSeen) > unknownRunGrace {
-			w.toFence = append(w.toFence, order.Stop{Task: r.Task, Run: r.Run, Token: c.token})
+			w.fence(key)
 		}
 		return nil
 	}
@@ -222,8 +240,10 @@
 	if t.lastRun >= r.Run && !t.done && len(t.placements) == 0 && t.lastRun > r.Run {
 		c.log.WithFields(logrus.Fields{fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID}).Warn("worker reports an older run of a task")
 	}
+	c.checkResurfaced(w, r)
 	p := c.place(t, w, r.Run, now)
-	p.confirmedAt, p.adopted = now, true
+	p.confirm(now)
+	p.adopted = true
 	if t.done || j.state.Terminal() || len(t.placements) > 1 {
 		c.requestStop(p)
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -53,9 +53,15 @@
 	adopted       bool
 	stopRequested bool
 	stopSentAt    time.Time
-	stopAnswered  bool
-	checkpoint    string
-	checkpointAt  time.Time
+	// ticketed says that the start carries a ticket.
+	ticketed bool
+	// unansweredAt is when the last attempt to start the run was sent, if one was not answered.
+	unansweredAt time.Time
+	// incarnation is the start of the worker's incarnation for which the run was placed.
+	incarnation  time.Time
+	stopAnswered bool
+	checkpoint   string
+	checkpointAt time.Time
 	// reportedThrottle and throttle are the percentage of its CPU limit that the run may use, as last reported by the worker and
 	// as wanted here.
 	reportedThrottle int
@@ -69,15 +75,35 @@
 	endedAt      time.Time
 }
 
+// confirm records that the worker has, or had, the run.
+func (p *placement) confirm(now time.Time) {
+	if p.confirmedAt.IsZero() {
+		p.confirmedAt = now
+	}
+	p.task.step.job.started = true
+}
+
+// isCurrent reports whether the run has not ended.
+func (p *placement) isCurrent() bool { return p.w.placements[runKey{p.task.id, p.run}] == p }
+
 // worker is a worker of the group, with its placements.
 type worker struct {
-	info       order.Worker
-	listed     bool
-	used       unit.Size
-	placements map[runKey]*placement
-	// toFence are runs whose start may still arrive and has to be refused.
-	toFence     []order.Stop
-	unknownRuns map[runKey]time.Time
+	// info is the registry's entry, with the start of the newest incarnation that is known.
+	info   order.Worker
+	listed bool
+	// listedStart is the start of the incarnation that the registry's entry describes; zero if there was no entry.
+	listedStart time.Time
+	used        unit.Size
+	placements  map[runKey]*placement
+	// toFence holds the runs whose start may still arrive and has to be refused by the worker, which has not confirmed that.
+	toFence map[runKey]struct{}
+	// unansweredStarts holds the starts without a ticket of which an attempt was not answered, and when that was sent.
+	unansweredStarts map[runKey]time.Time
+	// unansweredAckAt is when an acknowledgement that has not been answered was sent; zero if there is none.
+	unansweredAckAt time.Time
+	// lateAckUntil is until when an acknowledgement sent to an earlier incarnation may still be carried out.
+	lateAckUntil time.Time
+	unknownRuns  map[runKey]time.Time
 	// lastEndSeen is the number of the last end received, lastEndDurable that of the last end that is durable here, and
 	// lastAckSent that of the last acknowledged one.
 	lastEndSeen    uint64
@@ -111,6 +137,8 @@
 	leavesAt time.Time
 	// lastPlanNumber is the number of the last plan in which the worker may get work.
 	lastPlanNumber uint64
+	// overcommitted says that the runs on the worker exceed its capacity.
+	overcommitted bool
 	// heldFor is the gang for which the worker is held until heldUntil.
 	heldFor       *step
 	heldUntil     time.Time
@@ -173,7 +201,7 @@
 	if !ok {
 		w = &worker{
 			info: info, placements: map[runKey]*placement{}, unknownRuns: map[runKey]time.Time{}, wake: make(chan struct{}, 1),
-			listed: true, firstListedAt: now,
+			listed: true, listedStart: info.StartedAt, firstListedAt: now,
 		}
 		w.updateDrain(now)
 		c.workers[info.ID] = w
@@ -193,7 +221,7 @@
 			fieldWorker: info.ID, "draining": info.Draining, "remaining": info.Remaining.String(), fieldPlaced: len(w.placements),
 		}).Info("worker's drain state changed")
 	}
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedStart = info, true, info.StartedAt
 	w.updateDrain(now)
 	w.wakeUp()
 	return false
@@ -201,7 +229,10 @@
 
 // place records a run on a worker and allocates its resources.
 func (c *Cell) place(t *task, w *worker, run int, now time.Time) *placement {
-	p := &placement{task: t, w: w, run: run, size: allocationOf(t.step.doc), sentAt: now, reportedThrottle: unthrottled, throttle: unthrottled}
+	p := &placement{
+		task: t, w: w, run: run, size: allocationOf(t.step.doc), sentAt: now, incarnation: w.info.StartedAt,
+		reportedThrottle: unthrottled, throttle: unthrottled,
+	}
 	if t.isWaiting() {
 		t.step.numWaiting--
 	}
@@ -209,7 +240,6 @@
 	t.lastRun = max(t.lastRun, run)
 	t.step.numPerWorker[w]++
 	t.step.job.numPlaced++
-	t.step.job.started = true
 	w.used = w.used.Add(p.size)
 	w.placements[runKey{t.id, run}] = p
 	if t.step.doc.Speculative && !t.step.doc.Gang && !t.step.doc.LongRunning {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,13 +32,39 @@
 
 // staticRegistry is a registry with a fixed list of workers, to which changes can be applied.
 type staticRegistry struct {
+	mu      sync.Mutex
 	workers []order.Worker
 	changes chan func(changed func(order.Worker), gone func(string))
 }
 
+// registryLag is the delay until a new incarnation of a worker is listed.
+const registryLag = 1500 * time.Millisecond
+
+// replaceLater replaces a worker's entry after registryLag, as its new incarnation does.
+func (l *staticRegistry) replaceLater(w order.Worker) {
+	go func() {
+		time.Sleep(registryLag)
+		l.mu.Lock()
+		for i := range l.workers {
+			if l.workers[i].ID == w.ID {
+				l.workers[i] = w
+			}
+		}
+		l.mu.Unlock()
+		select {
+		case l.changes <- func(changed func(order.Worker), _ func(string)) { changed(w) }:
+		case <-time.After(registryLag):
+			// No runner follows the registry; the next one gets the list.
+		}
+	}()
+}
+
 // Follow implements runner.Registry.
 func (l *staticRegistry) Follow(ctx context.Context, list func([]order.Worker), changed func(order.Worker), gone func(string)) {
-	list(l.workers)
+	l.mu.Lock()
+	workers := slices.Clone(l.workers)
+	l.mu.Unlock()
+	list(workers)
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,9 +98,11 @@
 
 // cluster is a table, workers and a configuration, used by one runner after another.
 type cluster struct {
-	c          *qt.C
-	store      *fakes.Table
-	workers    *fakes.WorkerSet
+	c       *qt.C
+	store   *fakes.Table
+	workers *fakes.WorkerSet
+	// orders sends the orders of runners to workers.
+	orders     order.Workers
 	registry   *staticRegistry
 	configs    *queues.Store
 	epoch      elect.Epoch
@@ -91,6 +121,7 @@
 		registry: &staticRegistry{changes: make(chan func(func(order.Worker), func(string)))}, epoch: elect.Epoch{Group: service},
 	}
 	s.store.Latency = 4 * time.Millisecond
+	s.orders = s.workers
 	for i := range numWorkers {
 		w := s.workers.Add(order.Worker{
 			ID: fmt.Sprintf("w%d", i), Service: service, Capacity: size, Rack: fmt.Sprintf("r%d", i/2),
@@ -113,7 +144,7 @@
 	s.epoch = epoch
 	sinceBoot := func() time.Duration { return time.Since(s.startedAt) }
 	r := runner.New(runner.Config{
-		Epoch: epoch, Store: s.store, Workers: s.workers, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
+		Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: sinceBoot, Log: log, Unconfirmed: s.unconfirmed,
 		FetchHandover: func(context.Context) (cell.Handover, bool) {
 			if s.handover == nil {
@@ -514,7 +545,7 @@
 		defer stop()
 		s.submit("00000000000000aa", graph.Step{Count: 8, Size: cores(4)})
 		time.Sleep(500 * time.Millisecond)
-		s.workers.Crash("w0")
+		s.registry.replaceLater(s.workers.Crash("w0"))
 		s.awaitState(r, "00000000000000aa", graph.Completed, 40*time.Second)
 		s.assertNoFaults()
 	})
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -128,9 +128,7 @@
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := time.Now()
-	if next.Order.LeaseUntil > 0 {
-		r.cell.RecordRenewal(id, sent)
-	}
+	r.cell.PollSent(id, next.Order, sent)
 	stopTimer := r.watchResponse(id, next.Order.Wait, sent)
 	report, err := r.cfg.Workers.Poll(call, &next.Worker, next.Order)
 	stopTimer()
@@ -169,15 +167,20 @@
 	return func() { timer.Stop() }
 }
 
-// fenceRuns makes a worker reject starts that were sent to an earlier incarnation of it and may still arrive.
+// fenceRuns makes a worker reject starts that may still arrive. A stop without an answer is sent again after the next poll.
 func (r *Runner) fenceRuns(ctx context.Context, w *order.Worker, stops []order.Stop) {
 	for _, s := range stops {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err := r.cfg.Workers.Stop(call, w, s)
 		cancel()
-		if err != nil {
-			r.log.WithError(err).WithField("task", s.Task.String()).Warn("can't fence a run whose start may still arrive")
+		r.checkFenced(err)
+		var rejected *order.RejectedError
+		if err == nil || errors.As(err, &rejected) {
+			r.cell.RunFenced(*w, s)
+			continue
 		}
+		r.log.WithError(err).WithField("task", s.Task.String()).Warn("can't fence a run whose start may still arrive")
+		return
 	}
 }
 
@@ -204,7 +207,7 @@
 			break
 		}
 		res.Sent = time.Now()
-		o.Order.LeaseUntil = r.cell.LeaseEnd(o.Worker.ID, res.Sent)
+		o.Order.LeaseUntil = r.cell.StartLease(o, res.Sent)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
 		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
@@ -214,6 +217,7 @@
 		if !errors.As(res.Err, &unanswered) {
 			break
 		}
+		res.Unanswered++
 	}
 	if res.Sent.IsZero() {
 		res = cell.StartResult{Sent: time.Now(), Err: &order.BusyError{Worker: o.Worker.ID}}
