Check the version of a host's row when it is announced or withdrawn

Cause: a host's row was written and removed without a check. An announcement of an earlier process that was carried out late replaced that of the running one; its leases then counted as free at once, and the next runner assumed that their holder had stopped. A late withdrawal removed the running process's row, which is written once.

Change: both read the row and check its version; a withdrawal removes only the row of its own process.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -251,14 +251,18 @@
 	f.Run(ctx)
 }
 
-func (a *Agent) announce(ctx context.Context) {
-	self := host{
+// self returns this host as it is announced to others.
+func (a *Agent) self() host {
+	return host{
 		Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Incarnation: a.incarnation,
 		Cores: a.settings.CPUShare,
 	}
+}
+
+func (a *Agent) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-		err := announce(callCtx, a.store, self)
+		err := announce(callCtx, a.store, a.self())
 		cancel()
 		if err == nil {
 			return
@@ -279,7 +283,7 @@
 	a.awaitTable(ctx)
 	stopCampaign()
 	withdrawCtx, cancelWithdraw := context.WithTimeout(ctx, releaseTimeout)
-	if err := withdraw(withdrawCtx, a.store, a.settings.Name); err != nil {
+	if err := withdraw(withdrawCtx, a.store, a.self()); err != nil {
 		a.log.WithError(err).Warn("failed to remove the host's address from the table")
 	}
 	cancelWithdraw()
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -211,20 +211,48 @@
 }
 
 // announce writes this host's address to the table.
+// announce writes the host's row. It checks the version that it replaces, so that a write that is carried out late does not replace the
+// row of a later process.
 func announce(ctx context.Context, s table.Store, self host) error {
 	raw, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	_, err = s.Commit(ctx, table.Tx{Writes: []table.Write{{Key: hostKey(self.Name), Value: raw}}})
+	stored, version, err := readHost(ctx, s, self.Name)
+	if err != nil || stored.Incarnation == self.Incarnation {
+		return err
+	}
+	key := hostKey(self.Name)
+	_, err = s.Commit(ctx, table.Tx{Checks: []table.Check{{Key: key, Version: version}}, Writes: []table.Write{{Key: key, Value: raw}}})
 	return err
 }
 
-func withdraw(ctx context.Context, s table.Store, name string) error {
-	_, err := s.Commit(ctx, table.Tx{Removes: []table.Key{hostKey(name)}})
+// withdraw removes the host's row, unless it is that of another process.
+func withdraw(ctx context.Context, s table.Store, self host) error {
+	stored, version, err := readHost(ctx, s, self.Name)
+	if err != nil || stored.Incarnation != self.Incarnation {
+		return err
+	}
+	key := hostKey(self.Name)
+	_, err = s.Commit(ctx, table.Tx{Checks: []table.Check{{Key: key, Version: version}}, Removes: []table.Key{key}})
 	return err
 }
 
+// readHost reads a host's row; the version is 0 if there is none. A row that can't be decoded is returned as that of no process.
+func readHost(ctx context.Context, s table.Store, name string) (host, uint64, error) {
+	key := hostKey(name)
+	page, err := s.Read(ctx, table.Range{Table: key.Table, Partition: key.Partition, From: name, To: name + "\x00", Limit: 1})
+	if err != nil || len(page.Rows) == 0 {
+		return host{}, 0, err
+	}
+	row := page.Rows[0]
+	h := host{Name: name}
+	if json.Unmarshal(row.Value, &h) != nil {
+		h = host{Name: name}
+	}
+	return h, row.Version, nil
+}
+
 func hostKey(name string) table.Key {
 	return table.Key{Table: elect.Table, Partition: hostsPartition, Name: name}
 }
