--- a/agent/advise.go
+++ b/agent/advise.go
@@ -45,13 +45,13 @@
 		defer b.mu.Unlock()
 		b.inFlight[req.Host]--
 	}()
-	ctx, cancel := context.WithTimeout(ctx, req.Cost+adviseSlack)
+	call, cancel := context.WithTimeout(ctx, req.Cost+adviseSlack)
 	defer cancel()
 	if req.Host == b.self {
-		permits, validity, err := b.advisor.Advise(ctx, req.Step, req.Workers)
+		permits, validity, err := b.advisor.Advise(call, req.Step, req.Workers)
 		var busy *order.AdvisorBusyError
 		var queueTimeout *queueTimeoutError
-		if err != nil && !errors.As(err, &busy) && !errors.As(err, &queueTimeout) {
+		if err != nil && ctx.Err() == nil && !errors.As(err, &busy) && !errors.As(err, &queueTimeout) {
 			b.hosts.backOff(b.self, time.Now())
 		}
 		return permits, validity, err
@@ -60,8 +60,8 @@
 	if !ok {
 		return nil, 0, &order.AdvisorBusyError{}
 	}
-	permits, validity, err := b.adviseRemotely(ctx, h, req)
-	if err != nil && status.Code(err) != codes.Aborted {
+	permits, validity, err := b.adviseRemotely(call, h, req)
+	if err != nil && ctx.Err() == nil && status.Code(err) != codes.Aborted {
 		b.hosts.backOff(h.Name, time.Now())
 	}
 	return permits, validity, err
--- a/agent/advise_test.go
+++ b/agent/advise_test.go
@@ -86,6 +86,19 @@
 	c.Assert(b.hosts.fastPath[name], qt.IsTrue)
 }
 
+// Guards against hosts that are not used for a while because a runner stopped while they were asked.
+func TestCanceledAdvisorCallBacksOffNoHost(t *testing.T) {
+	c := qt.New(t)
+	b := newAdvisorBalancer(2)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for name := range b.hosts.known {
+		_, _, err := b.Advise(ctx, cell.AdviceRequest{Host: name})
+		c.Assert(err, qt.IsNotNil)
+	}
+	c.Assert(b.hosts.usable(time.Now()), qt.HasLen, len(b.hosts.known))
+}
+
 // No calls are made for a while from a host whose call to the advisor failed; other hosts are used.
 func TestFailedAdvisorCallBacksOffHost(t *testing.T) {
 	c := qt.New(t)
