Reproduce: a worker that restarts soon after its last report gets work by its old entry

Callers would see a worker with more than its capacity (LIMIT), also on queues with tickets.

Before a start is sent, a worker whose last report is older than 1.5 s is polled. An idle worker has no poll under way, so one that crashes and restarts as another kind within that time is not noticed, and the registry lists the new incarnation later. The platform allows this: a worker may start again under its id, and a new incarnation may be of a different kind, even at the same address.

The test has 0.7 s and 0.1 s.

--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -77,3 +77,23 @@
 		s.assertNoFaults()
 	})
 }
+
+// An idle worker that restarts as another kind soon after its last report must not get work by its old entry either.
+func TestWorkerThatChangedSinceItsLastReportGetsNoWorkByItsOldEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 1, bigWorker)
+		s.workers.Outcome = fixedDuration(100 * time.Millisecond)
+		r, stop := s.runner()
+		defer stop()
+		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(4)})
+		s.awaitState(r, "00000000000000aa", graph.Completed, 20*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		s.workers.TakeDown("w0")
+		time.Sleep(700 * time.Millisecond)
+		s.registry.replaceLater(s.workers.Restart("w0", func(w *order.Worker) { w.Capacity.CPUMilli = 8000 }))
+		time.Sleep(100 * time.Millisecond)
+		s.submit("00000000000000bb", graph.Step{Count: 4, Size: cores(4)})
+		s.awaitState(r, "00000000000000bb", graph.Completed, 20*time.Second)
+		s.assertNoFaults()
+	})
+}
