--- a/cell/poll.go
+++ b/cell/poll.go
@@ -71,7 +71,7 @@
 	if w.missedPolls < missedPollLimit {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
-	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && now.Sub(w.lastReportAt) <= maxReportAge {
+	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now) {
 		next.Order.Wait = c.pollWaitFor(w)
 	}
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
--- a/cell/report.go
+++ b/cell/report.go
@@ -2,9 +2,19 @@
 
 import "time"
 
-// maxReportAge is how long a worker counts as being in the incarnation that last answered a poll: longer than a worker with runs
-// may hold back an answer.
-const maxReportAge = pollWait + 500*time.Millisecond
+// Limits of the age of a worker's last report, after which the worker may have restarted as another kind of worker.
+const (
+	// maxReportAge applies while a poll is in flight, which would fail at a restart: longer than its answer may be held back.
+	maxReportAge = pollWait + 500*time.Millisecond
+	// maxIdleReportAge applies while none is: shorter than a restart takes.
+	maxIdleReportAge = 100 * time.Millisecond
+)
+
+// isReportRecent reports whether a worker is still in the incarnation that last answered a poll.
+func (w *worker) isReportRecent(now time.Time) bool {
+	age := now.Sub(w.lastReportAt)
+	return age <= maxIdleReportAge || (age <= maxReportAge && !w.pollInFlight.at.IsZero())
+}
 
 // recordReport records that a worker has answered a poll.
 func (w *worker) recordReport(now time.Time) {
@@ -21,7 +31,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := o.p.w
-	if now.Sub(w.lastReportAt) <= maxReportAge {
+	if w.isReportRecent(now) {
 		return nil
 	}
 	if w.reportAwaited == nil {
