Don't take a run for gone while its worker lists its ends only in part

Callers would see a task run again after it was done (TWICE).

Cause: a worker lists at most 500 ends. With more of them unacknowledged, as after an outage of the table, a run whose end was left out was neither active nor ended, counted as gone, and its task was started again.

Change: a report says whether it may have left ends out, and then no run counts as gone. TestRunWhoseEndIsNotListedYetIsNotRepeated failed before.

--- a/cell/ends_test.go
+++ b/cell/ends_test.go
@@ -105,3 +105,19 @@
 		})
 	}
 }
+
+// A report lists at most 500 ends; a run whose end is not among them must not count as gone without an end.
+func TestRunWhoseEndIsNotListedYetIsNotRepeated(t *testing.T) {
+	const maxListedEnds = 500
+	h := newHarness(t, 1, maxListedEnds+1)
+	h.add(shortJob("j", maxListedEnds+1))
+	starts := h.plan().Starts
+	h.c.Assert(starts, qt.HasLen, maxListedEnds+1)
+	for _, o := range starts {
+		h.finish("w0", o.Order.Task, order.EndDone)
+	}
+	listed := h.ends["w0"][:maxListedEnds]
+	h.now = h.now.Add(time.Second)
+	h.cell.Polled("w0", order.Report{Clock: 2 * time.Minute, StartedAt: h.workers["w0"].StartedAt, Ended: listed, MoreEnds: true}, 0, h.now, h.now)
+	h.c.Assert(len(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now.Add(time.Second)).Starts), qt.Equals, 0)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -181,7 +181,8 @@
 	}
 	c.throttleBackfill(w, now)
 	for key, p := range w.placements {
-		if running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
+		// The end of a run that is not listed as active may be among those that the report leaves out.
+		if report.MoreEnds || running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
 			continue
 		}
 		if _, unfenced := w.toFence[key]; unfenced {
--- a/order/order.go
+++ b/order/order.go
@@ -127,8 +127,10 @@
 	Clock     time.Duration
 	StartedAt time.Time
 	Running   []Run
-	// Ended lists the ended runs that are not acknowledged yet.
+	// Ended lists the ended runs that are not acknowledged yet, the oldest first.
 	Ended []End
+	// MoreEnds says that there may be more of them than the report lists.
+	MoreEnds bool
 }
 
 // Workers sends orders to workers; its methods return the errors *RejectedError, *BusyError, *GoneError and *UnansweredError.
