Count starts in flight at a restart towards late renewals

Callers would see a task run twice (TWICE), on queues without advice.

Cause: what earlier orders may still do in a new incarnation was worked out at the restart. A start that was in flight then, and got no answer, was fenced, but a start that is refused for its fence renews the worker's leases all the same.

Change: such a start counts. TestStartInFlightAtRestartProlongsLeases failed before.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -25,8 +25,12 @@
 		w.unansweredStarts = map[runKey]time.Time{}
 	}
 	w.unansweredStarts[key] = sent
-	if !incarnation.Equal(w.info.StartedAt) {
-		w.fence(key)
+	if incarnation.Equal(w.info.StartedAt) {
+		return
+	}
+	w.fence(key)
+	if late := sent.Add(lateOrderLimit); late.After(w.lateRenewalUntil) {
+		w.lateRenewalUntil = late
 	}
 }
 
--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -199,3 +199,34 @@
 	h.missPolls(o.Worker.ID, time.Second)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// A start that is in flight when its worker's restart is noticed may renew the new incarnation's leases late, like one before.
+func TestStartInFlightAtRestartProlongsLeases(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("first", 1))
+	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+	id, sentAt := o.Worker.ID, h.now
+	h.cell.StartLease(o, h.now)
+	h.restart(id)
+	err := &order.UnansweredError{Worker: id}
+	h.cell.Started(o, cell.StartResult{Sent: sentAt, Err: err, Unanswered: 1}, h.now)
+	for _, stop := range h.cell.NextPoll(id, h.now).ToFence {
+		h.cell.RunFenced(h.workers[id], stop)
+	}
+	h.answerStops()
+	h.advance(time.Second)
+	for other := range h.workers {
+		if other != id {
+			h.cell.Unlist(other)
+		}
+	}
+	h.add(shortJob("second", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+	h.c.Assert(h.running[id], qt.HasLen, 1)
+	h.advance(time.Second)
+	for _, w := range h.workers {
+		h.cell.SetWorker(w, h.now)
+	}
+	h.missPolls(id, 14*time.Second-h.now.Sub(sentAt))
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+}
