Remember unanswered orders to a worker that has left the registry

Callers would see a task run again after it was done (TWICE).

Cause: a worker that left the registry was forgotten once nothing ran on it, with the orders to it that had no answer. If it restarted and returned under its id, a late acknowledgement dropped ends of its new incarnation.

Change: it is remembered, without being polled, until no order without an answer can be carried out any more. If another worker answers at its address, all is forgotten at once, since an order names its worker. TestLateAcknowledgementAfterWorkerLeftRegistry failed before.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -67,6 +67,24 @@
 	w.lateRenewalUntil, w.lateAckUntil = renewedAt.Add(lateOrderLimit), w.unansweredAckAt.Add(lateOrderLimit)
 }
 
+// expectsLateOrders reports whether an order that was not answered may still be carried out.
+func (w *worker) expectsLateOrders(now time.Time) bool {
+	for _, sent := range []time.Time{w.unansweredAckAt, w.unansweredRenewalAt} {
+		if now.Before(sent.Add(lateOrderLimit)) {
+			return true
+		}
+	}
+	return len(w.unansweredStarts) > 0 || now.Before(w.lateAckUntil) || now.Before(w.lateRenewalUntil)
+}
+
+// forgetOrders forgets all orders without an answer to a worker that is gone: an order names its worker, and no other carries it out.
+func (w *worker) forgetOrders() {
+	clear(w.toFence)
+	clear(w.unansweredStarts)
+	w.pollInFlight = sentPoll{}
+	w.unansweredAckAt, w.unansweredRenewalAt, w.lateAckUntil, w.lateRenewalUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+}
+
 // forgetUnanswered forgets the unanswered starts that can't be carried out any more.
 func (w *worker) forgetUnanswered(now time.Time) {
 	maps.DeleteFunc(w.unansweredStarts, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > lateOrderLimit })
--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -230,3 +230,26 @@
 	h.missPolls(id, 14*time.Second-h.now.Sub(sentAt))
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
 }
+
+// A worker that leaves the registry and returns under its id may still get a late acknowledgement sent before it left.
+func TestLateAcknowledgementAfterWorkerLeftRegistry(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("first", 1))
+	for _, o := range h.plan().Starts {
+		h.finish("w0", o.Order.Task, order.EndDone)
+	}
+	h.advance(time.Second)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	poll := h.cell.NextPoll("w0", h.now).Order
+	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
+	h.cell.PollSent("w0", poll, h.now)
+	h.now = h.now.Add(700 * time.Millisecond)
+	h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
+	h.missPolls("w0", 4*time.Second)
+	h.cell.Unlist("w0")
+	h.cell.NextPoll("w0", h.now)
+	h.restart("w0")
+	h.pollAll()
+	h.add(shortJob("second", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -38,7 +38,8 @@
 	c.expireLeases(w, now)
 	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
-	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 && len(w.unansweredStarts) == 0 {
+	left := !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0
+	if left && !w.expectsLateOrders(now) {
 		delete(c.workers, id)
 		next.Gone = true
 		return next
@@ -65,7 +66,8 @@
 		next.First = true
 		next.Delay = min(next.Delay, firstPollDelay)
 	}
-	if !w.polled && !w.listed {
+	if left || (!w.polled && !w.listed) {
+		// A worker that has left is only remembered for its return.
 		next.Needed = len(w.placements) > 0
 	}
 	if w.missedPolls < missedPollLimit {
@@ -133,8 +135,7 @@
 	defer c.mu.Unlock()
 	if w, ok := c.workers[id]; ok {
 		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
-		clear(w.toFence)
-		clear(w.unansweredStarts)
+		w.forgetOrders()
 		w.listed = false
 		w.polled = false
 	}
