Keep the time of a worker's last renewal across its restart

Cause: a restart set the time of the last renewal to none. If only an entry of the registry said that the worker had restarted, and the entry was wrong, its runs counted as expired after two missed polls, though their lease had just been renewed.

Change: the time is kept; a later renewal replaces it. TestWrongEntryDoesNotShortenLeases failed before.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -54,7 +54,7 @@
 	w.info.StartedAt = startedAt
 	w.lastEndSeen, w.lastEndDurable, w.lastAckSent, w.polled = 0, 0, 0, false
 	w.clock, w.clockAt, w.mayHaveRestarted = 0, time.Time{}, false
-	w.renewedAt, w.restartedAt = time.Time{}, now
+	w.restartedAt = now
 	w.missedPolls = 0
 	clear(w.unknownRuns)
 	w.expectLateOrders(now)
--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -123,3 +123,22 @@
 		})
 	}
 }
+
+// An entry that names a later start than the worker's own must not shorten the leases that its orders have renewed.
+func TestWrongEntryDoesNotShortenLeases(t *testing.T) {
+	h := newHarness(t, 2, 1)
+	h.add(shortJob("j", 1))
+	o := h.plan().Starts[0]
+	id := o.Worker.ID
+	for range 20 {
+		h.cell.PollSent(id, h.cell.NextPoll(id, h.now).Order, h.now)
+		h.advance(time.Second)
+	}
+	h.cell.PollSent(id, h.cell.NextPoll(id, h.now).Order, h.now)
+	h.advance(100 * time.Millisecond)
+	wrong := h.workers[id]
+	wrong.StartedAt = wrong.StartedAt.Add(30 * time.Second)
+	h.cell.SetWorker(wrong, h.now)
+	h.missPolls(id, 2*time.Second)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+}
