Forget runs of unknown jobs on a worker that is gone

Operators saw a scheduler that polls a dead worker for ever, and whose group is never handed over as planned: the next scheduler waits for the leases of all workers that it can't reach.

Cause: runs of unknown jobs were forgotten only by a report or a restart of their worker.

Change: they are forgotten when their lease has expired, and when another worker answers at the address. TestDeadWorkerWithUnknownRunIsForgotten failed before in both cases.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -90,12 +90,13 @@
 	return w.minClock(now) + lease
 }
 
-// expireLeases ends the placements on a worker whose leases are guaranteed to have expired.
+// expireLeases ends the placements on a worker whose leases are guaranteed to have expired, and forgets runs of unknown jobs there.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
-	if w.missedPolls < missedPollLimit || len(w.placements) == 0 {
+	if w.missedPolls < missedPollLimit || len(w.placements)+len(w.unknownRuns) == 0 {
 		return
 	}
 	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin {
+		clear(w.unknownRuns)
 		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
 		})
--- a/cell/leases_test.go
+++ b/cell/leases_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
@@ -39,3 +40,29 @@
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 	h.c.Assert(h.cell.Abandoned(o), qt.IsTrue)
 }
+
+// A worker that died with a run of an unknown job must be forgotten, and must not keep this scheduler from handing over its runs.
+func TestDeadWorkerWithUnknownRunIsForgotten(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		die  func(h *harness)
+	}{
+		{"silent", func(h *harness) { h.missPolls("w0", 10*time.Minute) }},
+		{"another worker has its address", func(h *harness) {
+			h.cell.Replaced("w0", h.now)
+			h.now = h.now.Add(10 * time.Minute)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 4)
+			h.cell.HoldRestored(time.Time{})
+			h.running["w0"] = []order.Run{{Task: graph.TaskID{StepID: graph.StepID{Job: "unknown"}}, Run: 1}}
+			h.pollAll()
+			h.cell.Unlist("w0")
+			test.die(h)
+			h.c.Check(h.cell.NextPoll("w0", h.now).Gone, qt.IsTrue)
+			_, err := h.cell.Handover(h.now)
+			h.c.Check(err, qt.IsNil)
+		})
+	}
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -136,6 +136,7 @@
 	if w, ok := c.workers[id]; ok {
 		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
 		w.forgetOrders()
+		clear(w.unknownRuns)
 		w.listed = false
 		w.polled = false
 	}
