Tell the next scheduler of unanswered starts on workers that can't be reached

Callers would see a task run twice (TWICE), on queues without advice.

Cause: a released lease names the workers that its holder can't reach, and for how long runs may be active there. That counted from the last renewal only, not from starts that may still be carried out, though the holder itself kept their tasks back for longer.

Change: both count. TestUnconfirmedCoversUnansweredStarts failed before. The handover state still doesn't say it.

--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -253,3 +253,13 @@
 	h.add(shortJob("second", 1))
 	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
 }
+
+// A scheduler that keeps a task back for an unanswered start must tell the next one that its worker is unconfirmed until then.
+func TestUnconfirmedCoversUnansweredStarts(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("j", 1))
+	o := h.unanswered()
+	h.missPolls(o.Worker.ID, 12*time.Second)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+	h.c.Assert(h.cell.Unconfirmed(h.now)[o.Worker.ID] > time.Second, qt.IsTrue)
+}
--- a/cell/record.go
+++ b/cell/record.go
@@ -44,12 +44,23 @@
 	}
 	for id, w := range c.workers {
 		if w.polled && c.isSuspect(w) {
-			unconfirmed[id] = max(0, w.lastRenewal(now).Add(c.settings.Lease+leaseMargin).Sub(now))
+			unconfirmed[id] = max(0, c.runsUntil(w, now).Sub(now))
 		}
 	}
 	return unconfirmed
 }
 
+// runsUntil returns until when runs may be active on a worker that does not answer.
+func (c *Cell) runsUntil(w *worker, now time.Time) time.Time {
+	renewed := w.lastRenewal(now)
+	for _, p := range w.placements {
+		if late := p.lateUntil(); late.After(renewed) {
+			renewed = late
+		}
+	}
+	return renewed.Add(c.settings.Lease + leaseMargin)
+}
+
 // WorkersToRecord returns the workers that have to be in the durable record, and whether the record differs.
 func (c *Cell) WorkersToRecord() ([]string, bool) {
 	c.mu.Lock()
