Use no allocation after the lease under which it was made

When its worker's lease is lost, the worker's ledger is freed, but not the reservation. If this host acquires the lease again meanwhile, the new ledger starts with what the worker reports, which doesn't list a task that has not been started. A start in the old reservation was then sent with the new epoch and counted by nothing: its capacity could be given to others, and the run was never seen until the next change of the lease. A request between its allocation and its start had the same gap.

A grant now knows the epoch of its lease. A start of a job in an older reservation makes a new allocation or is refused; a request is refused with lease-lost, not-run, and may be offered elsewhere. A grant that was never used frees nothing of a later ledger.

Found by reading. Before: TestReservationOfLostLeaseIsNotUsed failed with a start that exceeds the worker's capacity ("over" in its log, and the start was sent), TestGrantOfLostLeaseIsNotUsed with a start under the later lease. After: both pass under -race.

--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -89,7 +89,7 @@
 	p.updateWaitCorrection(w, waited)
 	p.stats.Waited(string(w.need.Work.Class), waited)
 	w.result <- outcome{grant: &Grant{
-		Worker: h, Task: w.need.Task, Size: w.size, Rack: h.info.Rack, Owner: w.need.Work.Owner,
+		Worker: h, Task: w.need.Task, Size: w.size, Rack: h.info.Rack, Owner: w.need.Work.Owner, epoch: h.epoch,
 	}}
 }
 
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -94,9 +94,9 @@
 
 // runOn starts a request on the granted worker and waits for its whole answer.
 func (p *Pool) runOn(ctx context.Context, g *Grant, call Call) (worker.Answer, error) {
-	epoch, valid := g.Worker.lease.Valid(time.Now())
+	epoch, valid := g.leaseEpoch(time.Now())
 	if !valid {
-		p.Release(g)
+		p.cancel(g)
 		return worker.Answer{}, reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", g.Worker.name)
 	}
 	spec := p.newSpec(call.Need, g, epoch, call.Params)
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -153,7 +153,15 @@
 	Size   unit.Size
 	Rack   string
 	Owner  string
-	timer  *time.Timer
+	// epoch is that of the lease under which the capacity was allocated; the end of the lease frees it.
+	epoch uint64
+	timer *time.Timer
+}
+
+// leaseEpoch returns the epoch for a start in this grant; it reports false if the grant's lease isn't in force any more.
+func (g *Grant) leaseEpoch(now time.Time) (uint64, bool) {
+	epoch, valid := g.Worker.lease.Valid(now)
+	return epoch, valid && epoch == g.epoch
 }
 
 // Acquire waits for an allocation; a task that is predicted not to get one in time is refused at once.
@@ -193,7 +201,7 @@
 	p.mu.Unlock()
 	if !waiting {
 		if out := <-w.result; out.grant != nil {
-			p.Release(out.grant)
+			p.cancel(out.grant)
 		}
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -321,6 +329,17 @@
 	p.dispatch()
 }
 
+// cancel frees a grant in which no start was sent, unless it was freed with its lease.
+func (p *Pool) cancel(g *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.Worker.epoch != g.epoch {
+		return
+	}
+	p.releaseTask(g.Worker, g.Task)
+	p.dispatch()
+}
+
 // Stop refuses new tasks from now on; waiting tasks are still served.
 func (p *Pool) Stop() {
 	p.mu.Lock()
--- /dev/null
+++ b/holder/pool_test.go
@@ -0,0 +1,133 @@
+package holder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/entry"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/learn"
+	"github.com/corianderdrift/corianderdrift/reason"
+	"github.com/corianderdrift/corianderdrift/unit"
+	"github.com/corianderdrift/corianderdrift/worker"
+)
+
+// testWork fills half of a test worker.
+var testWork = entry.Work{
+	Name: "check", Owner: "desk", Class: entry.Batch, Repeatable: true, Checkpointable: true,
+	Size: unit.Size{CPUMilli: 1000, MemoryMiB: 1000}, RunTime: entry.Duration(time.Minute),
+}
+
+// noStats discards the metrics.
+type noStats struct{}
+
+func (noStats) Retry(reason.Reason)          {}
+func (noStats) Started(string)               {}
+func (noStats) Waited(string, time.Duration) {}
+func (noStats) WorkerEvent(string)           {}
+func (noStats) Preempted()                   {}
+
+// testWorker is a fake worker and its server.
+type testWorker struct {
+	*fakes.Worker
+	server *httptest.Server
+}
+
+func newTestWorker(c *qt.C, name string) *testWorker {
+	w := &testWorker{Worker: fakes.NewWorker(fakes.WorkerConfig{
+		Name: name, DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
+	})}
+	w.server = httptest.NewServer(w.Handler())
+	c.Cleanup(func() {
+		w.server.Close()
+		w.Close()
+	})
+	return w
+}
+
+func (w *testWorker) address() netip.AddrPort {
+	return netip.MustParseAddrPort(w.server.Listener.Addr().String())
+}
+
+func newTestPool() *Pool {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := Config{Holder: "host@1", LeaseTTL: time.Minute, TaskTTL: time.Hour, ShortLimit: time.Second}
+	return NewPool(cfg, learn.NewEstimator(), noStats{}, log)
+}
+
+// addWorker adds a worker that the pool should hold; the test makes the steps of its lease.
+func (p *Pool) addWorker(c *qt.C, w *testWorker) *HeldWorker {
+	info := Info{Name: w.Log().Worker, Address: w.address(), Rack: "r", ShouldHold: true}
+	h := &HeldWorker{
+		name: info.Name, client: worker.NewClient(info.Name, info.Address, netip.Addr{}), pool: p, cancel: func() {},
+		wake: make(chan struct{}, 1), info: info, indexPos: -1, running: map[string]run{},
+	}
+	p.mu.Lock()
+	p.workers[info.Name] = h
+	p.mu.Unlock()
+	c.Cleanup(h.client.Close)
+	return h
+}
+
+// holdWorker adds a worker and acquires its lease.
+func (p *Pool) holdWorker(c *qt.C, w *testWorker) *HeldWorker {
+	h := p.addWorker(c, w)
+	h.acquire(context.Background())
+	c.Assert(p.Load().Held, qt.Contains, h.name)
+	return h
+}
+
+func (p *Pool) startTask(task, workerName string) (worker.TaskState, error) {
+	call := Call{Params: "run=10m", Body: bytes.Repeat([]byte("x"), 10)}
+	return p.Start(context.Background(), Need{Task: task, Work: testWork}, workerName, call)
+}
+
+// Guards against starting a task in a reservation that was freed with the lease under which it was made.
+func TestReservationOfLostLeaseIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.client.ReleaseLease(ctx, p.cfg.Holder, h.epoch), qt.IsNil)
+	h.loseLease("test")
+	h.acquire(ctx)
+	for _, task := range []string{"b", "c"} {
+		_, err := p.startTask(task, "w")
+		c.Assert(err, qt.IsNil)
+	}
+	_, err = p.startTask("a", "w")
+	c.Check(reason.Is(err, reason.WorkerRefused), qt.IsTrue, qt.Commentf("%v", err))
+	for _, e := range w.Events() {
+		c.Check(e.Kind, qt.Not(qt.Equals), fakes.EventOverCapacity, qt.Commentf("the start of %s exceeds the capacity", e.Task))
+	}
+}
+
+// Guards against sending a request under a later lease than the one under which its capacity was allocated.
+func TestGrantOfLostLeaseIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	call := Call{Need: Need{Task: "a", Work: testWork}, Params: "run=1ms"}
+	g, err := p.Acquire(ctx, call.Need)
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.client.ReleaseLease(ctx, p.cfg.Holder, h.epoch), qt.IsNil)
+	h.loseLease("test")
+	h.acquire(ctx)
+	_, err = p.runOn(ctx, g, call)
+	c.Check(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(w.Log().Started, qt.Equals, uint64(0))
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -30,7 +30,7 @@
 	g, ok := p.reservations.Delete(task)
 	if ok {
 		g.timer.Stop()
-		p.Release(g)
+		p.cancel(g)
 	}
 	return ok
 }
@@ -41,9 +41,9 @@
 	if err != nil {
 		return "", err
 	}
-	epoch, valid := g.Worker.lease.Valid(time.Now())
+	epoch, valid := g.leaseEpoch(time.Now())
 	if !valid {
-		p.Release(g)
+		p.cancel(g)
 		return "", reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", workerName)
 	}
 	spec := p.newSpec(need, g, epoch, call.Params)
@@ -75,12 +75,13 @@
 
 // takeReservation removes and returns the task's reservation on the named worker, or makes a new allocation if there is none.
 func (p *Pool) takeReservation(need Need, workerName string) (*Grant, error) {
-	if g, ok := p.reservations.Delete(need.Task); ok && g.Worker.name == workerName {
-		g.timer.Stop()
-		return g, nil
-	}
+	reservation, reserved := p.reservations.Delete(need.Task)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if reserved && reservation.Worker.name == workerName && reservation.epoch == reservation.Worker.epoch {
+		reservation.timer.Stop()
+		return reservation, nil
+	}
 	h, ok := p.workers[workerName]
 	if !ok || !h.usable() {
 		return nil, reason.Refuse(reason.LeaseLost, "this entry host does not hold worker %s", workerName)
@@ -106,7 +107,7 @@
 		}
 	}
 	p.updateIndexes(h)
-	return &Grant{Worker: h, Task: need.Task, Size: w.size, Rack: h.info.Rack, Owner: need.Work.Owner}, nil
+	return &Grant{Worker: h, Task: need.Task, Size: w.size, Rack: h.info.Rack, Owner: need.Work.Owner, epoch: h.epoch}, nil
 }
 
 // Inspect returns the state of a task on a worker that this host holds.
