Keep the capacity of a task whose repeated start fails

A start of a job's task is idempotent by the task's id. When one was not answered, the task may run, and its allocation is kept. If the start was then repeated, its result stood for both: a refusal, a worker that could not be reached or a lease that had just expired freed the allocation, so that others were given the capacity, and reported the task as not run, so that a caller may start it elsewhere. Two starts at once had the same gap, and fleet.callHolder took any "lease-lost" for not-run, whatever its outcome said.

Each run now counts the starts that may have had an effect. A start that provably had none frees the allocation only if it was the last of them; otherwise the outcome is unknown. A repeated start also goes to a worker that takes no new work, since it brings none. No driver repeats a start today, so none of this was seen in a run of the whole program.

Before: TestFailedRepetitionOfStartProvesNothing (refused, unreachable, lease expired) failed with "not-run" and an empty ledger, TestUncertainStartAtFormerHolderIsUnknown with "not-run". TestOneOfTwoStartsFails uses the new method and can't run on the old code. TestRefusedStartFreesCapacity passed before and guards the other side. After: all pass under -race.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -229,7 +229,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		if !reason.Is(err, reason.LeaseLost) {
+		if !reason.Is(err, reason.LeaseLost) || reason.From(err).Outcome != reason.NotRun {
 			return nil, err
 		}
 	}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/clock"
+	"github.com/corianderdrift/corianderdrift/entry"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/holder"
+	"github.com/corianderdrift/corianderdrift/jobs"
+	"github.com/corianderdrift/corianderdrift/learn"
+	"github.com/corianderdrift/corianderdrift/peerpb"
+	"github.com/corianderdrift/corianderdrift/peers"
+	"github.com/corianderdrift/corianderdrift/reason"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// noStats discards the metrics.
+type noStats struct{}
+
+func (noStats) Retry(reason.Reason)          {}
+func (noStats) Started(string)               {}
+func (noStats) Waited(string, time.Duration) {}
+func (noStats) WorkerEvent(string)           {}
+func (noStats) Preempted()                   {}
+
+// fakeServer is this host's server with a fixed reply.
+type fakeServer struct {
+	LocalServer
+	reply *peerpb.TaskReply
+}
+
+func (s *fakeServer) Start(context.Context, *peerpb.StartRequest) (*peerpb.TaskReply, error) {
+	return s.reply, nil
+}
+
+// newTestFleet returns a fleet of one host, in data centre "here", that holds worker "w" if holds is set.
+func newTestFleet(c *qt.C, local LocalServer, holds bool) *Fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := holder.NewPool(holder.Config{Holder: "host@1", LeaseTTL: time.Minute, TaskTTL: time.Hour}, learn.NewEstimator(), noStats{}, log)
+	if holds {
+		w := fakes.NewWorker(fakes.WorkerConfig{Name: "w", DataCenter: "here", Capacity: unit.Size{CPUMilli: 2000}})
+		server := httptest.NewServer(w.Handler())
+		c.Cleanup(func() {
+			server.Close()
+			w.Close()
+		})
+		pool.SetWorkers(ctx, []holder.Info{{
+			Name: "w", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), ShouldHold: true,
+		}})
+		for len(pool.Load().Held) == 0 {
+			clock.Pause(ctx, time.Millisecond)
+		}
+	}
+	members := peers.NewMembership("host", "here")
+	return New("here", local, pool, members, nil, func() uint64 { return 1 },
+		func(context.Context, *jobs.Job) ([]byte, error) { return nil, nil }, func(string) []string { return nil })
+}
+
+// Guards against reporting a start as not run because a holder that has lost its lease can't tell whether it had an effect.
+func TestUncertainStartAtFormerHolderIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	uncertain := peers.EncodeRefusal(reason.Uncertain(reason.LeaseLost, "the first start was not answered"))
+	f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{Refusal: uncertain}}, true)
+	_, err := f.Start(context.Background(), "a", entry.Work{Name: "check"}, jobs.Placement{Worker: "w", DataCenter: "here"}, &jobs.Job{})
+	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
+}
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -235,7 +235,7 @@
 	return h.fence(task, repeatable)
 }
 
-func refusedReason(refused *worker.RefusedError) error {
+func refusedReason(refused *worker.RefusedError) *reason.Refusal {
 	code := reason.WorkerRefused
 	switch refused.Fault {
 	case worker.FaultStaleEpoch:
--- a/holder/held.go
+++ b/holder/held.go
@@ -75,6 +75,8 @@
 	checkpointable bool
 	suspended      bool
 	class          entry.Class
+	// maybeStarted counts the starts of a job's task that are not proved to have had no effect.
+	maybeStarted int
 	// reportedMemoryMiB is the memory that the worker last reported for the task.
 	reportedMemoryMiB int64
 	reportedAt        time.Time
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -155,7 +155,9 @@
 	Owner  string
 	// epoch is that of the lease under which the capacity was allocated; the end of the lease frees it.
 	epoch uint64
-	timer *time.Timer
+	// repeated says that an earlier start of the task may have had an effect.
+	repeated bool
+	timer    *time.Timer
 }
 
 // leaseEpoch returns the epoch for a start in this grant; it reports false if the grant's lease isn't in force any more.
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,17 +38,38 @@
 func (noStats) WorkerEvent(string)           {}
 func (noStats) Preempted()                   {}
 
-// testWorker is a fake worker and its server.
+// testWorker is a fake worker that can lose replies and refuse calls.
 type testWorker struct {
 	*fakes.Worker
 	server *httptest.Server
+
+	mu         sync.Mutex
+	losesReply func(r *http.Request) bool
+	faultOf    func(r *http.Request) worker.Fault
 }
 
-func newTestWorker(c *qt.C, name string) *testWorker {
+func newTestWorker(c *qt.C) *testWorker {
 	w := &testWorker{Worker: fakes.NewWorker(fakes.WorkerConfig{
-		Name: name, DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
+		Name: "w", DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
 	})}
-	w.server = httptest.NewServer(w.Handler())
+	w.loseReplies("", "")
+	w.refuseCalls("", "", "")
+	handler := w.Handler()
+	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		lose, fault := w.losesReply(r), w.faultOf(r)
+		w.mu.Unlock()
+		switch {
+		case fault != "":
+			rw.WriteHeader(http.StatusConflict)
+			_, _ = io.WriteString(rw, `{"fault":"`+string(fault)+`"}`)
+		case lose:
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		default:
+			handler.ServeHTTP(rw, r)
+		}
+	}))
 	c.Cleanup(func() {
 		w.server.Close()
 		w.Close()
@@ -53,6 +77,25 @@
 	return w
 }
 
+// loseReplies makes the worker carry out matching calls without a reply; no call has an empty method.
+func (w *testWorker) loseReplies(method, pathPart string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.losesReply = func(r *http.Request) bool { return r.Method == method && strings.Contains(r.URL.Path, pathPart) }
+}
+
+// refuseCalls makes the worker refuse matching calls; no call has an empty method.
+func (w *testWorker) refuseCalls(method, pathPart string, fault worker.Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faultOf = func(r *http.Request) worker.Fault {
+		if r.Method == method && strings.Contains(r.URL.Path, pathPart) {
+			return fault
+		}
+		return ""
+	}
+}
+
 func (w *testWorker) address() netip.AddrPort {
 	return netip.MustParseAddrPort(w.server.Listener.Addr().String())
 }
@@ -86,16 +129,22 @@
 	return h
 }
 
-func (p *Pool) startTask(task, workerName string) (worker.TaskState, error) {
+func (p *Pool) startTask(task string) (worker.TaskState, error) {
 	call := Call{Params: "run=10m", Body: bytes.Repeat([]byte("x"), 10)}
-	return p.Start(context.Background(), Need{Task: task, Work: testWork}, workerName, call)
+	return p.Start(context.Background(), Need{Task: task, Work: testWork}, "w", call)
+}
+
+func (p *Pool) used(h *HeldWorker) unit.Size {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.ledger.Used()
 }
 
 // Guards against starting a task in a reservation that was freed with the lease under which it was made.
 func TestReservationOfLostLeaseIsNotUsed(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	w := newTestWorker(c, "w")
+	w := newTestWorker(c)
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
@@ -104,10 +153,10 @@
 	h.loseLease("test")
 	h.acquire(ctx)
 	for _, task := range []string{"b", "c"} {
-		_, err := p.startTask(task, "w")
+		_, err := p.startTask(task)
 		c.Assert(err, qt.IsNil)
 	}
-	_, err = p.startTask("a", "w")
+	_, err = p.startTask("a")
 	c.Check(reason.Is(err, reason.WorkerRefused), qt.IsTrue, qt.Commentf("%v", err))
 	for _, e := range w.Events() {
 		c.Check(e.Kind, qt.Not(qt.Equals), fakes.EventOverCapacity, qt.Commentf("the start of %s exceeds the capacity", e.Task))
@@ -118,7 +167,7 @@
 func TestGrantOfLostLeaseIsNotUsed(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	w := newTestWorker(c, "w")
+	w := newTestWorker(c)
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	call := Call{Need: Need{Task: "a", Work: testWork}, Params: "run=1ms"}
@@ -131,3 +180,59 @@
 	c.Check(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("%v", err))
 	c.Check(w.Log().Started, qt.Equals, uint64(0))
 }
+
+// Guards against freeing the capacity of a task that may run when a repetition of its start fails.
+func TestFailedRepetitionOfStartProvesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fail func(w *testWorker, h *HeldWorker)
+	}{
+		{"refused", func(w *testWorker, _ *HeldWorker) { w.refuseCalls(http.MethodPut, "/tasks/", worker.FaultLeaving) }},
+		{"unreachable", func(w *testWorker, _ *HeldWorker) { w.server.Close() }},
+		{"lease expired", func(_ *testWorker, h *HeldWorker) { h.lease.Lost() }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newTestWorker(c)
+			p := newTestPool()
+			h := p.holdWorker(c, w)
+			w.loseReplies(http.MethodPut, "/tasks/")
+			_, err := p.startTask("a")
+			c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown)
+			c.Assert(w.Log().Running, qt.Equals, 1)
+			w.loseReplies("", "")
+			test.fail(w, h)
+			_, err = p.startTask("a")
+			c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
+			c.Check(p.used(h), qt.Equals, testWork.Size)
+		})
+	}
+}
+
+// Guards against freeing a task's capacity when one of two starts of it that were sent at once fails.
+func TestOneOfTwoStartsFails(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c)
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	first, err := p.takeReservation(Need{Task: "a", Work: testWork}, "w")
+	c.Assert(err, qt.IsNil)
+	w.loseReplies(http.MethodPut, "/tasks/")
+	_, err = p.startTask("a")
+	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown)
+	err = p.startFailed(first, &worker.UnreachableError{Worker: "w"})
+	c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
+	c.Check(p.used(h), qt.Equals, testWork.Size)
+}
+
+// Guards against keeping the capacity of a task whose only start was refused.
+func TestRefusedStartFreesCapacity(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c)
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	w.refuseCalls(http.MethodPut, "/tasks/", worker.FaultLeaving)
+	_, err := p.startTask("a")
+	c.Check(reason.From(err).Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
+	c.Check(p.used(h), qt.Equals, unit.Size{})
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -43,8 +43,7 @@
 	}
 	epoch, valid := g.leaseEpoch(time.Now())
 	if !valid {
-		p.cancel(g)
-		return "", reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", workerName)
+		return "", p.notStarted(g, reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", workerName))
 	}
 	spec := p.newSpec(need, g, epoch, call.Params)
 	spec.Service = need.Work.Class == entry.Service
@@ -56,21 +55,42 @@
 		}
 		return state, nil
 	}
-	return p.startFailed(g, err)
+	return "", p.startFailed(g, err)
 }
 
-func (p *Pool) startFailed(g *Grant, err error) (worker.TaskState, error) {
+func (p *Pool) startFailed(g *Grant, err error) error {
 	var unreachable *worker.UnreachableError
 	var refused *worker.RefusedError
 	switch {
 	case errors.As(err, &unreachable):
-		p.Release(g)
-		return "", &reason.Refusal{Outcome: reason.NotRun, Reason: reason.WorkerUnreachable, Err: err}
+		return p.notStarted(g, &reason.Refusal{Outcome: reason.NotRun, Reason: reason.WorkerUnreachable, Err: err})
 	case errors.As(err, &refused):
-		p.Release(g)
-		return "", refusedReason(refused)
+		return p.notStarted(g, refusedReason(refused))
+	}
+	return &reason.Refusal{Outcome: reason.Unknown, Reason: reason.WorkerSilent, Err: err}
+}
+
+// notStarted frees the allocation of a task whose start had no effect, unless another start of it may have had one.
+func (p *Pool) notStarted(g *Grant, cause *reason.Refusal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	uncertain := &reason.Refusal{Outcome: reason.Unknown, Reason: cause.Reason, Err: cause}
+	r, ok := g.Worker.running[g.Task]
+	if !ok || g.Worker.epoch != g.epoch {
+		// The allocation was freed with the lease, or because the worker reported the end of another start's run.
+		if g.repeated || g.Worker.epoch == g.epoch && g.Worker.ready {
+			return uncertain
+		}
+		return cause
+	}
+	r.maybeStarted--
+	g.Worker.running[g.Task] = r
+	if r.maybeStarted > 0 {
+		return uncertain
 	}
-	return "", &reason.Refusal{Outcome: reason.Unknown, Reason: reason.WorkerSilent, Err: err}
+	p.releaseTask(g.Worker, g.Task)
+	p.dispatch()
+	return cause
 }
 
 // takeReservation removes and returns the task's reservation on the named worker, or makes a new allocation if there is none.
@@ -80,34 +100,59 @@
 	defer p.mu.Unlock()
 	if reserved && reservation.Worker.name == workerName && reservation.epoch == reservation.Worker.epoch {
 		reservation.timer.Stop()
+		p.countStart(reservation)
 		return reservation, nil
 	}
 	h, ok := p.workers[workerName]
-	if !ok || !h.usable() {
+	if !ok || !h.ready {
 		return nil, reason.Refuse(reason.LeaseLost, "this entry host does not hold worker %s", workerName)
 	}
+	g := &Grant{Worker: h, Task: need.Task, Size: h.running[need.Task].size, Rack: h.info.Rack, Owner: need.Work.Owner, epoch: h.epoch}
+	if _, isRunning := h.running[need.Task]; !isRunning {
+		if err := p.allocateOn(h, need, g); err != nil {
+			return nil, err
+		}
+	}
+	p.countStart(g)
+	return g, nil
+}
+
+// countStart counts a start that is about to be sent in a grant; p.mu is held.
+func (p *Pool) countStart(g *Grant) {
+	r, ok := g.Worker.running[g.Task]
+	if !ok {
+		return
+	}
+	g.repeated = r.maybeStarted > 0
+	r.maybeStarted++
+	g.Worker.running[g.Task] = r
+}
+
+// allocateOn allocates capacity on a worker for a task that has none there; p.mu is held.
+func (p *Pool) allocateOn(h *HeldWorker, need Need, g *Grant) error {
+	if !h.usable() {
+		return reason.Refuse(reason.LeaseLost, "worker %s takes no new work from this entry host", h.name)
+	}
 	w := p.newWaiter(need)
-	_, isRunning := h.running[need.Task]
-	if !isRunning && p.cfg.Quotas != nil && !p.cfg.Quotas.Reserve(need.Work.Owner, w.size) {
-		return nil, reason.Refuse(reason.OverQuota, "owner %s has no quota left here", need.Work.Owner)
+	if p.cfg.Quotas != nil && !p.cfg.Quotas.Reserve(need.Work.Owner, w.size) {
+		return reason.Refuse(reason.OverQuota, "owner %s has no quota left here", need.Work.Owner)
 	}
 	if err := h.ledger.Reserve(ledger.Item{Task: need.Task, Size: w.size, Long: w.long}); err != nil {
-		if !isRunning && p.cfg.Quotas != nil {
+		if p.cfg.Quotas != nil {
 			p.cfg.Quotas.Release(need.Work.Owner, w.size)
 		}
-		return nil, reason.Refuse(reason.WorkerRefused, "worker %s has no room any more", workerName)
+		return reason.Refuse(reason.WorkerRefused, "worker %s has no room any more", h.name)
 	}
-	if !isRunning {
-		h.running[need.Task] = run{
-			work: need.Work.Name, owner: need.Work.Owner, stateSince: time.Now(), size: w.size, usesQuota: true,
-			checkpointable: need.Work.Checkpointable, class: need.Work.Class,
-		}
-		if w.long {
-			p.longUsed = p.longUsed.Add(w.size)
-		}
+	h.running[need.Task] = run{
+		work: need.Work.Name, owner: need.Work.Owner, stateSince: time.Now(), size: w.size, usesQuota: true,
+		checkpointable: need.Work.Checkpointable, class: need.Work.Class,
+	}
+	if w.long {
+		p.longUsed = p.longUsed.Add(w.size)
 	}
 	p.updateIndexes(h)
-	return &Grant{Worker: h, Task: need.Task, Size: w.size, Rack: h.info.Rack, Owner: need.Work.Owner, epoch: h.epoch}, nil
+	g.Size = w.size
+	return nil
 }
 
 // Inspect returns the state of a task on a worker that this host holds.
