Free an expired reservation and take it for a start under one lock

A reservation left the map first and was freed later, under the pool's lock. A start in between found no reservation, but still the task's allocation, and used it; then the expiry freed that allocation, so that the running task was not counted and its capacity was given to others.

Both now change the map under the pool's lock.

--- a/holder/execute.go
+++ b/holder/execute.go
@@ -96,7 +96,9 @@
 func (p *Pool) runOn(ctx context.Context, g *Grant, call Call) (worker.Answer, error) {
 	epoch, valid := g.leaseEpoch(time.Now())
 	if !valid {
+		p.mu.Lock()
 		p.cancel(g)
+		p.mu.Unlock()
 		return worker.Answer{}, reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", g.Worker.name)
 	}
 	spec := p.newSpec(call.Need, g, epoch, call.Params)
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -203,7 +203,9 @@
 	p.mu.Unlock()
 	if !waiting {
 		if out := <-w.result; out.grant != nil {
+			p.mu.Lock()
 			p.cancel(out.grant)
+			p.mu.Unlock()
 		}
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -331,10 +333,8 @@
 	p.dispatch()
 }
 
-// cancel frees a grant in which no start was sent, unless it was freed with its lease.
+// cancel frees a grant in which no start was sent, unless it was freed with its lease; p.mu is held.
 func (p *Pool) cancel(g *Grant) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if g.Worker.epoch != g.epoch {
 		return
 	}
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -236,3 +238,30 @@
 	c.Check(reason.From(err).Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
 	c.Check(p.used(h), qt.Equals, unit.Size{})
 }
+
+// Guards against freeing the capacity of a task that is started while its reservation expires.
+func TestStartDuringExpiryOfReservation(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c)
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	for i := range 200 {
+		task := fmt.Sprint("a", i)
+		_, err := p.Reserve(ctx, Need{Task: task, Work: testWork}, time.Hour)
+		c.Assert(err, qt.IsNil)
+		p.mu.Lock()
+		var wg sync.WaitGroup
+		wg.Go(func() { p.Unreserve(task) })
+		wg.Go(func() { _, _ = p.startTask(task) })
+		for range 10 {
+			runtime.Gosched()
+		}
+		p.mu.Unlock()
+		wg.Wait()
+		c.Assert(w.Log().Running, qt.Equals, 1)
+		c.Assert(p.used(h), qt.Equals, testWork.Size)
+		_, err = p.StopTask(ctx, task, "w")
+		c.Assert(err, qt.IsNil)
+	}
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -27,6 +27,8 @@
 
 // Unreserve frees a reservation that no start has used; it reports whether there was one.
 func (p *Pool) Unreserve(task string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	g, ok := p.reservations.Delete(task)
 	if ok {
 		g.timer.Stop()
@@ -95,9 +97,9 @@
 
 // takeReservation removes and returns the task's reservation on the named worker, or makes a new allocation if there is none.
 func (p *Pool) takeReservation(need Need, workerName string) (*Grant, error) {
-	reservation, reserved := p.reservations.Delete(need.Task)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	reservation, reserved := p.reservations.Delete(need.Task)
 	if reserved && reservation.Worker.name == workerName && reservation.epoch == reservation.Worker.epoch {
 		reservation.timer.Stop()
 		p.countStart(reservation)
