Free a reservation when its task is started on another worker

A start that names another worker than the task's reservation took the reservation out of the map and made a new allocation on the named worker. The reserved one was never freed, as its timer found nothing any more; it came back only with a change of the worker's lease. Two leaders of a shard that reserve for the same task can choose different workers.

Before: TestReservationOnOtherWorkerIsFreed failed with 1000m of CPU and 1000 MiB still in use. After: it passes under -race.

--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -239,6 +239,19 @@
 	c.Check(p.used(h), qt.Equals, unit.Size{})
 }
 
+// Guards against capacity that is never freed when a task is started on another worker than the one reserved for it.
+func TestReservationOnOtherWorkerIsFreed(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	p := newTestPool()
+	h := p.holdWorker(c, newTestWorker(c))
+	_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
+	c.Assert(err, qt.IsNil)
+	_, err = p.Start(ctx, Need{Task: "a", Work: testWork}, "other", Call{})
+	c.Assert(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(p.used(h), qt.Equals, unit.Size{})
+}
+
 // Guards against freeing the capacity of a task that is started while its reservation expires.
 func TestStartDuringExpiryOfReservation(t *testing.T) {
 	c := qt.New(t)
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -99,11 +99,13 @@
 func (p *Pool) takeReservation(need Need, workerName string) (*Grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reservation, reserved := p.reservations.Delete(need.Task)
-	if reserved && reservation.Worker.name == workerName && reservation.epoch == reservation.Worker.epoch {
+	if reservation, ok := p.reservations.Delete(need.Task); ok {
 		reservation.timer.Stop()
-		p.countStart(reservation)
-		return reservation, nil
+		if reservation.Worker.name == workerName && reservation.epoch == reservation.Worker.epoch {
+			p.countStart(reservation)
+			return reservation, nil
+		}
+		p.cancel(reservation)
 	}
 	h, ok := p.workers[workerName]
 	if !ok || !h.ready {
