Give a task one allocation at a time

A host refuses to reserve twice for a task only once the first reservation is made. Two requests that waited at once, as from two leaders of a shard, were both given capacity: on two workers, where the first of the two was never freed before its lease ended, or on one, where the quota was charged twice. Worse, a reservation that came late, after the task had started there, was put over the running task's allocation; its expiry, or its release by the driver that had lost the row, then freed the capacity of a running task.

A task that has an allocation on the chosen worker is refused with key-in-use, and of two reservations the later one is freed. The timer is set before the reservation can be seen by others.

--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -61,6 +61,13 @@
 		p.reserveForStarving(w, now)
 		return queue.Blocked
 	}
+	if _, ok := h.running[w.need.Task]; ok {
+		if p.cfg.Quotas != nil {
+			p.cfg.Quotas.Release(w.need.Work.Owner, w.size)
+		}
+		w.result <- outcome{err: reason.Refuse(reason.KeyInUse, "task %s has an allocation on worker %s", w.need.Task, h.name)}
+		return queue.Dropped
+	}
 	item := ledger.Item{Task: w.need.Task, Size: w.size, Long: w.long}
 	if err := h.ledger.Reserve(item); err != nil {
 		if p.cfg.Quotas != nil {
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/learn"
@@ -50,9 +51,9 @@
 	faultOf    func(r *http.Request) worker.Fault
 }
 
-func newTestWorker(c *qt.C) *testWorker {
+func newTestWorker(c *qt.C, name string) *testWorker {
 	w := &testWorker{Worker: fakes.NewWorker(fakes.WorkerConfig{
-		Name: "w", DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
+		Name: name, DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
 	})}
 	w.loseReplies("", "")
 	w.refuseCalls("", "", "")
@@ -146,7 +147,7 @@
 func TestReservationOfLostLeaseIsNotUsed(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	w := newTestWorker(c)
+	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
@@ -169,7 +170,7 @@
 func TestGrantOfLostLeaseIsNotUsed(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	w := newTestWorker(c)
+	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	call := Call{Need: Need{Task: "a", Work: testWork}, Params: "run=1ms"}
@@ -195,7 +196,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			w := newTestWorker(c)
+			w := newTestWorker(c, "w")
 			p := newTestPool()
 			h := p.holdWorker(c, w)
 			w.loseReplies(http.MethodPut, "/tasks/")
@@ -214,7 +215,7 @@
 // Guards against freeing a task's capacity when one of two starts of it that were sent at once fails.
 func TestOneOfTwoStartsFails(t *testing.T) {
 	c := qt.New(t)
-	w := newTestWorker(c)
+	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	first, err := p.takeReservation(Need{Task: "a", Work: testWork}, "w")
@@ -230,7 +231,7 @@
 // Guards against keeping the capacity of a task whose only start was refused.
 func TestRefusedStartFreesCapacity(t *testing.T) {
 	c := qt.New(t)
-	w := newTestWorker(c)
+	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	w.refuseCalls(http.MethodPut, "/tasks/", worker.FaultLeaving)
@@ -244,7 +245,7 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	p := newTestPool()
-	h := p.holdWorker(c, newTestWorker(c))
+	h := p.holdWorker(c, newTestWorker(c, "w"))
 	_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
 	c.Assert(err, qt.IsNil)
 	_, err = p.Start(ctx, Need{Task: "a", Work: testWork}, "other", Call{})
@@ -252,11 +253,105 @@
 	c.Check(p.used(h), qt.Equals, unit.Size{})
 }
 
+// countedQuota is an unlimited quota that counts what is reserved.
+type countedQuota struct {
+	mu   sync.Mutex
+	used unit.Size
+}
+
+func (q *countedQuota) Reserve(_ string, size unit.Size) bool {
+	q.Adopt("", size)
+	return true
+}
+
+func (q *countedQuota) Adopt(_ string, size unit.Size) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.used = q.used.Add(size)
+}
+
+func (q *countedQuota) Release(_ string, size unit.Size) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.used = q.used.Sub(size)
+}
+
+// Guards against capacity that is never freed because a task has two reservations.
+func TestTaskHasOneReservation(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		workers []string
+		size    unit.Size
+	}{
+		{"same worker", []string{"w"}, unit.Size{CPUMilli: 1000}},
+		{"different workers", []string{"w", "x"}, unit.Size{CPUMilli: 2000}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			p := newTestPool()
+			quota := &countedQuota{}
+			p.cfg.Quotas = quota
+			var held []*HeldWorker
+			var filling []*Grant
+			filler, work := testWork, testWork
+			filler.Name, filler.Size, work.Size = "filler", unit.Size{CPUMilli: 2000}, test.size
+			for _, name := range test.workers {
+				held = append(held, p.holdWorker(c, newTestWorker(c, name)))
+				g, err := p.Acquire(ctx, Need{Task: "filler-" + name, Work: filler})
+				c.Assert(err, qt.IsNil)
+				filling = append(filling, g)
+			}
+			results := make(chan error, 2)
+			for range cap(results) {
+				go func() {
+					_, err := p.Reserve(ctx, Need{Task: "a", Work: work}, time.Hour)
+					results <- err
+				}()
+			}
+			for p.Waiting() < cap(results) {
+				clock.Pause(ctx, time.Millisecond)
+			}
+			for _, g := range filling {
+				p.Release(g)
+			}
+			numReserved := 0
+			for range cap(results) {
+				if err := <-results; err == nil {
+					numReserved++
+				}
+			}
+			c.Check(numReserved > 0, qt.IsTrue)
+			c.Check(p.Unreserve("a"), qt.IsTrue)
+			for _, h := range held {
+				c.Check(p.used(h), qt.Equals, unit.Size{})
+			}
+			c.Check(quota.used, qt.Equals, unit.Size{})
+		})
+	}
+}
+
+// Guards against freeing a running task's capacity with a late reservation for it.
+func TestReservationOfRunningTaskIsRefused(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNil)
+	_, err = p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
+	c.Check(reason.Is(err, reason.KeyInUse), qt.IsTrue, qt.Commentf("%v", err))
+	p.Unreserve("a")
+	c.Check(w.Log().Running, qt.Equals, 1)
+	c.Check(p.used(h), qt.Equals, testWork.Size)
+}
+
 // Guards against freeing the capacity of a task that is started while its reservation expires.
 func TestStartDuringExpiryOfReservation(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	w := newTestWorker(c)
+	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
 	for i := range 200 {
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -20,8 +20,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p.reservations.Put(need.Task, g)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if existing, ok := p.reservations.Get(need.Task); ok {
+		p.cancel(g)
+		return existing, nil
+	}
 	g.timer = time.AfterFunc(holdTime, func() { p.Unreserve(need.Task) })
+	p.reservations.Put(need.Task, g)
 	return g, nil
 }
 
