Answer not-run when the timeout passes before anything is sent

TestRefusalsStateTheirReason/timeout-too-short once got 504 "caller-left" with outcome unknown for a request with a timeout of 1 ms, in place of 503 "deadline-unreachable", not-run. The request's run has a goroutine of its own, which checks the deadline; the caller's side waits for it or for the same deadline. When the deadline passed before that goroutine had been scheduled, the caller's side answered first, and took every end without an answer for unknown, though nothing had been sent. For work with an idempotency key this left the key with an unknown first run for good.

The run now says before its first start that it sends. A caller in this process whose time is over first makes sure that nothing was sent or will be, and then returns the run's own refusal. A request that was sent is answered as before.

After: it passes in 3 of 3 runs under -race; TestPassedDeadlineOfSentRequestIsUnknown passes before and after and guards the other side.

--- a/holder/execute.go
+++ b/holder/execute.go
@@ -101,6 +101,12 @@
 		p.mu.Unlock()
 		return worker.Answer{}, reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", g.Worker.name)
 	}
+	if !call.inFlight.beginSend() {
+		p.mu.Lock()
+		p.cancel(g)
+		p.mu.Unlock()
+		return worker.Answer{}, unsentRefusal(call.Need)
+	}
 	spec := p.newSpec(call.Need, g, epoch, call.Params)
 	started := time.Now()
 	p.stats.Started(string(call.Need.Work.Class))
--- a/holder/inflight.go
+++ b/holder/inflight.go
@@ -25,6 +25,8 @@
 	Body        []byte
 	// Local marks a caller in this process, which won't retry once it has left.
 	Local bool
+	// inFlight is the call in progress that this request belongs to.
+	inFlight *inFlightCall
 }
 
 // Answer is the whole answer of a request and the worker that ran it.
@@ -44,6 +46,9 @@
 
 	mu         sync.Mutex
 	numCallers int
+	// sent is set before the first start is sent to a worker; none is sent once abandoned is set.
+	sent      bool
+	abandoned bool
 }
 
 // Run runs a request, or attaches to the run of the same task id.
@@ -57,7 +62,7 @@
 	} else {
 		go p.runInFlight(runCtx, f, call)
 	}
-	return p.awaitAnswer(ctx, f, call.Local && call.Need.Work.Repeatable)
+	return f.awaitAnswer(ctx, call.Local, call.Local && call.Need.Work.Repeatable)
 }
 
 // Attach waits for a run that is in flight in this pool; it reports false if there is none.
@@ -66,11 +71,13 @@
 	if !ok {
 		return Answer{}, false, nil
 	}
-	answer, err := p.awaitAnswer(ctx, f, false)
+	answer, err := f.awaitAnswer(ctx, false, false)
 	return answer, true, err
 }
 
-func (p *Pool) awaitAnswer(ctx context.Context, f *inFlightCall, cancelNow bool) (Answer, error) {
+// awaitAnswer waits for the answer until ctx is done. If nothing has been sent by then and mayAbandon is set, the request is
+// abandoned and its refusal returned.
+func (f *inFlightCall) awaitAnswer(ctx context.Context, mayAbandon, cancelNow bool) (Answer, error) {
 	f.mu.Lock()
 	f.numCallers++
 	f.mu.Unlock()
@@ -80,6 +87,10 @@
 		return f.answer, f.err
 	case <-ctx.Done():
 	}
+	if mayAbandon && f.abandon() {
+		f.cancel()
+		<-f.done
+	}
 	select {
 	case <-f.done:
 		return f.answer, f.err
@@ -88,6 +99,25 @@
 	}
 }
 
+// abandon makes sure that nothing is sent to a worker; it reports false if something was or another caller waits.
+func (f *inFlightCall) abandon() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sent || f.numCallers > 1 {
+		return false
+	}
+	f.abandoned = true
+	return true
+}
+
+// beginSend reports whether a start may be sent to a worker.
+func (f *inFlightCall) beginSend() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = f.sent || !f.abandoned
+	return f.sent
+}
+
 // removeCaller cancels the run when its last caller has left: at once if cancelNow, otherwise after abandonedRunGrace
 // unless a caller returns.
 func (f *inFlightCall) removeCaller(cancelNow bool) {
@@ -117,6 +147,7 @@
 }
 
 func (p *Pool) runInFlight(ctx context.Context, f *inFlightCall, call Call) {
+	call.inFlight = f
 	f.answer, f.err = p.execute(ctx, call)
 	f.cancel()
 	close(f.done)
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -211,6 +211,14 @@
 	if ctx.Err() == context.DeadlineExceeded {
 		return reason.Refuse(reason.DeadlinePassed, "the work waited until its deadline")
 	}
+	return unsentRefusal(w.need)
+}
+
+// unsentRefusal refuses a task whose caller did not wait for its start.
+func unsentRefusal(need Need) error {
+	if !need.Deadline.IsZero() && !time.Now().Before(need.Deadline) {
+		return reason.Refuse(reason.DeadlinePassed, "the work waited until its deadline")
+	}
 	return reason.Refuse(reason.CallerLeft, "the caller left while the work waited")
 }
 
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -74,6 +74,7 @@
 		}
 	}))
 	c.Cleanup(func() {
+		w.server.CloseClientConnections()
 		w.server.Close()
 		w.Close()
 	})
@@ -173,7 +174,7 @@
 	w := newTestWorker(c, "w")
 	p := newTestPool()
 	h := p.holdWorker(c, w)
-	call := Call{Need: Need{Task: "a", Work: testWork}, Params: "run=1ms"}
+	call := Call{Need: Need{Task: "a", Work: testWork}, Params: "run=1ms", inFlight: &inFlightCall{}}
 	g, err := p.Acquire(ctx, call.Need)
 	c.Assert(err, qt.IsNil)
 	c.Assert(h.client.ReleaseLease(ctx, p.cfg.Holder, h.epoch), qt.IsNil)
@@ -373,3 +374,43 @@
 		c.Assert(err, qt.IsNil)
 	}
 }
+
+// Guards against an answer of "unknown" for a request whose timeout has passed before anything was sent to a worker.
+func TestPassedDeadlineIsReportedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	p.holdWorker(c, w)
+	for i := range 100 {
+		deadline := time.Now()
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		_, err := p.Run(ctx, Call{Need: Need{Task: fmt.Sprint("a", i), Work: testWork, Deadline: deadline}, Params: "run=1ms", Local: true})
+		cancel()
+		refusal := reason.From(err)
+		c.Assert(refusal.Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
+		c.Assert(refusal.Reason, qt.Equals, reason.DeadlineUnreachable)
+	}
+	c.Assert(w.Log().Started, qt.Equals, uint64(0))
+}
+
+// Guards against waiting for the worker's answer after the deadline of a request that was sent.
+func TestPassedDeadlineOfSentRequestIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	p.holdWorker(c, w)
+	work := testWork
+	work.Repeatable, work.RunTime = false, 0
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for w.Log().Started == 0 {
+			clock.Pause(ctx, time.Millisecond)
+		}
+		cancel()
+	}()
+	need := Need{Task: "a", Work: work, Deadline: time.Now().Add(time.Hour)}
+	_, err := p.Run(ctx, Call{Need: need, Params: "run=1h", Local: true})
+	refusal := reason.From(err)
+	c.Assert(refusal.Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
+	c.Assert(refusal.Reason, qt.Equals, reason.CallerLeft)
+}
