Refuse a request as not run if its time is over before it is forwarded

A request whose deadline had passed, or whose caller had left, before it was forwarded to another host was answered with unknown: the call failed, and the reason was taken from the caller's context. Nothing is sent then, so it is refused.

Before: TestRequestThatCanNotBeSentInTimeIsNotRun failed with "unknown: caller-left". After: it passes under -race.

--- a/route/forward.go
+++ b/route/forward.go
@@ -22,6 +22,9 @@
 
 // forward sends a request to another host; if the connection is lost, it looks for the answer in that data centre.
 func (r *Router) forward(ctx context.Context, m peers.Member, req Request) (holder.Answer, error) {
+	if ctx.Err() != nil {
+		return holder.Answer{}, reason.Refuse(reason.DeadlineUnreachable, "the time was over before a host could be asked")
+	}
 	msg := &peerpb.RunRequest{
 		Task: req.Task, Entry: req.Work.Name, Params: req.Params, ContentType: req.ContentType, Body: req.Body,
 		TimeoutMicros: time.Until(req.Deadline).Microseconds(), CatalogueVersion: req.CatalogueVersion,
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -167,3 +167,17 @@
 		})
 	}
 }
+
+// Guards against an answer of "unknown" for a request whose time was over before it was forwarded.
+func TestRequestThatCanNotBeSentInTimeIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	s := &hostScript{}
+	deadline := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	_, err := newRouter(t, s).Run(ctx, route.Request{
+		Task: "t", Work: entry.Work{Name: "check", Size: unit.Size{CPUMilli: 1}}, Deadline: deadline,
+	})
+	c.Check(reason.From(err).Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
+	c.Check(s.starts, qt.Equals, 0)
+}
