Count a lease request without an answer as a renewal

A task on a worker that can't be reached is started elsewhere once every host of the data centre says that it has not renewed the worker's lease for longer than tasks live. A host counted only requests that were answered. A renewal, or a request for the lease by a new holder, whose answer is lost is carried out all the same: the worker keeps the lease and its tasks. On a link that loses answers, a host asked again and again, kept the tasks alive and reported that they had expired; the task was started a second time.

A request without an answer now counts as a renewal from the moment it was sent. So that tasks of a worker which never answers still expire, the next request is sent only after the worker has answered a read of its state.

Before: TestUnansweredLeaseRequestCountsAsRenewal failed (no renewal known of a worker that has granted the lease), TestSilentWorkerGetsOneLeaseRequest with 3 requests. After: both pass under -race, twice.

--- a/holder/held.go
+++ b/holder/held.go
@@ -58,10 +58,13 @@
 	selfLeaving bool
 	epoch       uint64
 	// ackedEnd is the sequence number of the last reported task end, which the next renewal acknowledges.
-	ackedEnd   uint64
-	renewedAt  time.Time
-	lastHolder string
-	health     health
+	ackedEnd  uint64
+	renewedAt time.Time
+	// maybeRenewedAt is when the last request was sent that renewed the lease or may have; unanswered marks one without an answer.
+	maybeRenewedAt time.Time
+	unanswered     bool
+	lastHolder     string
+	health         health
 }
 
 // run is one task with an allocation on a worker, running or suspended.
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -59,10 +59,16 @@
 	p := h.pool
 	pause := jitter(p.cfg.LeaseTTL / renewalsPerTTL)
 	p.mu.Lock()
-	epoch := h.epoch + 1
+	epoch, unanswered := h.epoch+1, h.unanswered
 	p.mu.Unlock()
+	if unanswered {
+		// A request that is carried out without an answer prolongs the worker's tasks, and none would ever be known to have expired.
+		if _, err := h.client.State(ctx); err != nil {
+			return pause
+		}
+	}
 	sentAt := time.Now()
-	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, 0))
+	reply, err := h.requestLease(ctx, sentAt, epoch, 0)
 	if err != nil {
 		return pause
 	}
@@ -84,6 +90,28 @@
 	return pause
 }
 
+// requestLease requests or renews the lease; without an answer the request counts as one that took effect.
+func (h *HeldWorker) requestLease(ctx context.Context, sentAt time.Time, epoch, acked uint64) (worker.LeaseReply, error) {
+	p := h.pool
+	p.mu.Lock()
+	previous := h.maybeRenewedAt
+	h.maybeRenewedAt = sentAt
+	p.mu.Unlock()
+	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
+	var unreachable *worker.UnreachableError
+	var refused *worker.RefusedError
+	hadNoEffect := errors.As(err, &unreachable) || errors.As(err, &refused) || (err == nil && !reply.Granted)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if hadNoEffect {
+		h.maybeRenewedAt = previous
+	}
+	if !errors.As(err, &unreachable) {
+		h.unanswered = err != nil && !hadNoEffect
+	}
+	return reply, err
+}
+
 func (h *HeldWorker) leaseRequest(epoch, acked uint64) worker.LeaseRequest {
 	cfg := h.pool.cfg
 	return worker.LeaseRequest{
@@ -134,7 +162,7 @@
 	epoch, acked := h.epoch, h.ackedEnd
 	p.mu.Unlock()
 	sentAt := time.Now()
-	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
+	reply, err := h.requestLease(ctx, sentAt, epoch, acked)
 	if err != nil {
 		h.handleRenewError(ctx, err)
 		return false
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -414,3 +414,40 @@
 	c.Assert(refusal.Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
 	c.Assert(refusal.Reason, qt.Equals, reason.CallerLeft)
 }
+
+// Guards against counting tasks as expired that a request for their worker's lease without an answer keeps alive.
+func TestUnansweredLeaseRequestCountsAsRenewal(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.addWorker(c, w)
+	w.loseReplies(http.MethodPut, "/lease")
+	h.acquire(context.Background())
+	c.Assert(w.HasLease(), qt.IsTrue)
+	_, ok := p.LastRenewal("w")
+	c.Assert(ok, qt.IsTrue)
+}
+
+// Guards against keeping the tasks of a silent worker alive with requests for its lease, so that they never count as expired.
+func TestSilentWorkerGetsOneLeaseRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.addWorker(c, w)
+	numRequests := 0
+	w.losesReply = func(r *http.Request) bool {
+		if r.Method == http.MethodPut {
+			numRequests++
+		}
+		return true
+	}
+	for range 3 {
+		h.acquire(context.Background())
+	}
+	w.mu.Lock()
+	c.Assert(numRequests, qt.Equals, 1)
+	w.mu.Unlock()
+	w.loseReplies("", "")
+	h.acquire(context.Background())
+	c.Assert(p.Load().Held, qt.Contains, "w")
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -224,15 +224,15 @@
 	return h, nil
 }
 
-// LastRenewal returns when this host last renewed a worker's lease; ok is false if it never has.
+// LastRenewal returns when this host last sent a request that renewed a worker's lease or may have; ok is false if it never did.
 func (p *Pool) LastRenewal(workerName string) (at time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, known := p.workers[workerName]
-	if !known || h.renewedAt.IsZero() {
+	if !known || h.maybeRenewedAt.IsZero() {
 		return time.Time{}, false
 	}
-	return h.renewedAt, true
+	return h.maybeRenewedAt, true
 }
 
 // TaskTTL returns how long tasks go on running after the last renewal of their worker's lease.
