Remember when workers that left the list were last renewed

When a worker is dropped from the host list, or listed at another address, its record in the pool is replaced, and with it the time of the last renewal. This host then reported that it had never renewed the worker, so that the worker's tasks counted as expired although they live on for the task TTL, and a job's tasks were started a second time.

The times are kept beside the workers for as long as tasks may live.

Before: TestRenewalsOfRemovedWorkersAreRemembered failed (not listed, other address): no renewal known. After: it passes under -race.

--- a/holder/held.go
+++ b/holder/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -141,6 +142,12 @@
 	p.detach(h)
 	h.cancel()
 	delete(p.workers, h.name)
+	maps.DeleteFunc(p.formerRenewals, func(_ string, at time.Time) bool {
+		return time.Since(at) > p.cfg.TaskTTL+p.cfg.LeaseTTL
+	})
+	if h.maybeRenewedAt.After(p.formerRenewals[h.name]) {
+		p.formerRenewals[h.name] = h.maybeRenewedAt
+	}
 }
 
 func (h *HeldWorker) wakeLoop() {
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -76,8 +76,10 @@
 	reservations *shard.Map[*Grant]
 	recentRuns   recentRuns
 
-	mu             sync.Mutex
-	workers        map[string]*HeldWorker
+	mu      sync.Mutex
+	workers map[string]*HeldWorker
+	// formerRenewals holds the last renewals of workers that were removed, for as long as tasks may live on them.
+	formerRenewals map[string]time.Time
 	indexedWorkers []*HeldWorker
 	shortIndex     *place.Index
 	longIndex      *place.Index
@@ -105,6 +107,7 @@
 		inFlight:       shard.NewMap[*inFlightCall](),
 		reservations:   shard.NewMap[*Grant](),
 		workers:        map[string]*HeldWorker{},
+		formerRenewals: map[string]time.Time{},
 		shortIndex:     place.NewIndex(1),
 		longIndex:      place.NewIndex(1),
 		waitCorrection: 1,
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -451,3 +451,29 @@
 	h.acquire(context.Background())
 	c.Assert(p.Load().Held, qt.Contains, "w")
 }
+
+// Guards against counting tasks as expired because their worker was removed from the list or moved to another address.
+func TestRenewalsOfRemovedWorkersAreRemembered(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		infos []Info
+	}{
+		{"not listed", nil},
+		{"other address", []Info{{Name: "w", Address: netip.MustParseAddrPort("127.0.0.1:1")}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			p := newTestPool()
+			h := p.holdWorker(c, newTestWorker(c, "w"))
+			renewedAt, ok := p.LastRenewal("w")
+			c.Assert(ok, qt.IsTrue)
+			h.loseLease("test")
+			p.SetWorkers(ctx, test.infos)
+			got, ok := p.LastRenewal("w")
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(got.Equal(renewedAt), qt.IsTrue)
+		})
+	}
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -228,11 +228,11 @@
 func (p *Pool) LastRenewal(workerName string) (at time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, known := p.workers[workerName]
-	if !known || h.maybeRenewedAt.IsZero() {
-		return time.Time{}, false
+	at = p.formerRenewals[workerName]
+	if h, ok := p.workers[workerName]; ok && h.maybeRenewedAt.After(at) {
+		at = h.maybeRenewedAt
 	}
-	return h.maybeRenewedAt, true
+	return at, !at.IsZero()
 }
 
 // TaskTTL returns how long tasks go on running after the last renewal of their worker's lease.
