Take no task for expired when no host was asked

A task on a worker that nobody holds counts as expired when every host of its data centre says that it hasn't renewed the worker's lease. With an empty list of hosts for that data centre, because the list was never read or because the data centre was taken out of it, nobody was asked (or only this host, for its own), and the task was started a second time while it may run.

Without a listed host there is no proof, and the task stays assigned until the data centre is listed again or one of its hosts can be reached. The list that is checked now has this host in it, so that a single host is told from an unread list.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,7 @@
 
 // Fleet implements jobs.Fleet over this host and its peers.
 type Fleet struct {
+	name             string
 	dataCenter       string
 	local            LocalServer
 	pool             *holder.Pool
@@ -39,17 +40,17 @@
 	transport        *peers.Transport
 	catalogueVersion func() uint64
 	readBody         BodyReader
-	// listedHosts returns the other entry hosts that the platform lists for a data centre.
+	// listedHosts returns the entry hosts that the platform lists for a data centre.
 	listedHosts func(dataCenter string) []string
 }
 
-// New returns a fleet; catalogueVersion returns the version that is sent with every reservation and start request.
+// New returns the fleet as seen by the named host; catalogueVersion returns the version that is sent with every reservation and start request.
 func New(
-	dataCenter string, local LocalServer, pool *holder.Pool, members *peers.Membership, transport *peers.Transport,
+	name, dataCenter string, local LocalServer, pool *holder.Pool, members *peers.Membership, transport *peers.Transport,
 	catalogueVersion func() uint64, readBody BodyReader, listedHosts func(dataCenter string) []string,
 ) *Fleet {
 	return &Fleet{
-		dataCenter: dataCenter, local: local, pool: pool, members: members, transport: transport, catalogueVersion: catalogueVersion,
+		name: name, dataCenter: dataCenter, local: local, pool: pool, members: members, transport: transport, catalogueVersion: catalogueVersion,
 		readBody: readBody, listedHosts: listedHosts,
 	}
 }
@@ -269,10 +270,14 @@
 	for _, name := range f.listedHosts(at.DataCenter) {
 		unconfirmed[name] = true
 	}
+	if len(unconfirmed) == 0 {
+		// Either the list was never read or the data centre was taken out of it, which doesn't end what runs there.
+		return worker.Answer{}, cause
+	}
 	for _, m := range f.possibleHolders(at.DataCenter) {
 		var reply *peerpb.TaskReply
 		var err error
-		name := ""
+		name := f.name
 		if m == nil {
 			reply, err = f.local.Inspect(ctx, query)
 		} else {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/corianderdrift/corianderdrift/peers"
 	"github.com/corianderdrift/corianderdrift/reason"
 	"github.com/corianderdrift/corianderdrift/unit"
+	"github.com/corianderdrift/corianderdrift/worker"
 )
 
 // noStats discards the metrics.
@@ -38,12 +39,16 @@
 	reply *peerpb.TaskReply
 }
 
+func (s *fakeServer) Inspect(context.Context, *peerpb.TaskQuery) (*peerpb.TaskReply, error) {
+	return s.reply, nil
+}
+
 func (s *fakeServer) Start(context.Context, *peerpb.StartRequest) (*peerpb.TaskReply, error) {
 	return s.reply, nil
 }
 
 // newTestFleet returns a fleet of one host, in data centre "here", that holds worker "w" if holds is set.
-func newTestFleet(c *qt.C, local LocalServer, holds bool) *Fleet {
+func newTestFleet(c *qt.C, local LocalServer, holds bool, listedHosts []string) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	log := logrus.New()
@@ -64,15 +69,43 @@
 		}
 	}
 	members := peers.NewMembership("host", "here")
-	return New("here", local, pool, members, nil, func() uint64 { return 1 },
-		func(context.Context, *jobs.Job) ([]byte, error) { return nil, nil }, func(string) []string { return nil })
+	return New("host", "here", local, pool, members, nil, func() uint64 { return 1 },
+		func(context.Context, *jobs.Job) ([]byte, error) { return nil, nil }, func(string) []string { return listedHosts })
 }
 
 // Guards against reporting a start as not run because a holder that has lost its lease can't tell whether it had an effect.
 func TestUncertainStartAtFormerHolderIsUnknown(t *testing.T) {
 	c := qt.New(t)
 	uncertain := peers.EncodeRefusal(reason.Uncertain(reason.LeaseLost, "the first start was not answered"))
-	f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{Refusal: uncertain}}, true)
+	f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{Refusal: uncertain}}, true, nil)
 	_, err := f.Start(context.Background(), "a", entry.Work{Name: "check"}, jobs.Placement{Worker: "w", DataCenter: "here"}, &jobs.Job{})
 	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
 }
+
+// Guards against a second run of a task that counts as expired although no host was asked.
+func TestTaskExpiresOnlyIfAllListedHostsConfirm(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		listed     []string
+		dataCenter string
+		expired    bool
+	}{
+		{"the only host of its data centre", []string{"host"}, "here", true},
+		{"another host has not answered", []string{"host", "other"}, "here", false},
+		{"the list of hosts was never read", nil, "here", false},
+		{"no host is known of another data centre", nil, "there", false},
+		{"no host of another data centre has answered", []string{"other"}, "there", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{State: StateExpired}}, false, test.listed)
+			answer, err := f.Inspect(context.Background(), "a", jobs.Placement{Worker: "w", DataCenter: test.dataCenter})
+			if test.expired {
+				c.Assert(err, qt.IsNil)
+				c.Assert(answer.State, qt.Equals, worker.Stopped)
+				return
+			}
+			c.Assert(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("state %q", answer.State))
+		})
+	}
+}
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -81,17 +82,22 @@
 	return n.hosts
 }
 
-// otherEntryHosts returns the names of the other entry hosts that the platform lists for a data centre.
-func (n *Node) otherEntryHosts(dataCenter string) []string {
+// entryHosts returns the names of the entry hosts that the platform lists for a data centre.
+func (n *Node) entryHosts(dataCenter string) []string {
 	var names []string
 	for _, host := range n.listedHosts() {
-		if host.Kind == store.KindEntry && host.DataCenter == dataCenter && host.Name != n.cfg.Name {
+		if host.Kind == store.KindEntry && host.DataCenter == dataCenter {
 			names = append(names, host.Name)
 		}
 	}
 	return names
 }
 
+// otherEntryHosts returns those of a data centre's entry hosts that are not this host.
+func (n *Node) otherEntryHosts(dataCenter string) []string {
+	return slices.DeleteFunc(n.entryHosts(dataCenter), func(name string) bool { return name == n.cfg.Name })
+}
+
 // assignWorkers decides for every worker of the data centre whether this host should hold it.
 func (n *Node) assignWorkers() {
 	list := n.listedHosts()
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,9 @@
 	n.router = route.NewRouter(n.members, n.transport, n.pool, n.metrics)
 	n.claims = claim.NewRegistry(n.ctx, n.id, n.store, n.writer, n, n.metrics, log)
 	n.leaders = jobs.NewLeaders(n.id, n.store, n.writer, n.leaderCandidates, log)
-	n.fleet = fleet.New(cfg.DataCenter, &server{node: n}, n.pool, n.members, n.transport, n.keeper.Version, n.jobBody, n.otherEntryHosts)
+	n.fleet = fleet.New(
+		cfg.Name, cfg.DataCenter, &server{node: n}, n.pool, n.members, n.transport, n.keeper.Version, n.jobBody, n.entryHosts,
+	)
 	n.jobs = jobs.NewManager(jobs.Config{
 		Table: n.store, Writer: n.writer, Fleet: n.fleet, Leaders: n.leaders, Stats: n.metrics, Log: log,
 		LookupWork: n.lookupWork, Estimate: n.estimateRunTime,
