Resume a checkpointed task after a failed attempt

A task that could not be resumed once, because the worker refused or the lease had just expired, or whose checkpoint or resumption was not answered, was never resumed: its allocation was kept for good beside a task that used nothing, and its job never ended, until the worker's lease changed.

A resumption that provably had no effect frees the allocation and is tried again. After a call without an answer the allocation stays, and the resumption is repeated until it succeeds or the worker says that it runs the task; a refused repetition alone proves nothing.

Before: TestTaskIsResumedAfterFailedAttempt failed (refused and lease expired: still "checkpointed", with 1000m in use; reply lost: never suspended again), TestTaskIsResumedAfterUnansweredCheckpoint with "checkpointed". After: both pass under -race, twice. A task that hangs in this way is what TestDeclaredSizesAreWrong once showed; that this was its cause there isn't shown.

--- a/holder/held.go
+++ b/holder/held.go
@@ -78,7 +78,10 @@
 	usesQuota      bool
 	checkpointable bool
 	suspended      bool
-	class          entry.Class
+	// uncertain marks a suspended task that may run, because a call to suspend or resume it was not answered; it keeps its
+	// allocation.
+	uncertain bool
+	class     entry.Class
 	// maybeStarted counts the starts of a job's task that are not proved to have had no effect.
 	maybeStarted int
 	// reportedMemoryMiB is the memory that the worker last reported for the task.
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -99,15 +99,14 @@
 	p.mu.Unlock()
 	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
 	var unreachable *worker.UnreachableError
-	var refused *worker.RefusedError
-	hadNoEffect := errors.As(err, &unreachable) || errors.As(err, &refused) || (err == nil && !reply.Granted)
+	noEffect := (err == nil && !reply.Granted) || (err != nil && hadNoEffect(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if hadNoEffect {
+	if noEffect {
 		h.maybeRenewedAt = previous
 	}
 	if !errors.As(err, &unreachable) {
-		h.unanswered = err != nil && !hadNoEffect
+		h.unanswered = err != nil && !noEffect
 	}
 	return reply, err
 }
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -477,3 +477,83 @@
 		})
 	}
 }
+
+// Guards against a task that is never resumed because its resumption was refused, or not sent, once.
+func TestTaskIsResumedAfterFailedAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		fail   func(w *testWorker, h *HeldWorker)
+		repair func(w *testWorker, h *HeldWorker)
+		// used is the capacity in use between the two attempts.
+		used unit.Size
+	}{
+		{
+			"refused",
+			func(w *testWorker, _ *HeldWorker) { w.refuseCalls(http.MethodPost, "/resume", worker.FaultNoRoom) },
+			func(w *testWorker, _ *HeldWorker) { w.refuseCalls("", "", "") },
+			unit.Size{},
+		},
+		{
+			"lease expired",
+			func(_ *testWorker, h *HeldWorker) { h.lease.Lost() },
+			func(_ *testWorker, h *HeldWorker) { h.renew(context.Background()) },
+			unit.Size{},
+		},
+		{
+			"reply lost",
+			func(w *testWorker, _ *HeldWorker) { w.loseReplies(http.MethodPost, "/resume") },
+			func(w *testWorker, _ *HeldWorker) { w.loseReplies("", "") },
+			testWork.Size,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			w := newTestWorker(c, "w")
+			p := newTestPool()
+			h := p.holdWorker(c, w)
+			_, err := p.startTask("a")
+			c.Assert(err, qt.IsNil)
+			c.Assert(p.checkpoint(ctx, h, "a"), qt.IsTrue)
+			test.fail(w, h)
+			p.resumeNow(ctx)
+			c.Check(p.used(h), qt.Equals, test.used)
+			test.repair(w, h)
+			p.resumeNow(ctx)
+			c.Check(p.used(h), qt.Equals, testWork.Size)
+			answer, err := h.client.Attach(ctx, "a", 0)
+			c.Assert(err, qt.IsNil)
+			c.Check(answer.State, qt.Equals, worker.Running)
+			c.Check(p.checkpoint(ctx, h, "a"), qt.IsTrue)
+			p.resumeNow(ctx)
+			c.Check(p.used(h), qt.Equals, testWork.Size)
+		})
+	}
+}
+
+// Guards against a checkpointed task that keeps its capacity and is never resumed, because the reply was lost.
+func TestTaskIsResumedAfterUnansweredCheckpoint(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNil)
+	w.loseReplies(http.MethodPost, "/checkpoint")
+	c.Assert(p.checkpoint(ctx, h, "a"), qt.IsFalse)
+	w.loseReplies("", "")
+	c.Check(p.used(h), qt.Equals, testWork.Size)
+	p.resumeNow(ctx)
+	answer, err := h.client.Attach(ctx, "a", 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, worker.Running)
+	c.Check(p.used(h), qt.Equals, testWork.Size)
+}
+
+// resumeNow resumes suspended tasks as if they had been suspended for a minute.
+func (p *Pool) resumeNow(ctx context.Context) {
+	for _, v := range p.allocateResumable(time.Now().Add(time.Minute)) {
+		p.resume(ctx, v)
+	}
+}
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/queue"
 	"github.com/corianderdrift/corianderdrift/reason"
+	"github.com/corianderdrift/corianderdrift/worker"
 )
 
 // Timing and limits of preemption.
@@ -113,7 +115,8 @@
 	if !ok {
 		return err == nil
 	}
-	r.suspended = err == nil
+	r.uncertain = err != nil && !hadNoEffect(err)
+	r.suspended = err == nil || r.uncertain
 	r.stateSince = time.Now()
 	h.running[task] = r
 	if err != nil {
@@ -153,6 +156,10 @@
 			if !r.suspended || now.Sub(r.stateSince) < minSuspension || len(chosen) >= maxVictims {
 				continue
 			}
+			if r.uncertain {
+				chosen = append(chosen, taskRef{h, task})
+				continue
+			}
 			item, _ := h.ledger.Get(task)
 			if !item.Suspended || h.ledger.Resume(task) != nil {
 				continue
@@ -168,22 +175,57 @@
 }
 
 func (p *Pool) resume(ctx context.Context, v taskRef) {
-	epoch, valid := v.worker.lease.Valid(time.Now())
-	err := error(reason.Refuse(reason.LeaseLost, "worker %s", v.worker.name))
-	if valid {
-		err = v.worker.client.Resume(ctx, v.task, p.cfg.Holder, epoch)
+	h := v.worker
+	p.mu.Lock()
+	wasUncertain, heldEpoch := h.running[v.task].uncertain, h.epoch
+	p.mu.Unlock()
+	epoch, valid := h.lease.Valid(time.Now())
+	err := error(reason.Refuse(reason.LeaseLost, "worker %s", h.name))
+	noEffect := true
+	if valid && epoch == heldEpoch {
+		err = h.client.Resume(ctx, v.task, p.cfg.Holder, epoch)
+		noEffect = err != nil && hadNoEffect(err)
+	}
+	if noEffect && wasUncertain && h.runs(ctx, v.task) {
+		err = nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r, ok := v.worker.running[v.task]
-	if !ok {
+	r, ok := h.running[v.task]
+	if !ok || h.epoch != heldEpoch {
 		return
 	}
+	r.stateSince = time.Now()
+	r.suspended = err != nil
+	r.uncertain = err != nil && (wasUncertain || !noEffect)
+	h.running[v.task] = r
 	if err == nil {
-		r.suspended, r.stateSince = false, time.Now()
-		v.worker.running[v.task] = r
 		return
 	}
-	// It is not known whether the task runs, so its allocation stays until the worker reports.
-	p.log.WithFields(map[string]any{fieldWorker: v.worker.name, "task": v.task}).WithError(err).Warn("could not resume the task")
+	p.log.WithFields(map[string]any{fieldWorker: h.name, "task": v.task}).WithError(err).Warn("could not resume the task")
+	if r.uncertain {
+		return
+	}
+	item, _ := h.ledger.Get(v.task)
+	if item.Long && !item.Suspended {
+		p.longUsed = p.longUsed.Sub(item.Size)
+	}
+	h.ledger.Suspend(v.task)
+	p.updateIndexes(h)
+	p.dispatch()
+}
+
+// runs reports whether the worker answers that it runs a task.
+func (h *HeldWorker) runs(ctx context.Context, task string) bool {
+	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	defer cancel()
+	answer, err := h.client.Attach(ctx, task, 0)
+	return err == nil && answer.State == worker.Running
+}
+
+// hadNoEffect reports whether a failed call to a worker provably had no effect.
+func hadNoEffect(err error) bool {
+	var unreachable *worker.UnreachableError
+	var refused *worker.RefusedError
+	return errors.As(err, &unreachable) || errors.As(err, &refused)
 }
