Size a suspended task by what was measured, not by a prediction

While a task uses more memory than it declared, its allocation is the size predicted for the time of an eviction. A report that came right after another made the prediction as large as can be, twenty times the growth between the two; it was kept as the task's size from then on. A task that was checkpointed with a size beyond its worker's capacity could never be resumed, since no report corrects the size of a task that doesn't run. The prediction was also learned as the work's measured size, so that later tasks of that work fitted nowhere.

The prediction now holds until the next report, and neither the estimator nor a suspended task's size takes it. A suspended task needs at most its worker's capacity.

--- a/holder/held.go
+++ b/holder/held.go
@@ -87,6 +87,8 @@
 	// reportedMemoryMiB is the memory that the worker last reported for the task.
 	reportedMemoryMiB int64
 	reportedAt        time.Time
+	// peakMemoryMiB is the most memory that the worker has reported.
+	peakMemoryMiB int64
 }
 
 // usable reports whether new work may go to the worker; the pool's lock is held.
--- a/holder/overuse.go
+++ b/holder/overuse.go
@@ -46,8 +46,9 @@
 		return unitSize{}, false, false
 	}
 	r := h.running[u.Task]
+	r.peakMemoryMiB = max(r.peakMemoryMiB, u.MemoryMiB)
 	measured := item.Size
-	measured.MemoryMiB = max(measured.MemoryMiB, u.MemoryMiB)
+	measured.MemoryMiB = r.measuredMemory()
 	p.estimator.RecordSize(r.work, measured)
 	measured.MemoryMiB = max(measured.MemoryMiB, r.predictMemory(u.MemoryMiB, time.Now()))
 	h.ledger.Resize(u.Task, measured)
@@ -57,6 +58,9 @@
 	return r.size, used*100 > capacity*evictMemoryPct, true
 }
 
+// measuredMemory returns the most memory that the worker has reported for a task, or the declared amount if that is more.
+func (r *run) measuredMemory() int64 { return max(r.size.MemoryMiB, r.peakMemoryMiB) }
+
 // predictMemory predicts the memory that a task uses by the time that an eviction could take effect.
 func (r *run) predictMemory(current int64, at time.Time) int64 {
 	previous, since := r.size.MemoryMiB, r.stateSince.Add(usageReportLag)
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -557,3 +557,29 @@
 		p.resume(ctx, v)
 	}
 }
+
+// Guards against a task that can't be resumed, and work that can't be placed, because a prediction of memory was taken for a size.
+func TestPredictedMemoryIsNotKeptAsSize(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNil)
+	// Two reports right after another make the predicted growth as large as it can be.
+	for _, memoryMiB := range []int64{1100, 1500} {
+		_, _, known := p.recordUsage(h, worker.Usage{Task: "a", CPUMilli: 1000, MemoryMiB: memoryMiB})
+		c.Assert(known, qt.IsTrue)
+	}
+	c.Check(p.used(h).MemoryMiB > 2000, qt.IsTrue, qt.Commentf("nothing is predicted"))
+	c.Assert(p.checkpoint(ctx, h, "a"), qt.IsTrue)
+	p.resumeNow(ctx)
+	answer, err := h.client.Attach(ctx, "a", 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, worker.Running)
+	c.Check(p.used(h).MemoryMiB, qt.Equals, int64(1500))
+	_, _, _ = p.recordUsage(h, worker.Usage{Task: "a", CPUMilli: 1000, MemoryMiB: 1500})
+	const sizeHeadroomPct = 10
+	c.Check(p.estimator.Size(testWork.Name, testWork.Size).MemoryMiB <= 1500*(100+sizeHeadroomPct)/100, qt.IsTrue)
+}
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -127,6 +127,10 @@
 		p.longUsed = p.longUsed.Sub(item.Size)
 	}
 	h.ledger.Suspend(task)
+	// The size may be a prediction that no worker could hold; while the task is suspended no report corrects it.
+	size := item.Size
+	size.MemoryMiB = min(r.measuredMemory(), h.ledger.Capacity().MemoryMiB)
+	h.ledger.Resize(task, size)
 	p.updateIndexes(h)
 	p.dispatch()
 	return true
