Free the reservations of a job that is cancelled while it is placed

A driver reserves capacity, writes the placements to the job's row and then starts the tasks. When that write meets a cancellation request, the driver takes the row over and stops the job, but left the reservations, which took capacity until they timed out after 10 s, for gangs after 30 s.

--- a/jobs/gang_test.go
+++ b/jobs/gang_test.go
@@ -144,7 +144,7 @@
 }
 
 // newManager returns a running job manager that leads all shards and whose jobs are gangs.
-func newManager(ctx context.Context, f *fakeFleet) *jobs.Manager {
+func newManager(ctx context.Context, f jobs.Fleet) *jobs.Manager {
 	client := newPlatform().NewClient()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -247,3 +247,36 @@
 		c.Check(len(f.starts), qt.Equals, 0)
 	})
 }
+
+// cancellingFleet calls cancel during the first reservation.
+type cancellingFleet struct {
+	*fakeFleet
+	once   sync.Once
+	cancel func()
+}
+
+func (f *cancellingFleet) Reserve(ctx context.Context, req jobs.ReserveRequest) (jobs.Placement, error) {
+	f.once.Do(f.cancel)
+	return f.fakeFleet.Reserve(ctx, req)
+}
+
+// Guards against capacity that stays reserved when a job is cancelled while its tasks are being placed.
+func TestCancellationDuringPlacementFreesReservations(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C) {
+		f := &cancellingFleet{fakeFleet: newFakeFleet(6, 2*time.Second)}
+		manager := newManager(ctx, f)
+		f.cancel = func() {
+			_, err := manager.Cancel(ctx, "gang")
+			c.Check(err, qt.IsNil)
+		}
+		submitGang(ctx, c, manager, "gang", 6)
+		time.Sleep(time.Minute)
+		job, _, err := manager.Get(ctx, "gang")
+		c.Assert(err, qt.IsNil)
+		c.Check(job.State, qt.Equals, jobs.Cancelled)
+		c.Check(len(f.starts), qt.Equals, 0)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		c.Check(f.free, qt.Equals, 6)
+	})
+}
--- a/jobs/steps.go
+++ b/jobs/steps.go
@@ -163,6 +163,8 @@
 		return 0, err
 	}
 	if d.job.Cancel {
+		// The row was not written: it held a cancellation request, which the driver has adopted.
+		d.releaseAll(ctx, reserved)
 		return 0, nil
 	}
 	if err := d.startTasks(ctx, reserved); err != nil {
