Read the host's settings without a race with their reload

agent.reload wrote the shutdown timeout into the settings under a lock, and groups.rank copied the settings without one. The timeout, the only setting that changes at run time, now has a field and a lock of its own, and the settings stay as they were at the start. A changed address is therefore compared with the one in use.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -57,11 +57,13 @@
 
 // Agent is an entry host.
 type Agent struct {
-	// mu guards the settings that may change at run time.
-	mu           sync.Mutex
-	started      time.Time
+	started time.Time
+	// settings are those at the start; they don't change.
 	settings     platform.Settings
 	settingsPath string
+	// mu guards shutdownTimeout, which is reloaded at run time.
+	mu              sync.Mutex
+	shutdownTimeout time.Duration
 	// incarnation distinguishes this process from earlier ones on the same host.
 	incarnation string
 	// health tracks whether the table responds over any route, direct whether it responds without a relay through other hosts.
@@ -95,7 +97,8 @@
 // New returns an entry host for the users' platform; path is the file from which s was read, and is read again for changes.
 func New(s platform.Settings, path string, log logrus.FieldLogger) *Agent {
 	a := &Agent{
-		started: time.Now(), settings: s, settingsPath: path, incarnation: uuid.NewString(), log: log, queues: &queues.Store{},
+		started: time.Now(), settings: s, settingsPath: path, shutdownTimeout: s.ShutdownTimeout, incarnation: uuid.NewString(), log: log,
+		queues: &queues.Store{},
 		leases: elect.NewView(), hosts: newHosts(s.Name, s.DataCenter), advisor: platform.NewAdvisor(s.Advisor),
 	}
 	a.groups = newGroups(a)
--- a/agent/reload.go
+++ b/agent/reload.go
@@ -32,22 +32,26 @@
 	}
 }
 
-// reload applies changes of the shutdown timeout, the only setting that may change at run time; changed addresses are logged.
 func (a *Agent) reload() {
 	next, err := platform.ReadSettings(a.settingsPath)
 	if err != nil {
 		a.log.WithError(err).Error("failed to read the settings; keeping the old ones")
 		return
 	}
+	a.applySettings(next)
+}
+
+// applySettings applies a change of the shutdown timeout, the only setting that may change at run time; changed addresses are
+// logged.
+func (a *Agent) applySettings(next platform.Settings) {
 	a.mu.Lock()
-	old := a.settings
-	a.settings.ShutdownTimeout = next.ShutdownTimeout
-	changed := old.ShutdownTimeout != next.ShutdownTimeout
+	changed := a.shutdownTimeout != next.ShutdownTimeout
+	a.shutdownTimeout = next.ShutdownTimeout
 	a.mu.Unlock()
 	if changed {
 		a.log.WithField("stop-limit", next.ShutdownTimeout).Info("settings changed")
 	}
-	if next.Front != old.Front || next.Table != old.Table {
+	if next.Front != a.settings.Front || next.Table != a.settings.Table {
 		a.log.WithField("table", next.Table).Warn("addresses in the settings changed; they take effect at the next start")
 	}
 }
@@ -55,5 +59,5 @@
 func (a *Agent) stopLimit() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.settings.ShutdownTimeout
+	return a.shutdownTimeout
 }
