Take no refused stop for proof that a task can't start

A stop ends a task or makes sure that it never starts, and the worker answers with the state in which that left the task. When a worker refused the call instead, the holder reported the task as absent, and the driver of its job took that for proof and started the task again under a new id, though the first run may go on. An inspection that was refused for whatever reason was reported as absent as well.

Only the fault "absent" in answer to an inspection means absent now; any other refusal leaves the outcome unknown, and the driver asks again.

Before: TestRefusedStopProvesNothing failed with no error and state "absent". After: it passes under -race.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -79,6 +79,7 @@
 	uncertain := peers.EncodeRefusal(reason.Uncertain(reason.LeaseLost, "the first start was not answered"))
 	f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{Refusal: uncertain}}, true, nil)
 	_, err := f.Start(context.Background(), "a", entry.Work{Name: "check"}, jobs.Placement{Worker: "w", DataCenter: "here"}, &jobs.Job{})
+	c.Assert(err, qt.IsNotNil)
 	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
 }
 
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -202,11 +202,13 @@
 			h := p.holdWorker(c, w)
 			w.loseReplies(http.MethodPut, "/tasks/")
 			_, err := p.startTask("a")
+			c.Assert(err, qt.IsNotNil)
 			c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown)
 			c.Assert(w.Log().Running, qt.Equals, 1)
 			w.loseReplies("", "")
 			test.fail(w, h)
 			_, err = p.startTask("a")
+			c.Assert(err, qt.IsNotNil)
 			c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
 			c.Check(p.used(h), qt.Equals, testWork.Size)
 		})
@@ -223,8 +225,10 @@
 	c.Assert(err, qt.IsNil)
 	w.loseReplies(http.MethodPut, "/tasks/")
 	_, err = p.startTask("a")
+	c.Assert(err, qt.IsNotNil)
 	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown)
 	err = p.startFailed(first, &worker.UnreachableError{Worker: "w"})
+	c.Assert(err, qt.IsNotNil)
 	c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
 	c.Check(p.used(h), qt.Equals, testWork.Size)
 }
@@ -237,6 +241,7 @@
 	h := p.holdWorker(c, w)
 	w.refuseCalls(http.MethodPut, "/tasks/", worker.FaultLeaving)
 	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNotNil)
 	c.Check(reason.From(err).Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
 	c.Check(p.used(h), qt.Equals, unit.Size{})
 }
@@ -583,3 +588,24 @@
 	const sizeHeadroomPct = 10
 	c.Check(p.estimator.Size(testWork.Name, testWork.Size).MemoryMiB <= 1500*(100+sizeHeadroomPct)/100, qt.IsTrue)
 }
+
+// Guards against taking a refused stop for proof that the task can't start.
+func TestRefusedStopProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNil)
+	for _, fault := range []worker.Fault{worker.FaultBadRequest, worker.FaultAbsent} {
+		w.refuseCalls(http.MethodDelete, "/tasks/", fault)
+		answer, err := p.StopTask(context.Background(), "a", "w")
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%s: state %q", fault, answer.State))
+		c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%s: state %q", fault, answer.State))
+	}
+	w.refuseCalls(http.MethodGet, "/tasks/", worker.FaultBadRequest)
+	answer, err := p.Inspect(context.Background(), "a", "w")
+	c.Assert(err, qt.IsNotNil)
+	c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("state %q", answer.State))
+	c.Check(p.used(h), qt.Equals, testWork.Size)
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -175,6 +175,10 @@
 		return worker.Answer{State: worker.Running}, nil
 	}
 	answer, err := h.client.Attach(ctx, task, 0)
+	var refused *worker.RefusedError
+	if errors.As(err, &refused) && refused.Fault == worker.FaultAbsent {
+		return worker.Answer{State: worker.Absent}, nil
+	}
 	return p.taskAnswer(h, task, answer, err)
 }
 
@@ -201,7 +205,7 @@
 	var refused *worker.RefusedError
 	switch {
 	case errors.As(err, &refused):
-		return worker.Answer{State: worker.Absent}, nil
+		return worker.Answer{}, &reason.Refusal{Outcome: reason.Unknown, Reason: reason.WorkerRefused, Err: err}
 	case err != nil:
 		return worker.Answer{}, reason.Uncertain(reason.WorkerUnreachable, "worker %s does not answer", h.name)
 	}
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -178,6 +178,7 @@
 	_, err := newRouter(t, s).Run(ctx, route.Request{
 		Task: "t", Work: entry.Work{Name: "check", Size: unit.Size{CPUMilli: 1}}, Deadline: deadline,
 	})
+	c.Assert(err, qt.IsNotNil)
 	c.Check(reason.From(err).Outcome, qt.Equals, reason.NotRun, qt.Commentf("%v", err))
 	c.Check(s.starts, qt.Equals, 0)
 }
