Report an edit of the catalogue without an answer as uncertain

It is now the error for an uncertain edit, which front answers with store-unavailable, unknown, and the edit's id.

Before: TestUnansweredEditIsUncertain failed with "too many other edits at the same time". After: it passes under -race.

--- a/catlog/edit.go
+++ b/catlog/edit.go
@@ -95,7 +95,7 @@
 			return change, err
 		}
 	}
-	return Change{}, fmt.Errorf("edit %s: too many other edits at the same time", edit.ID)
+	return Change{}, wrapUncertain(sent, edit, fmt.Errorf("edit %s was not accepted in %d attempts", edit.ID, maxEditAttempts))
 }
 
 func wrapUncertain(sent bool, edit Edit, err error) error {
