Free the capacity of a request whose start was lost

At its deadline, a request without an answer is looked up at its worker, stopped if it may repeat, and fenced so that it can't start later. A worker that stays silent for the 1.5 s of these calls leaves the outcome unknown, and the allocation is kept, since the request may run. If it had never reached the worker, no end was ever reported, and the capacity was lost until the worker's lease changed.

The lookup now goes on in the background, once a second, until the worker answers or its lease is gone. A request that runs and may not repeat is left alone; its end comes with a renewal.

Before: TestLostStartOfRequestFreesCapacity failed, with the capacity in use 30 s after the worker had become reachable. After: it passes under -race, twice; the task's id is fenced.

--- a/holder/execute.go
+++ b/holder/execute.go
@@ -118,9 +118,40 @@
 		err = stateError(g.Worker.name, answer)
 	}
 	p.finish(g, call.Need.Work.Name, time.Since(started), err)
+	if err != nil && reason.From(err).Outcome == reason.Unknown {
+		go p.settle(g, call.Need.Work.Repeatable)
+	}
 	return answer, err
 }
 
+// settle frees the allocation of a request with an unknown outcome once it is proved that it has ended or can't start. The end of
+// one that runs is reported with a renewal of the lease.
+func (p *Pool) settle(g *Grant, repeatable bool) {
+	h := g.Worker
+	for p.hasAllocation(g) {
+		ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
+		answer, err := h.fenceOnce(ctx, g.Task, repeatable)
+		cancel()
+		var refusal *reason.Refusal
+		switch {
+		case errors.As(err, &refusal) && refusal.Outcome == reason.Unknown:
+			return
+		case errors.As(err, &refusal), err == nil && answer.State.Terminal():
+			p.Release(g)
+			return
+		}
+		clock.Pause(context.Background(), responseTimeout)
+	}
+}
+
+// hasAllocation reports whether a grant's task still has its allocation under the lease under which it was made.
+func (p *Pool) hasAllocation(g *Grant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := g.Worker.running[g.Task]
+	return ok && g.Worker.ready && g.Worker.epoch == g.epoch
+}
+
 func (p *Pool) newSpec(need Need, g *Grant, epoch uint64, params string) worker.Spec {
 	return worker.Spec{
 		Entry: need.Work.Name, Owner: need.Work.Owner, Size: g.Size, Holder: p.cfg.Holder, Epoch: epoch, Params: params,
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -49,6 +49,7 @@
 	mu         sync.Mutex
 	losesReply func(r *http.Request) bool
 	faultOf    func(r *http.Request) worker.Fault
+	drops      func(r *http.Request) bool
 }
 
 func newTestWorker(c *qt.C, name string) *testWorker {
@@ -57,12 +58,15 @@
 	})}
 	w.loseReplies("", "")
 	w.refuseCalls("", "", "")
+	w.dropCalls("")
 	handler := w.Handler()
 	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
-		lose, fault := w.losesReply(r), w.faultOf(r)
+		drop, lose, fault := w.drops(r), w.losesReply(r), w.faultOf(r)
 		w.mu.Unlock()
 		switch {
+		case drop:
+			panic(http.ErrAbortHandler)
 		case fault != "":
 			rw.WriteHeader(http.StatusConflict)
 			_, _ = io.WriteString(rw, `{"fault":"`+string(fault)+`"}`)
@@ -100,6 +104,13 @@
 	}
 }
 
+// dropCalls makes the worker close the connections of matching calls without carrying them out; no call has an empty path.
+func (w *testWorker) dropCalls(pathPart string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drops = func(r *http.Request) bool { return pathPart != "" && strings.Contains(r.URL.Path, pathPart) }
+}
+
 func (w *testWorker) address() netip.AddrPort {
 	return netip.MustParseAddrPort(w.server.Listener.Addr().String())
 }
@@ -609,3 +620,28 @@
 	c.Check(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("state %q", answer.State))
 	c.Check(p.used(h), qt.Equals, testWork.Size)
 }
+
+// Guards against capacity that is never freed for a request whose start was lost while its worker was silent.
+func TestLostStartOfRequestFreesCapacity(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	w.dropCalls("/tasks/")
+	work := testWork
+	work.Class, work.RunTime = entry.Request, 0
+	need := Need{Task: "a", Work: work, Deadline: time.Now().Add(100 * time.Millisecond)}
+	_, err := p.Run(context.Background(), Call{Need: need, Params: "run=1ms"})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown, qt.Commentf("%v", err))
+	c.Check(p.used(h), qt.Equals, work.Size)
+	w.dropCalls("")
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for p.used(h) != (unit.Size{}) {
+		c.Assert(clock.Pause(ctx, time.Millisecond), qt.IsTrue, qt.Commentf("the capacity is still in use"))
+	}
+	state, err := h.client.Start(ctx, "a", worker.Spec{Holder: p.cfg.Holder, Epoch: h.epoch}, "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(state, qt.Equals, worker.NeverStarted)
+}
