--- a/holder/lease.go
+++ b/holder/lease.go
@@ -59,10 +59,16 @@
 	p := h.pool
 	pause := jitter(p.cfg.LeaseTTL / renewalsPerTTL)
 	p.mu.Lock()
-	epoch := h.epoch + 1
+	epoch, unanswered := h.epoch+1, h.unanswered
 	p.mu.Unlock()
+	if unanswered {
+		// A request that is carried out without an answer prolongs the worker's tasks, and none would ever be known to have expired.
+		if _, err := h.client.State(ctx); err != nil {
+			return pause
+		}
+	}
 	sentAt := time.Now()
-	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, 0))
+	reply, err := h.requestLease(ctx, sentAt, epoch, 0)
 	if err != nil {
 		return pause
 	}
@@ -84,6 +90,27 @@
 	return pause
 }
 
+// requestLease requests or renews the lease; without an answer the request counts as one that took effect.
+func (h *HeldWorker) requestLease(ctx context.Context, sentAt time.Time, epoch, acked uint64) (worker.LeaseReply, error) {
+	p := h.pool
+	p.mu.Lock()
+	previous := h.maybeRenewedAt
+	h.maybeRenewedAt = sentAt
+	p.mu.Unlock()
+	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
+	var unreachable *worker.UnreachableError
+	noEffect := (err == nil && !reply.Granted) || (err != nil && hadNoEffect(err))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if noEffect {
+		h.maybeRenewedAt = previous
+	}
+	if !errors.As(err, &unreachable) {
+		h.unanswered = err != nil && !noEffect
+	}
+	return reply, err
+}
+
 func (h *HeldWorker) leaseRequest(epoch, acked uint64) worker.LeaseRequest {
 	cfg := h.pool.cfg
 	return worker.LeaseRequest{
@@ -110,6 +137,7 @@
 		h.ledger.Adopt(ledger.Item{Task: t.ID, Size: t.Size, Long: long, Suspended: suspended})
 		h.running[t.ID] = run{
 			work: t.Entry, owner: t.Owner, stateSince: since, size: t.Size, suspended: suspended, usesQuota: p.cfg.Quotas != nil,
+			maybeStarted: 1,
 		}
 		if p.cfg.Quotas != nil {
 			p.cfg.Quotas.Adopt(t.Owner, t.Size)
@@ -133,7 +161,7 @@
 	epoch, acked := h.epoch, h.ackedEnd
 	p.mu.Unlock()
 	sentAt := time.Now()
-	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
+	reply, err := h.requestLease(ctx, sentAt, epoch, acked)
 	if err != nil {
 		h.handleRenewError(ctx, err)
 		return false
