--- a/cell/report.go
+++ b/cell/report.go
@@ -4,16 +4,18 @@
 
 // Limits of the age of a worker's last report, after which the worker may have restarted as another kind of worker.
 const (
-	// maxReportAge applies while a poll is in flight, which would fail at a restart: longer than its answer may be held back.
+	// maxReportAge applies if the next poll, which would fail at a restart, has been in flight since: longer than its answer may be
+	// held back.
 	maxReportAge = pollWait + 500*time.Millisecond
-	// maxIdleReportAge applies while none is: shorter than a restart takes.
+	// maxIdleReportAge applies otherwise: shorter than a restart takes.
 	maxIdleReportAge = 100 * time.Millisecond
 )
 
 // isReportRecent reports whether a worker is still in the incarnation that last answered a poll.
 func (w *worker) isReportRecent(now time.Time) bool {
 	age := now.Sub(w.lastReportAt)
-	return age <= maxIdleReportAge || (age <= maxReportAge && !w.pollInFlight.at.IsZero())
+	polledSince := !w.pollInFlight.at.IsZero() && w.pollInFlight.at.Sub(w.lastReportAt) <= maxIdleReportAge
+	return age <= maxIdleReportAge || (age <= maxReportAge && polledSince)
 }
 
 // recordReport records that a worker has answered a poll.
