Expect no late effect of a poll that was refused

Operators would see a restarted worker idle for up to 13 s though there is work: a poll that its earlier incarnation had refused as busy counted as unanswered. A refused poll has done nothing. TestRefusedPollIsNotExpectedLate failed before.

--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -263,3 +263,22 @@
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
 	h.c.Assert(h.cell.Unconfirmed(h.now)[o.Worker.ID] > time.Second, qt.IsTrue)
 }
+
+// A busy worker that refuses a poll has done nothing, so its next incarnation can't be reached by that poll late.
+func TestRefusedPollIsNotExpectedLate(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("first", 1))
+	for _, o := range h.plan().Starts {
+		h.finish("w0", o.Order.Task, order.EndDone)
+	}
+	h.advance(time.Second)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	poll := h.cell.NextPoll("w0", h.now).Order
+	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
+	h.cell.PollSent("w0", poll, h.now)
+	h.cell.PollMissed("w0", &order.BusyError{Worker: "w0"}, h.now)
+	h.restart("w0")
+	h.pollAll()
+	h.add(shortJob("second", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -120,6 +120,9 @@
 	if !ok {
 		return
 	}
+	if provesNotExecuted(err) {
+		w.pollInFlight = sentPoll{}
+	}
 	w.recordUnansweredPoll()
 	w.missedPolls++
 	if w.missedPolls == missedPollLimit {
