Tell orders that were not sent from those without an answer

Callers would see a task wait for 6 s, or 19 s on queues without advice, before it is started elsewhere, though its worker accepts no connection: a failed dial counted as an order that may have been carried out.

Change: an order for which there was no connection was not sent; its allocation is freed at once. One whose connection breaks still may have been carried out.

--- a/cell/errors.go
+++ b/cell/errors.go
@@ -12,7 +12,8 @@
 	var rejected *order.RejectedError
 	var busy *order.BusyError
 	var gone *order.GoneError
-	return errors.As(err, &rejected) || errors.As(err, &busy) || errors.As(err, &gone)
+	var notSent *order.NotSentError
+	return errors.As(err, &rejected) || errors.As(err, &busy) || errors.As(err, &gone) || errors.As(err, &notSent)
 }
 
 func isRejection(err error, reason order.RejectReason) bool {
--- a/order/order.go
+++ b/order/order.go
@@ -133,7 +133,8 @@
 	MoreEnds bool
 }
 
-// Workers sends orders to workers; its methods return the errors *RejectedError, *BusyError, *GoneError and *UnansweredError.
+// Workers sends orders to workers; its methods return the errors *RejectedError, *BusyError, *GoneError, *NotSentError and
+// *UnansweredError.
 type Workers interface {
 	// Start, Stop and Throttle return the worker's clock.
 	Start(ctx context.Context, w *Worker, o Start) (time.Duration, error)
@@ -196,6 +197,18 @@
 	return fmt.Sprintf("worker %s is no longer at its address", e.Worker)
 }
 
+// NotSentError says that an order was not sent, for lack of a connection.
+type NotSentError struct {
+	Worker string
+	Err    error
+}
+
+// Error names the worker and the cause.
+func (e *NotSentError) Error() string { return fmt.Sprintf("worker %s: %v", e.Worker, e.Err) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
 // UnansweredError says that there was no usable reply; the order may have been carried out, or may still be.
 type UnansweredError struct {
 	Worker string
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -30,6 +30,9 @@
 	holdCheckInterval = 50 * time.Millisecond
 )
 
+// errAbandoned is the cause of a start that the runner decided not to send.
+var errAbandoned = errors.New("the start was abandoned")
+
 // setWorkers replaces the workers of the group by those in the registry's list.
 func (r *Runner) setWorkers(ctx context.Context, all []order.Worker) {
 	own := make([]order.Worker, 0, len(all))
@@ -238,7 +241,7 @@
 		res.Unanswered++
 	}
 	if res.Sent.IsZero() {
-		res = cell.StartResult{Sent: time.Now(), Err: &order.BusyError{Worker: o.Worker.ID}}
+		res = cell.StartResult{Sent: time.Now(), Err: &order.NotSentError{Worker: o.Worker.ID, Err: errAbandoned}}
 	}
 	r.checkFenced(res.Err)
 	r.cell.Started(o, res, time.Now())
