Acquire a lease only if its last renewal has been seen

Callers would see a task run twice (TWICE), if a group changes hands while workers are reachable for the old holder only.

Cause: a host acquires a lease after 2.3 s without a renewal that it has seen, and reckons from that until when the old holder may send orders. A renewal that it had not seen yet let the old holder send them for longer.

Change: acquiring checks the version of the last renewal that was seen, too. TestUnseenRenewalCountsTowardsOrders failed before.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -57,6 +57,8 @@
 	HandoverAddress netip.AddrPort `json:"left,omitzero"`
 	// Version is the version of the lease's row, which every write of the holder checks.
 	Version uint64 `json:"-"`
+	// seenRenewal is the check that no renewal has been written that the view had not seen; nil if the epoch is not from a view.
+	seenRenewal *table.Check
 }
 
 // UnconfirmedWorker is a worker that could not be reached, and for how long runs may still be active there.
@@ -187,6 +189,7 @@
 	defer v.mu.Unlock()
 	s := v.leases[group]
 	s.epoch.Group = group
+	s.epoch.seenRenewal = &table.Check{Key: renewalKey(group), Version: s.renewal.Version}
 	if now.Sub(v.lastAnswerAt) > TakeoverTimeout/2 || now.Sub(v.answeringSince) < delay {
 		return s.epoch, false
 	}
@@ -256,7 +259,7 @@
 	Address     netip.AddrPort
 }
 
-// Acquire acquires the lease that old is the last epoch of.
+// Acquire acquires the lease that old is the last epoch of; it fails if old is from a view that has not seen the last renewal.
 func Acquire(ctx context.Context, s table.Store, old Epoch, candidate Candidate) (Epoch, error) {
 	e := Epoch{Group: old.Group, Holder: candidate.Name, Incarnation: candidate.Incarnation, Address: candidate.Address, Token: old.Token + 1}
 	version, err := write(ctx, s, old, e)
@@ -277,10 +280,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.Commit(ctx, table.Tx{
-		Checks: []table.Check{old.Check()},
-		Writes: []table.Write{{Key: old.Check().Key, Value: raw}},
-	})
+	checks := []table.Check{old.Check()}
+	if old.seenRenewal != nil {
+		checks = append(checks, *old.seenRenewal)
+	}
+	return s.Commit(ctx, table.Tx{Checks: checks, Writes: []table.Write{{Key: old.Check().Key, Value: raw}}})
 }
 
 // renewal is the stored value of a renewal.
@@ -289,10 +293,12 @@
 	Held time.Duration `json:"held"`
 }
 
+func renewalKey(group string) table.Key { return table.Key{Table: Table, Partition: group, Name: rowRenewal} }
+
 // RenewWrite returns the write that renews a lease which its holder has held for the given time.
 func RenewWrite(group string, held time.Duration) table.Write {
 	return table.Write{
-		Key: table.Key{Table: Table, Partition: group, Name: rowRenewal}, Value: fmt.Appendf(nil, `{"held":%d}`, held),
+		Key: renewalKey(group), Value: fmt.Appendf(nil, `{"held":%d}`, held),
 	}
 }
 
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -157,3 +157,30 @@
 		c.Assert(view.OrdersUntil(group, start).Equal(start.Add(want)), qt.IsTrue)
 	}
 }
+
+// A renewal that the new holder has not seen before it acquires the lease lets the old one send orders for longer than assumed.
+func TestUnseenRenewalCountsTowardsOrders(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1_000_000, 0)
+	store, ctx := fakes.NewTable(), context.Background()
+	held, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
+	c.Assert(err, qt.IsNil)
+	page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
+	c.Assert(err, qt.IsNil)
+	v := elect.NewView()
+	c.Assert(v.Apply(page.Rows, start), qt.IsNil)
+	var now time.Time
+	for elapsed := time.Duration(0); elapsed <= 2*time.Second; elapsed += 200 * time.Millisecond {
+		now = start.Add(elapsed)
+		v.TableAnswered(now)
+	}
+	renewedAt := start.Add(2100 * time.Millisecond)
+	c.Assert(elect.Renew(ctx, store, held, 2100*time.Millisecond), qt.IsNil)
+	now = start.Add(elect.TakeoverTimeout + 10*time.Millisecond)
+	previous, acquirable := v.Acquirable(group, 0, now)
+	c.Assert(acquirable, qt.IsTrue)
+	ordersUntil := v.OrdersUntil(group, now)
+	if _, err := elect.Acquire(ctx, store, previous, elect.Candidate{Name: "b"}); err == nil {
+		c.Assert(ordersUntil.Before(renewedAt.Add(elect.HoldTimeout)), qt.IsFalse)
+	}
+}
