--- a/elect/elect.go
+++ b/elect/elect.go
@@ -293,7 +293,9 @@
 	Held time.Duration `json:"held"`
 }
 
-func renewalKey(group string) table.Key { return table.Key{Table: Table, Partition: group, Name: rowRenewal} }
+func renewalKey(group string) table.Key {
+	return table.Key{Table: Table, Partition: group, Name: rowRenewal}
+}
 
 // RenewWrite returns the write that renews a lease which its holder has held for the given time.
 func RenewWrite(group string, held time.Duration) table.Write {
