Acknowledge the ends whose jobs' progress is durable

Callers would see tasks that never end, and operators workers whose ends are never acknowledged, in an overloaded group.

Cause: ends were acknowledged only after a commit that held the progress of all jobs. A commit holds 48 jobs; where more of them progress during each commit, nothing was acknowledged. A worker lists 500 ends, so later ones were not seen any more.

Change: an end is acknowledged once the progress of its own job is durable, and those before it are. TestEndsAreAcknowledgedWhileManyJobsProgress failed before: nothing was acknowledged in 10 rounds.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,17 +18,46 @@
 	revision uint64
 }
 
-// Batch is the content of one transaction, and the ends that may be acknowledged after it.
+// Batch is the content of one transaction.
 type Batch struct {
 	Changes []Change
-	acks    map[*worker]ackPoint
 }
 
-type ackPoint struct {
-	incarnation int64
-	lastEnd     uint64
+// pendingEnd is an end that may be acknowledged once its job's progress is durable up to a revision.
+type pendingEnd struct {
+	number   uint64
+	job      *job
+	revision uint64
+}
+
+// recordEnd records a received end; j is its job, or nil if the job is not known here.
+func (w *worker) recordEnd(number uint64, j *job) {
+	w.lastEndSeen = number
+	if j != nil {
+		w.pendingEnds = append(w.pendingEnds, pendingEnd{number, j, j.revision})
+	}
 }
 
+// updateDurableEnds updates up to which end all received ends are durable.
+func (w *worker) updateDurableEnds() {
+	n := 0
+	for n < len(w.pendingEnds) && w.pendingEnds[n].job.isDurable(w.pendingEnds[n].revision) {
+		n++
+	}
+	w.pendingEnds = slices.Delete(w.pendingEnds, 0, n)
+	durable := w.lastEndSeen
+	if len(w.pendingEnds) > 0 {
+		durable = w.pendingEnds[0].number - 1
+	}
+	if durable > w.lastEndDurable {
+		w.lastEndDurable = durable
+		w.wakeUp()
+	}
+}
+
+// isDurable reports whether a job's progress is durable up to a revision; that of a dropped job need not be.
+func (j *job) isDurable(revision uint64) bool { return j.dropped || j.durableRevision >= revision }
+
 // Dirty reports whether there is progress that is not durable, and whether committing it is urgent: a job has ended, or can't
 // start before it has a durable record.
 func (c *Cell) Dirty() (dirty, urgent bool) {
@@ -41,7 +71,7 @@
 	return len(c.dirty) > 0, false
 }
 
-// Collect returns at most n changes, ended jobs first. Ends are acknowledged only by a batch that holds all changes.
+// Collect returns at most n changes, ended jobs first.
 func (c *Cell) Collect(n int) Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -58,14 +88,6 @@
 	}
 	collect(true)
 	collect(false)
-	if len(b.Changes) == len(c.dirty) {
-		b.acks = map[*worker]ackPoint{}
-		for _, w := range c.workers {
-			if w.lastEndSeen > w.lastEndDurable {
-				b.acks[w] = ackPoint{w.info.StartedAt.UnixMilli(), w.lastEndSeen}
-			}
-		}
-	}
 	return b
 }
 
@@ -78,7 +100,7 @@
 		if !ok {
 			continue
 		}
-		j.version = version
+		j.version, j.durableRevision = version, ch.revision
 		if j.revision == ch.revision {
 			delete(c.dirty, ch.Job)
 		}
@@ -93,11 +115,8 @@
 			}
 		}
 	}
-	for w, point := range b.acks {
-		if w.info.StartedAt.UnixMilli() == point.incarnation {
-			w.lastEndDurable = max(w.lastEndDurable, point.lastEnd)
-			w.wakeUp()
-		}
+	for _, w := range c.workers {
+		w.updateDurableEnds()
 	}
 }
 
@@ -112,6 +131,7 @@
 
 // dropJob drops a job whose final state is durable and that has no placements.
 func (c *Cell) dropJob(j *job) {
+	j.dropped = true
 	delete(c.jobs, j.doc.ID)
 	delete(c.dirty, j.doc.ID)
 	for _, occ := range j.occurrences {
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -25,17 +25,17 @@
 	if e.Number <= w.lastEndSeen {
 		return
 	}
-	w.lastEndSeen = e.Number
 	c.stats.Ends[e.Kind]++
-	key := runKey{e.Task, e.Run}
-	if p, ok := w.placements[key]; ok {
+	j := c.jobs[e.Task.Job]
+	if p, ok := w.placements[runKey{e.Task, e.Run}]; ok {
 		p.task.step.job.started = true
 		p.endedAt = now
 		c.logEnd(w, e, now.Sub(p.sentAt))
 		c.release(p, e.Kind, e.Checkpoint, now)
-		return
+	} else {
+		c.handleLateEnd(w, e, now)
 	}
-	c.handleLateEnd(w, e, now)
+	w.recordEnd(e.Number, j)
 }
 
 func (c *Cell) logEnd(w *worker, e *order.End, runTime time.Duration) {
--- a/cell/ends_test.go
+++ b/cell/ends_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,3 +122,28 @@
 	h.cell.Polled("w0", order.Report{Clock: 2 * time.Minute, StartedAt: h.workers["w0"].StartedAt, Ended: listed, MoreEnds: true}, 0, h.now, h.now)
 	h.c.Assert(len(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now.Add(time.Second)).Starts), qt.Equals, 0)
 }
+
+// Ends must be acknowledged even if more jobs progress during each commit than one commit holds.
+func TestEndsAreAcknowledgedWhileManyJobsProgress(t *testing.T) {
+	const numJobs, maxCommitJobs, rounds = 60, 48, 10
+	h := newHarness(t, 1, numJobs*rounds)
+	for i := range numJobs {
+		h.add(shortJob(fmt.Sprintf("j%d", i), rounds+1))
+	}
+	h.plan()
+	acked := uint64(0)
+	for range rounds {
+		batch := h.cell.Collect(maxCommitJobs)
+		ended := map[string]bool{}
+		for _, r := range append([]order.Run(nil), h.running["w0"]...) {
+			if !ended[r.Task.Job] {
+				ended[r.Task.Job] = true
+				h.finish("w0", r.Task, order.EndDone)
+			}
+		}
+		h.advance(time.Second)
+		h.cell.Committed(batch, 2, h.now)
+		acked = max(acked, h.cell.NextPoll("w0", h.now).Order.Acked)
+	}
+	h.c.Assert(acked > 0, qt.IsTrue)
+}
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -53,6 +53,7 @@
 	}
 	w.info.StartedAt = startedAt
 	w.lastEndSeen, w.lastEndDurable, w.lastAckSent, w.polled = 0, 0, 0, false
+	w.pendingEnds = nil
 	w.clock, w.clockAt, w.mayHaveRestarted = 0, time.Time{}, false
 	w.restartedAt = now
 	w.missedPolls = 0
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -14,8 +14,12 @@
 	state graph.State
 	// version is the version of the durable progress; 0 means that there is none.
 	version uint64
-	// revision counts changes of the progress, so that a commit knows which ones it covers.
-	revision  uint64
+	// revision counts changes of the progress, so that a commit knows which ones it covers, and durableRevision is the last
+	// one that is durable.
+	revision        uint64
+	durableRevision uint64
+	// dropped says that the job is finished and is not kept here any more.
+	dropped   bool
 	cancelled bool
 	// started says that a task of the job is known to have started.
 	started     bool
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -184,6 +184,7 @@
 	for i := range report.Ended {
 		c.handleEnd(w, &report.Ended[i], now)
 	}
+	w.updateDurableEnds()
 	c.throttleBackfill(w, now)
 	for key, p := range w.placements {
 		// The end of a run that is not listed as active may be among those that the report leaves out.
