--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -36,6 +36,20 @@
 	h.setWorker(w)
 }
 
+// sendAck lets w0 finish a job, and returns the poll that acknowledges its end, which has been sent.
+func (h *harness) sendAck() order.Poll {
+	h.add(shortJob("first", 1))
+	for _, o := range h.plan().Starts {
+		h.finish("w0", o.Order.Task, order.EndDone)
+	}
+	h.advance(time.Second)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	poll := h.cell.NextPoll("w0", h.now).Order
+	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
+	h.cell.PollSent("w0", poll, h.now)
+	return poll
+}
+
 // missPolls lets a worker be silent for d.
 func (h *harness) missPolls(id string, d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(250 * time.Millisecond) {
@@ -156,15 +170,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, 1, 4)
-			h.add(shortJob("first", 1))
-			for _, o := range h.plan().Starts {
-				h.finish("w0", o.Order.Task, order.EndDone)
-			}
-			h.advance(time.Second)
-			h.cell.Committed(h.cell.Collect(10), 2, h.now)
-			poll := h.cell.NextPoll("w0", h.now).Order
-			h.c.Assert(poll.Acked, qt.Equals, uint64(1))
-			h.cell.PollSent("w0", poll, h.now)
+			poll := h.sendAck()
 			if !test.answered {
 				h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
 			} else {
@@ -235,15 +241,7 @@
 // A worker that leaves the registry and returns under its id may still get a late acknowledgement sent before it left.
 func TestLateAcknowledgementAfterWorkerLeftRegistry(t *testing.T) {
 	h := newHarness(t, 1, 4)
-	h.add(shortJob("first", 1))
-	for _, o := range h.plan().Starts {
-		h.finish("w0", o.Order.Task, order.EndDone)
-	}
-	h.advance(time.Second)
-	h.cell.Committed(h.cell.Collect(10), 2, h.now)
-	poll := h.cell.NextPoll("w0", h.now).Order
-	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
-	h.cell.PollSent("w0", poll, h.now)
+	h.sendAck()
 	h.now = h.now.Add(700 * time.Millisecond)
 	h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
 	h.missPolls("w0", 4*time.Second)
@@ -268,15 +266,7 @@
 // A busy worker that refuses a poll has done nothing, so its next incarnation can't be reached by that poll late.
 func TestRefusedPollIsNotExpectedLate(t *testing.T) {
 	h := newHarness(t, 1, 4)
-	h.add(shortJob("first", 1))
-	for _, o := range h.plan().Starts {
-		h.finish("w0", o.Order.Task, order.EndDone)
-	}
-	h.advance(time.Second)
-	h.cell.Committed(h.cell.Collect(10), 2, h.now)
-	poll := h.cell.NextPoll("w0", h.now).Order
-	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
-	h.cell.PollSent("w0", poll, h.now)
+	h.sendAck()
 	h.cell.PollMissed("w0", &order.BusyError{Worker: "w0"}, h.now)
 	h.restart("w0")
 	h.pollAll()
