--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -199,3 +199,67 @@
 	h.missPolls(o.Worker.ID, time.Second)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// A start that is in flight when its worker's restart is noticed may renew the new incarnation's leases late, like one before.
+func TestStartInFlightAtRestartProlongsLeases(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("first", 1))
+	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+	id, sentAt := o.Worker.ID, h.now
+	h.cell.StartLease(o, h.now)
+	h.restart(id)
+	err := &order.UnansweredError{Worker: id}
+	h.cell.Started(o, cell.StartResult{Sent: sentAt, Err: err, Unanswered: 1}, h.now)
+	for _, stop := range h.cell.NextPoll(id, h.now).ToFence {
+		h.cell.RunFenced(h.workers[id], stop)
+	}
+	h.answerStops()
+	h.advance(time.Second)
+	for other := range h.workers {
+		if other != id {
+			h.cell.Unlist(other)
+		}
+	}
+	h.add(shortJob("second", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+	h.c.Assert(h.running[id], qt.HasLen, 1)
+	h.advance(time.Second)
+	for _, w := range h.workers {
+		h.cell.SetWorker(w, h.now)
+	}
+	h.missPolls(id, 14*time.Second-h.now.Sub(sentAt))
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+}
+
+// A worker that leaves the registry and returns under its id may still get a late acknowledgement sent before it left.
+func TestLateAcknowledgementAfterWorkerLeftRegistry(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("first", 1))
+	for _, o := range h.plan().Starts {
+		h.finish("w0", o.Order.Task, order.EndDone)
+	}
+	h.advance(time.Second)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	poll := h.cell.NextPoll("w0", h.now).Order
+	h.c.Assert(poll.Acked, qt.Equals, uint64(1))
+	h.cell.PollSent("w0", poll, h.now)
+	h.now = h.now.Add(700 * time.Millisecond)
+	h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
+	h.missPolls("w0", 4*time.Second)
+	h.cell.Unlist("w0")
+	h.cell.NextPoll("w0", h.now)
+	h.restart("w0")
+	h.pollAll()
+	h.add(shortJob("second", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
+}
+
+// A scheduler that keeps a task back for an unanswered start must tell the next one that its worker is unconfirmed until then.
+func TestUnconfirmedCoversUnansweredStarts(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("j", 1))
+	o := h.unanswered()
+	h.missPolls(o.Worker.ID, 12*time.Second)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+	h.c.Assert(h.cell.Unconfirmed(h.now)[o.Worker.ID] > time.Second, qt.IsTrue)
+}
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -54,7 +54,7 @@
 	w.info.StartedAt = startedAt
 	w.lastEndSeen, w.lastEndDurable, w.lastAckSent, w.polled = 0, 0, 0, false
 	w.clock, w.clockAt, w.mayHaveRestarted = 0, time.Time{}, false
-	w.renewedAt, w.restartedAt = time.Time{}, now
+	w.restartedAt = now
 	w.missedPolls = 0
 	clear(w.unknownRuns)
 	w.expectLateOrders(now)
@@ -90,12 +90,13 @@
 	return w.minClock(now) + lease
 }
 
-// expireLeases ends the placements on a worker whose leases are guaranteed to have expired.
+// expireLeases ends the placements on a worker whose leases are guaranteed to have expired, and forgets runs of unknown jobs there.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
-	if w.missedPolls < missedPollLimit || len(w.placements) == 0 {
+	if w.missedPolls < missedPollLimit || len(w.placements)+len(w.unknownRuns) == 0 {
 		return
 	}
 	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin {
+		clear(w.unknownRuns)
 		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
 		})
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -38,7 +38,8 @@
 	c.expireLeases(w, now)
 	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
-	if !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0 && len(w.unansweredStarts) == 0 {
+	left := !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0
+	if left && !w.expectsLateOrders(now) {
 		delete(c.workers, id)
 		next.Gone = true
 		return next
@@ -65,13 +66,14 @@
 		next.First = true
 		next.Delay = min(next.Delay, firstPollDelay)
 	}
-	if !w.polled && !w.listed {
+	if left || (!w.polled && !w.listed) {
+		// A worker that has left is only remembered for its return.
 		next.Needed = len(w.placements) > 0
 	}
 	if w.missedPolls < missedPollLimit {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
-	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && now.Sub(w.lastReportAt) <= maxReportAge {
+	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now) {
 		next.Order.Wait = c.pollWaitFor(w)
 	}
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
@@ -133,8 +135,8 @@
 	defer c.mu.Unlock()
 	if w, ok := c.workers[id]; ok {
 		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
-		clear(w.toFence)
-		clear(w.unansweredStarts)
+		w.forgetOrders()
+		clear(w.unknownRuns)
 		w.listed = false
 		w.polled = false
 	}
@@ -181,7 +183,8 @@
 	}
 	c.throttleBackfill(w, now)
 	for key, p := range w.placements {
-		if running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
+		// The end of a run that is not listed as active may be among those that the report leaves out.
+		if report.MoreEnds || running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
 			continue
 		}
 		if _, unfenced := w.toFence[key]; unfenced {
--- a/holder/held.go
+++ b/holder/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -58,10 +59,13 @@
 	selfLeaving bool
 	epoch       uint64
 	// ackedEnd is the sequence number of the last reported task end, which the next renewal acknowledges.
-	ackedEnd   uint64
-	renewedAt  time.Time
-	lastHolder string
-	health     health
+	ackedEnd  uint64
+	renewedAt time.Time
+	// maybeRenewedAt is when the last request was sent that renewed the lease or may have; unanswered marks one without an answer.
+	maybeRenewedAt time.Time
+	unanswered     bool
+	lastHolder     string
+	health         health
 }
 
 // run is one task with an allocation on a worker, running or suspended.
@@ -74,10 +78,17 @@
 	usesQuota      bool
 	checkpointable bool
 	suspended      bool
-	class          entry.Class
+	// uncertain marks a suspended task that may run, because a call to suspend or resume it was not answered; it keeps its
+	// allocation.
+	uncertain bool
+	class     entry.Class
+	// maybeStarted counts the starts of a job's task that are not proved to have had no effect.
+	maybeStarted int
 	// reportedMemoryMiB is the memory that the worker last reported for the task.
 	reportedMemoryMiB int64
 	reportedAt        time.Time
+	// peakMemoryMiB is the most memory that the worker has reported.
+	peakMemoryMiB int64
 }
 
 // usable reports whether new work may go to the worker; the pool's lock is held.
@@ -136,6 +147,12 @@
 	p.detach(h)
 	h.cancel()
 	delete(p.workers, h.name)
+	maps.DeleteFunc(p.formerRenewals, func(_ string, at time.Time) bool {
+		return time.Since(at) > p.cfg.TaskTTL+p.cfg.LeaseTTL
+	})
+	if h.maybeRenewedAt.After(p.formerRenewals[h.name]) {
+		p.formerRenewals[h.name] = h.maybeRenewedAt
+	}
 }
 
 func (h *HeldWorker) wakeLoop() {
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -76,8 +76,10 @@
 	reservations *shard.Map[*Grant]
 	recentRuns   recentRuns
 
-	mu             sync.Mutex
-	workers        map[string]*HeldWorker
+	mu      sync.Mutex
+	workers map[string]*HeldWorker
+	// formerRenewals holds the last renewals of workers that were removed, for as long as tasks may live on them.
+	formerRenewals map[string]time.Time
 	indexedWorkers []*HeldWorker
 	shortIndex     *place.Index
 	longIndex      *place.Index
@@ -105,6 +107,7 @@
 		inFlight:       shard.NewMap[*inFlightCall](),
 		reservations:   shard.NewMap[*Grant](),
 		workers:        map[string]*HeldWorker{},
+		formerRenewals: map[string]time.Time{},
 		shortIndex:     place.NewIndex(1),
 		longIndex:      place.NewIndex(1),
 		waitCorrection: 1,
@@ -153,7 +156,17 @@
 	Size   unit.Size
 	Rack   string
 	Owner  string
-	timer  *time.Timer
+	// epoch is that of the lease under which the capacity was allocated; the end of the lease frees it.
+	epoch uint64
+	// repeated says that an earlier start of the task may have had an effect.
+	repeated bool
+	timer    *time.Timer
+}
+
+// leaseEpoch returns the epoch for a start in this grant; it reports false if the grant's lease isn't in force any more.
+func (g *Grant) leaseEpoch(now time.Time) (uint64, bool) {
+	epoch, valid := g.Worker.lease.Valid(now)
+	return epoch, valid && epoch == g.epoch
 }
 
 // Acquire waits for an allocation; a task that is predicted not to get one in time is refused at once.
@@ -193,12 +206,22 @@
 	p.mu.Unlock()
 	if !waiting {
 		if out := <-w.result; out.grant != nil {
-			p.Release(out.grant)
+			p.mu.Lock()
+			p.cancel(out.grant)
+			p.mu.Unlock()
 		}
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return reason.Refuse(reason.DeadlinePassed, "the work waited until its deadline")
 	}
+	return unsentRefusal(w.need)
+}
+
+// unsentRefusal refuses a task whose caller did not wait for its start.
+func unsentRefusal(need Need) error {
+	if !need.Deadline.IsZero() && !time.Now().Before(need.Deadline) {
+		return reason.Refuse(reason.DeadlinePassed, "the work waited until its deadline")
+	}
 	return reason.Refuse(reason.CallerLeft, "the caller left while the work waited")
 }
 
@@ -321,6 +344,15 @@
 	p.dispatch()
 }
 
+// cancel frees a grant in which no start was sent, unless it was freed with its lease; p.mu is held.
+func (p *Pool) cancel(g *Grant) {
+	if g.Worker.epoch != g.epoch {
+		return
+	}
+	p.releaseTask(g.Worker, g.Task)
+	p.dispatch()
+}
+
 // Stop refuses new tasks from now on; waiting tasks are still served.
 func (p *Pool) Stop() {
 	p.mu.Lock()
