--- a/cell/poll.go
+++ b/cell/poll.go
@@ -44,8 +44,7 @@
 		next.Gone = true
 		return next
 	}
-	next.Needed = !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero() || len(w.placements) > 0 || w.lastEndSeen > w.lastAckSent ||
-		len(w.unknownRuns) > 0 || len(w.toFence) > 0 || len(w.unansweredStarts) > 0
+	next.Needed = w.needsPoll()
 	if w.polled && w.reportAwaited == nil && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
 		// The worker would report the unacknowledged end again at once.
 		next.Needed, next.IdleTimeout = false, unackedPollDelay
@@ -83,6 +82,19 @@
 	return next
 }
 
+// needsPoll reports whether a worker has to be polled now.
+func (w *worker) needsPoll() bool {
+	switch {
+	case !w.polled || w.missedPolls > 0 || !w.suspectedAt.IsZero():
+		return true
+	case len(w.placements)+len(w.unknownRuns) > 0 || w.lastEndSeen > w.lastAckSent:
+		return true
+	default:
+		// A restart has to be noticed soon, so that the new incarnation is fenced.
+		return len(w.toFence)+len(w.unansweredStarts) > 0
+	}
+}
+
 // missedPollDelay is the delay between polls of a worker that does not answer, and firstPollDelay that between first polls.
 const (
 	missedPollDelay = 250 * time.Millisecond
@@ -153,16 +165,15 @@
 	if !ok {
 		return
 	}
+	w.pollInFlight = sentPoll{}
 	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(w.info.StartedAt) {
 		if sent.Before(w.restartedAt) {
 			// The incarnation before the present one has answered.
 			return
 		}
-		w.pollInFlight = sentPoll{}
 		c.handleRestart(w, report.StartedAt, now)
 		acked = 0
 	}
-	w.pollInFlight = sentPoll{}
 	if w.missedPolls >= missedPollLimit {
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.unresponsiveSince).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
@@ -187,15 +198,7 @@
 	w.updateDurableEnds()
 	c.throttleBackfill(w, now)
 	for key, p := range w.placements {
-		// The end of a run that is not listed as active may be among those that the report leaves out.
-		if report.MoreEnds || running[key] || p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
-			continue
-		}
-		if _, unfenced := w.toFence[key]; unfenced {
-			continue
-		}
-		if !p.incarnation.Equal(w.info.StartedAt) && now.Before(p.lateUntil()) {
-			// The worker may restart again before the start is carried out.
+		if running[key] || report.MoreEnds || !w.absenceProvesEnd(key, p, sent, now) {
 			continue
 		}
 		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopAnswered}).
@@ -210,6 +213,18 @@
 	c.checkOvercommit(w)
 }
 
+// absenceProvesEnd reports whether a run is over because it is not in a complete report to a poll that was sent at the given time.
+func (w *worker) absenceProvesEnd(key runKey, p *placement, sent, now time.Time) bool {
+	if p.confirmedAt.IsZero() || sent.Sub(p.confirmedAt) < absenceGrace {
+		return false
+	}
+	if _, unfenced := w.toFence[key]; unfenced {
+		return false
+	}
+	// A worker that has restarted may restart again before it carries out a late start.
+	return p.incarnation.Equal(w.info.StartedAt) || !now.Before(p.lateUntil())
+}
+
 func (c *Cell) handleRun(w *worker, r *order.Run, now time.Time) {
 	key := runKey{r.Task, r.Run}
 	p, ok := w.placements[key]
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -113,9 +113,9 @@
 	// lastAckSent that of the last acknowledged one.
 	lastEndSeen    uint64
 	lastEndDurable uint64
+	lastAckSent    uint64
 	// pendingEnds holds the received ends that are not durable, the oldest first.
 	pendingEnds []pendingEnd
-	lastAckSent uint64
 	clock       time.Duration
 	clockAt     time.Time
 	// mayHaveRestarted says that an answer may have come from another incarnation; the next report settles it.
