--- a/front/conns_test.go
+++ b/front/conns_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -29,7 +30,12 @@
 	engine.OnOpen(tracker.onOpen)
 	engine.OnClose(tracker.onClose)
 	c.Assert(engine.Start(), qt.IsNil)
-	defer engine.Stop()
+	defer func() {
+		// Stop would wait forever for a poller that hadn't begun its loop yet.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = engine.Shutdown(ctx)
+	}()
 	conn, err := net.Dial("tcp", engine.Addrs[0])
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
