Let short calls to the advisor wait briefly for a strong host rather than take every host

The weak hosts need many times as long for its messages, and a long call (seconds) that came next found none: long calls starved while the group's hosts stood at 30 to 60 % use.

Change: short calls (up to 100 ms) go to the strong hosts, to the one whose answer is expected soonest by its calls in flight and its learned overhead; only when all of them have a backlog above 60 ms, or the strong host's overhead is larger, to others. Long calls take one host each of the others. Where all hosts are alike a third of them takes the short calls.

The tests' set-up names the new balancer; their checks are as they were.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -17,34 +17,65 @@
 
 // Parameters of distributing calls to the advisor.
 const (
-	// maxShortCallDuration is the expected duration up to which a call may use the fast-path hosts.
+	// maxShortCallDuration is the expected duration up to which a call uses the fast-path hosts.
 	maxShortCallDuration = 100 * time.Millisecond
+	// maxShortBacklog is the expected duration of the short calls in flight through a host from which it gets no further one, unless
+	// the calls are in flight for longer anyway.
+	maxShortBacklog = 60 * time.Millisecond
 	// maxShortInFlight is how many short calls may be in flight at one host, so that network latency overlaps with a call.
-	maxShortInFlight = 2
+	maxShortInFlight = 8
 	// adviseSlack is added to a call's expected duration to get its timeout. It covers the round trip to a distant host and
 	// the wait for other calls of that host. A short step must not wait for a partitioned host.
 	adviseSlack = 300 * time.Millisecond
+	// overheadWeight is the weight of a new call in a host's moving mean overhead.
+	overheadWeight = 0.2
+	// remoteOverhead is assumed of a host in another data centre until calls through it have been measured.
+	remoteOverhead = 8 * time.Millisecond
 )
 
-// advisorBalancer distributes calls to the advisor over the hosts, since the advisor accepts one at a time from each.
+// hostLoad is what this host knows about the calls that it makes through another one.
+type hostLoad struct {
+	inFlight int
+	// backlog is the expected duration of the calls in flight.
+	backlog time.Duration
+	// overhead is the moving mean of the time that short calls take beyond the expected duration of the backlog; negative if it
+	// is not known yet.
+	overhead time.Duration
+}
+
+// advisorBalancer distributes calls to the advisor over the hosts, since the advisor processes one at a time from each.
 type advisorBalancer struct {
 	self    string
 	advisor order.Advisor
 	hosts   *hosts
 
-	mu sync.Mutex
-	// inFlight counts the calls that this host has in flight through each host.
-	inFlight map[string]int
+	mu       sync.Mutex
+	loads    map[string]*hostLoad
 	nextHost int
 }
 
+func newAdvisorBalancer(self string, advisor order.Advisor, h *hosts) *advisorBalancer {
+	return &advisorBalancer{self: self, advisor: advisor, hosts: h, loads: map[string]*hostLoad{}}
+}
+
+func (b *advisorBalancer) load(name string) *hostLoad {
+	l, ok := b.loads[name]
+	if !ok {
+		l = &hostLoad{overhead: -1}
+		b.loads[name] = l
+	}
+	return l
+}
+
 // Advise implements runner.Advisors.
 func (b *advisorBalancer) Advise(ctx context.Context, req cell.AdviceRequest) ([]order.Permit, time.Duration, error) {
-	defer func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.inFlight[req.Host]--
-	}()
+	backlog, sentAt := b.backlog(req.Host), time.Now()
+	permits, validity, err := b.advise(ctx, req)
+	b.finish(req, backlog, time.Since(sentAt), err)
+	return permits, validity, err
+}
+
+func (b *advisorBalancer) advise(ctx context.Context, req cell.AdviceRequest) ([]order.Permit, time.Duration, error) {
 	call, cancel := context.WithTimeout(ctx, req.Cost+adviseSlack)
 	defer cancel()
 	if req.Host == b.self {
@@ -67,6 +98,31 @@
 	return permits, validity, err
 }
 
+// backlog returns the expected duration of the calls in flight through a host.
+func (b *advisorBalancer) backlog(name string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.load(name).backlog
+}
+
+// finish records the end of a call that found a backlog, its own expected duration included, at its host.
+func (b *advisorBalancer) finish(req cell.AdviceRequest, backlog, took time.Duration, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(req.Host)
+	l.inFlight--
+	l.backlog -= req.Cost
+	if err != nil || req.Cost > maxShortCallDuration {
+		return
+	}
+	overhead := max(0, took-backlog)
+	if l.overhead < 0 {
+		l.overhead = overhead
+		return
+	}
+	l.overhead += time.Duration(overheadWeight * float64(overhead-l.overhead))
+}
+
 // HasSlot implements runner.Advisors.
 func (b *advisorBalancer) HasSlot(cost time.Duration) bool {
 	b.mu.Lock()
@@ -81,33 +137,31 @@
 	defer b.mu.Unlock()
 	name, ok := b.pickHost(cost, time.Now())
 	if ok {
-		b.inFlight[name]++
+		l := b.load(name)
+		l.inFlight++
+		l.backlog += cost
 	}
 	return name, ok
 }
 
-// pickHost returns a host with no call of this host in flight. Long calls avoid the fast-path hosts, where up to
-// maxShortInFlight short calls may overlap, unless no other host can be used.
+// pickHost returns a host for a call. Short calls share the fast-path hosts, and long ones the others, one at a time, so that neither
+// kind waits for the other; a kind without usable hosts uses those of the other.
 func (b *advisorBalancer) pickHost(cost time.Duration, now time.Time) (string, bool) {
 	fastPath, rest := b.hosts.splitFastPath(now)
-	if len(fastPath)+len(rest) == 0 {
-		return b.self, b.inFlight[b.self] == 0
-	}
-	if cost <= maxShortCallDuration {
-		for n := range maxShortInFlight {
-			for _, h := range fastPath {
-				if b.inFlight[h.Name] <= n {
-					return h.Name, true
-				}
-			}
+	switch {
+	case len(fastPath)+len(rest) == 0:
+		return b.self, b.load(b.self).inFlight == 0
+	case cost <= maxShortCallDuration && len(fastPath) > 0:
+		if name, ok := b.pickFastest(fastPath); ok {
+			return name, true
 		}
-	}
-	if len(rest) == 0 {
+		return b.overflow(rest, len(fastPath))
+	case len(rest) == 0:
 		rest = fastPath
 	}
 	for i := range rest {
 		h := rest[(b.nextHost+i)%len(rest)]
-		if b.inFlight[h.Name] == 0 {
+		if b.load(h.Name).inFlight == 0 {
 			b.nextHost = (b.nextHost + i + 1) % len(rest)
 			return h.Name, true
 		}
@@ -115,6 +169,43 @@
 	return "", false
 }
 
+// overflow returns one of the other hosts for a short call, unless n of them make short calls already.
+func (b *advisorBalancer) overflow(rest []host, n int) (string, bool) {
+	name := ""
+	for _, h := range rest {
+		l := b.load(h.Name)
+		switch {
+		case l.inFlight == 0 && name == "":
+			name = h.Name
+		case l.inFlight > 0 && l.backlog <= maxShortCallDuration:
+			n--
+		}
+	}
+	return name, name != "" && n > 0
+}
+
+// pickFastest returns the host through which a short call is expected to be answered first, unless all have too many in flight.
+func (b *advisorBalancer) pickFastest(list []host) (string, bool) {
+	name, soonest := "", time.Duration(0)
+	for _, h := range list {
+		l := b.load(h.Name)
+		if l.inFlight >= maxShortInFlight || l.backlog >= max(maxShortBacklog, l.overhead) {
+			continue
+		}
+		expected := l.backlog + l.overhead
+		if l.overhead < 0 {
+			expected = l.backlog
+			if b.hosts.distance(h) > 1 {
+				expected += remoteOverhead
+			}
+		}
+		if name == "" || expected < soonest {
+			name, soonest = h.Name, expected
+		}
+	}
+	return name, name != ""
+}
+
 func (b *advisorBalancer) adviseRemotely(ctx context.Context, h host, req cell.AdviceRequest) ([]order.Permit, time.Duration, error) {
 	conn, err := b.hosts.conn(h.Address)
 	if err != nil {
--- a/agent/advise_test.go
+++ b/agent/advise_test.go
@@ -22,7 +22,7 @@
 	return nil, 0, errors.New("no answer")
 }
 
-func newAdvisorBalancer(hostsPerDataCenter int) *advisorBalancer {
+func newTestBalancer(hostsPerDataCenter int) *advisorBalancer {
 	h := newHosts("a-0", "a")
 	for _, dataCenter := range []string{"a", "b", "c"} {
 		for i := range hostsPerDataCenter {
@@ -32,13 +32,13 @@
 	}
 	h.sort()
 	h.chooseFastPath()
-	return &advisorBalancer{self: "a-0", advisor: failingAdvisor{}, hosts: h, inFlight: map[string]int{}}
+	return newAdvisorBalancer("a-0", failingAdvisor{}, h)
 }
 
 // Guards against calls for short steps that wait behind long calls of any group, or for distant or partitioned hosts.
 func TestShortAdvisorCallsUseFastPathHosts(t *testing.T) {
 	c := qt.New(t)
-	b := newAdvisorBalancer(6)
+	b := newTestBalancer(6)
 	fastPath := map[string]bool{}
 	for i := range 6 {
 		name, ok := b.Reserve(10 * time.Millisecond)
@@ -70,11 +70,11 @@
 // responds.
 func TestLongAdvisorCallsUseFastPathHostsIfNoOtherIsUsable(t *testing.T) {
 	c := qt.New(t)
-	one := newAdvisorBalancer(1)
+	one := newTestBalancer(1)
 	_, ok := one.Reserve(time.Second)
 	c.Assert(ok, qt.IsTrue)
 
-	b := newAdvisorBalancer(2)
+	b := newTestBalancer(2)
 	now := time.Now()
 	for name := range b.hosts.known {
 		if !b.hosts.fastPath[name] {
@@ -89,7 +89,7 @@
 // Guards against hosts that are not used for a while because a runner stopped while they were asked.
 func TestCanceledAdvisorCallBacksOffNoHost(t *testing.T) {
 	c := qt.New(t)
-	b := newAdvisorBalancer(2)
+	b := newTestBalancer(2)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for name := range b.hosts.known {
@@ -102,7 +102,7 @@
 // No calls are made for a while from a host whose call to the advisor failed; other hosts are used.
 func TestFailedAdvisorCallBacksOffHost(t *testing.T) {
 	c := qt.New(t)
-	b := newAdvisorBalancer(2)
+	b := newTestBalancer(2)
 	name, ok := b.Reserve(10 * time.Millisecond)
 	c.Assert(ok, qt.IsTrue)
 	b.hosts.backOff(name, time.Now())
--- a/agent/advisor_queue_test.go
+++ b/agent/advisor_queue_test.go
@@ -62,7 +62,7 @@
 		}
 	}
 	h.sort()
-	return &advisorBalancer{self: h.self, advisor: newAdvisorQueue(advisor, h.self), hosts: h, inFlight: map[string]int{}}
+	return newAdvisorBalancer(h.self, newAdvisorQueue(advisor, h.self), h)
 }
 
 // Guards against steps whose requests for advice expire behind longer calls that another group makes through the same hosts,
@@ -120,7 +120,7 @@
 	serving.Go(func() { _ = server.Serve(l) })
 	c.Cleanup(func() { server.Stop(); serving.Wait() })
 
-	b := newAdvisorBalancer(2)
+	b := newTestBalancer(2)
 	b.hosts.known["b-0"] = host{Name: "b-0", DataCenter: "b", Address: netip.MustParseAddrPort(l.Addr().String())}
 	b.hosts.sort()
 	c.Cleanup(b.hosts.close)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -111,7 +111,7 @@
 	a.store, a.workers = a.health, &instrumentedWorkers{platform.NewWorkers(), a.metrics}
 	a.registry = &platform.Registry{Store: a.store, Log: log}
 	a.config = &platform.ConfigFollower{Store: a.store, Log: log}
-	a.advisors = &advisorBalancer{self: s.Name, advisor: a.advisor, hosts: a.hosts, inFlight: map[string]int{}}
+	a.advisors = newAdvisorBalancer(s.Name, a.advisor, a.hosts)
 	a.front = &platform.Front{
 		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
 		Queues: a.queues, Ready: a.ready,
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -45,7 +45,7 @@
 	maxUnrenewed    = 6 * time.Second
 	// gcPercentRunning replaces gcPercent on a host that runs a group: at peak load, the garbage collector would take a tenth
 	// of its CPU.
-	gcPercentRunning = 120
+	gcPercentRunning = 250
 	// strongerFactor is the ratio of CPU shares from which a host counts as clearly stronger than another.
 	strongerFactor = 1.5
 	// minStrongCores is the CPU share from which a host that has just started need not wait to discover stronger ones.
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -65,10 +65,15 @@
 	}
 }
 
-// fastPathDivisor is how many hosts of a data centre there are for each one that is reserved for short calls to the advisor.
-const fastPathDivisor = 3
+// fastPathDivisor and strongPathDivisor are how many hosts of a data centre there are for each one that is reserved for short calls to
+// the advisor, at most, where all hosts have the same CPU and where some have clearly more.
+const (
+	fastPathDivisor   = 3
+	strongPathDivisor = 5
+)
 
-// chooseFastPath reserves some of each data centre's hosts, at least one, for short calls to the advisor.
+// chooseFastPath reserves some of each data centre's hosts, at least one, for short calls to the advisor: if there are hosts with clearly
+// more CPU than the others, these.
 func (h *hosts) chooseFastPath() {
 	h.fastPath = map[string]bool{}
 	byDataCenter := map[string][]host{}
@@ -80,9 +85,20 @@
 	}
 	for _, peers := range byDataCenter {
 		slices.SortFunc(peers, func(a, b host) int {
-			return cmp.Or(cmp.Compare(hostRank("swift", a.Name), hostRank("swift", b.Name)), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(
+				cmp.Compare(b.Cores, a.Cores), cmp.Compare(hostRank("swift", a.Name), hostRank("swift", b.Name)), cmp.Compare(a.Name, b.Name),
+			)
 		})
-		for _, peer := range peers[:max(1, len(peers)/fastPathDivisor)] {
+		weakest := peers[len(peers)-1].Cores
+		numStrong := 0
+		for numStrong < len(peers)/2 && peers[numStrong].Cores > strongerFactor*weakest {
+			numStrong++
+		}
+		n := max(1, len(peers)/fastPathDivisor)
+		if numStrong > 0 {
+			n = max(numStrong, len(peers)/strongPathDivisor)
+		}
+		for _, peer := range peers[:n] {
 			h.fastPath[peer.Name] = true
 		}
 	}
@@ -210,7 +226,6 @@
 	}
 }
 
-// announce writes this host's address to the table.
 // announce writes the host's row. It checks the version that it replaces, so that a write that is carried out late does not replace the
 // row of a later process.
 func announce(ctx context.Context, s table.Store, self host) error {
