Serve what can be in time first, and hold room for gangs, when not all can be served

After an outage everyone was late, and every end of a run made the runner try hundreds of steps in vain: plans took so long that short jobs missed their 300 ms, which lengthened the backlog. - Headroom for urgent work was held against every job of a lower priority, also where the urgent queue can wait for seconds.

Change: - Advice is asked for a step that isn't durable only if it holds no ticket. Up to four requests a step are in flight, with different workers. Wanted requests are collected and hosts given to the queue whose calls in flight, weighted by priority, are least; every queue may have a fifth of them.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -34,6 +34,7 @@
 
 // permit is the advisor's answer for a step on a worker.
 type permit struct {
+	w           *worker
 	incarnation int64
 	allowed     bool
 	ticket      string
@@ -61,6 +62,9 @@
 	Host   string
 	s      *step
 	sentAt time.Time
+	named  []*worker
+	// expected is the number of tasks that the request is expected to let start.
+	expected float64
 	// renewal says that the request renews tickets of a step that waits for capacity.
 	renewal bool
 }
@@ -73,24 +77,57 @@
 	Reserve(cost time.Duration) (host string, ok bool)
 }
 
-// usableTicket returns the ticket for starting a step on a worker, and whether the step may be started there now.
-func (s *step) usableTicket(w *worker, needsTicket bool, now time.Time) (string, bool) {
-	if !needsTicket {
-		return "", true
-	}
-	p, ok := s.permits[w.info.ID]
-	if !ok || !p.allowed || p.incarnation != w.info.StartedAt.UnixMilli() || !now.Before(p.validUntil) {
-		return "", false
-	}
-	return p.ticket, true
+// usable reports whether a step may be started on the permit's worker now.
+func (p *permit) usable(now time.Time) bool {
+	return p.allowed && p.incarnation == p.w.info.StartedAt.UnixMilli() && now.Before(p.validUntil)
+}
+
+// hasTicket reports whether a step may be started on a worker at a time.
+func (s *step) hasTicket(w *worker, at time.Time) bool {
+	p, ok := s.permits[w]
+	return ok && p.usable(at)
+}
+
+// hasTickets reports whether a step may be started on any worker.
+func (s *step) hasTickets(now time.Time) bool {
+	return slices.ContainsFunc(s.granted, func(p *permit) bool { return p.usable(now) })
 }
 
 // denied reports whether the advisor has denied a worker to a step.
 func (s *step) denied(w *worker) bool {
-	p, ok := s.permits[w.info.ID]
+	p, ok := s.permits[w]
 	return ok && !p.allowed
 }
 
+// allowed reports whether the advisor has allowed a worker to a step; the ticket may have expired.
+func (s *step) allowed(w *worker) bool {
+	p, ok := s.permits[w]
+	return ok && p.allowed
+}
+
+// setPermit stores the advisor's answer for a worker.
+func (s *step) setPermit(answer permit) {
+	p, ok := s.permits[answer.w]
+	if !ok {
+		p = &permit{}
+		s.permits[answer.w] = p
+	}
+	if answer.allowed && !p.allowed {
+		s.granted = append(s.granted, p)
+	}
+	if !answer.allowed && p.allowed {
+		s.granted = slices.DeleteFunc(s.granted, func(g *permit) bool { return g == p })
+	}
+	*p = answer
+}
+
+// expireTicket records that a worker has rejected a step's ticket.
+func (s *step) expireTicket(w *worker) {
+	if p, ok := s.permits[w]; ok {
+		p.validUntil = time.Time{}
+	}
+}
+
 // capacityFunc returns how many more tasks of a step, each of the given size, fit on a worker.
 type capacityFunc func(s *step, w *worker, size unit.Size) int
 
@@ -112,25 +149,47 @@
 		return AdviceRequest{}, false
 	}
 	allowedShare := c.adviceRateOf(s.job.doc.Queue).allowedShare()
-	var names []string
+	var named []*worker
 	expected := 0.0
 	extra := 0
 	for _, candidate := range candidates {
-		if len(names) >= maxRequestWorkers || extra > extraWorkers {
+		if len(named) >= maxRequestWorkers || extra > extraWorkers {
 			break
 		}
 		if expected >= float64(waiting) {
 			extra++
 		}
-		names = append(names, candidate.w.info.ID)
+		named = append(named, candidate.w)
 		if candidate.allowed {
 			expected += float64(candidate.fits)
 		} else {
 			expected += allowedShare * float64(candidate.fits)
 		}
 	}
-	names = c.padRequest(names, s, advice, now)
-	return AdviceRequest{Step: s.id, Queue: s.job.doc.Queue, Workers: names, Cost: advice.Cost(len(names)), s: s}, true
+	named = c.padRequest(named, s, advice, now)
+	names := make([]string, len(named))
+	for i, w := range named {
+		names[i] = w.info.ID
+	}
+	return AdviceRequest{
+		Step: s.id, Queue: s.job.doc.Queue, Workers: names, Cost: advice.Cost(len(names)), s: s, named: named, expected: expected,
+	}, true
+}
+
+// hasCandidate reports whether a request can bring a new permit for a worker with capacity.
+func (c *Cell) hasCandidate(s *step, advice *queues.Advice, minFreeCPU int64, now time.Time, capacity capacityFunc) bool {
+	size, validAt := allocationOf(s.doc), now.Add(advice.Cost(1))
+	for w := range c.candidateIndex.withFreeCPU(minFreeCPU) {
+		if c.isCandidate(s, w, validAt, now) && capacity(s, w, size) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isCandidate reports whether a request about a worker can bring a step a new permit.
+func (c *Cell) isCandidate(s *step, w *worker, validAt, now time.Time) bool {
+	return c.eligible(w, s, now) && !s.denied(w) && !s.adviceInFlight[w] && !s.hasTicket(w, validAt)
 }
 
 // requestCandidates returns the workers with capacity for which a request can bring a new permit, best first.
@@ -139,14 +198,11 @@
 	validAt := now.Add(advice.Cost(1))
 	var list []requestCandidate
 	for w := range c.candidateIndex.withFreeCPU(minFreeCPU) {
-		if !c.eligible(w, s, now) || s.denied(w) {
-			continue
-		}
-		if _, ok := s.usableTicket(w, true, validAt); ok {
+		if !c.isCandidate(s, w, validAt, now) {
 			continue
 		}
 		if fits := capacity(s, w, size); fits > 0 {
-			list = append(list, requestCandidate{w, s.permits[w.info.ID].allowed, fits, c.score(s, w, size, now)})
+			list = append(list, requestCandidate{w, s.allowed(w), fits, c.score(s, w, size, now)})
 		}
 	}
 	slices.SortFunc(list, func(a, b requestCandidate) int {
@@ -164,33 +220,32 @@
 // padRequest adds workers to a request as long as that hardly lengthens it. Whether a worker is allowed for a step never
 // changes, so the step can wait for these workers or preempt runs on them instead of requesting advice for one worker after
 // another.
-func (c *Cell) padRequest(names []string, s *step, advice *queues.Advice, now time.Time) []string {
+func (c *Cell) padRequest(list []*worker, s *step, advice *queues.Advice, now time.Time) []*worker {
 	maxWorkers := maxRequestWorkers
-	if advice.PerWorker > 0 {
+	if advice.PerWorker > 0 && (!s.doc.Gang || s.job.sensitive) {
 		maxWorkers = min(maxWorkers, int(maxPaddingShare*float64(advice.Base)/float64(advice.PerWorker)))
 	}
-	if len(names) >= maxWorkers {
-		return names
+	if len(list) >= maxWorkers {
+		return list
 	}
-	named := make(map[string]bool, len(names))
-	for _, id := range names {
-		named[id] = true
+	named := make(map[*worker]bool, len(list))
+	for _, w := range list {
+		named[w] = true
 	}
 	for w := range c.candidateIndex.withFreeCPU(anyFreeCPU) {
-		if len(names) >= maxWorkers {
+		if len(list) >= maxWorkers {
 			break
 		}
-		id := w.info.ID
-		if _, known := s.permits[id]; !known && !named[id] && c.eligible(w, s, now) {
-			names = append(names, id)
+		if _, known := s.permits[w]; !known && !named[w] && !s.adviceInFlight[w] && c.eligible(w, s, now) {
+			list = append(list, w)
 		}
 	}
-	return names
+	return list
 }
 
 // oneIfAllowed is a capacityFunc that returns 1 for each worker that the advisor has allowed, whatever its free capacity.
 func oneIfAllowed(s *step, w *worker, _ unit.Size) int {
-	if s.permits[w.info.ID].allowed {
+	if s.allowed(w) {
 		return 1
 	}
 	return 0
@@ -210,11 +265,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := request.s
-	s.advicePending = false
+	s.numRequests--
+	for _, w := range request.named {
+		delete(s.adviceInFlight, w)
+	}
+	c.callsInFlight[request.Queue] -= request.Cost
 	if request.renewal {
 		c.renewingTickets = false
 	}
-	s.lastVictimSearchAt = time.Time{}
+	s.lastVictimSearchAt, s.retryAt = time.Time{}, time.Time{}
 	if err != nil {
 		s.nextAdviceAt = now.Add(adviceRetryDelay)
 		var busy *order.AdvisorBusyError
@@ -225,21 +284,21 @@
 		return
 	}
 	rate := c.adviceRateOf(request.Queue)
-	for _, id := range request.Workers {
-		w, ok := c.workers[id]
-		if !ok {
+	allowed := make(map[string]string, len(permits))
+	for _, p := range permits {
+		allowed[p.Worker] = p.Ticket
+	}
+	for _, w := range request.named {
+		if c.workers[w.info.ID] != w {
 			continue
 		}
 		rate.requested++
-		s.permits[id] = permit{incarnation: w.info.StartedAt.UnixMilli()}
-	}
-	for _, p := range permits {
-		w, ok := c.workers[p.Worker]
-		if !ok {
-			continue
+		answer := permit{w: w, incarnation: w.info.StartedAt.UnixMilli()}
+		if ticket, ok := allowed[w.info.ID]; ok {
+			rate.allowed++
+			answer.allowed, answer.ticket, answer.validUntil = true, ticket, now.Add(validity-ticketMargin)
 		}
-		rate.allowed++
-		s.permits[p.Worker] = permit{w.info.StartedAt.UnixMilli(), true, p.Ticket, now.Add(validity - ticketMargin)}
+		s.setPermit(answer)
 	}
 	if len(permits) == 0 {
 		s.nextAdviceAt = now.Add(adviceBusyDelay / 10)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -40,7 +40,9 @@
 	firstRun int
 
 	workers map[string]*worker
-	jobs    map[string]*job
+	// workerList holds the workers by id; it is nil after one was added or removed.
+	workerList []*worker
+	jobs       map[string]*job
 	// finished holds the final states of jobs whose records are durable.
 	finished map[string]finishedJob
 	// dirty holds the jobs with progress that is not durable yet.
@@ -70,6 +72,10 @@
 	preemptibleRuns map[int]int
 	runTimes        *runTimeEstimator
 	adviceRates     map[string]*adviceRate
+	// callsInFlight holds the expected duration of each queue's calls to the advisor that have not been answered.
+	callsInFlight map[string]time.Duration
+	// admittedAt is when the jobs that are to meet their objectives were last chosen.
+	admittedAt time.Time
 	// renewingTickets says that a request that renews tickets is in flight.
 	renewingTickets bool
 	stats           Stats
@@ -103,7 +109,7 @@
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, runTimes: newRunTimeEstimator(),
 		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{},
-		adviceRates: map[string]*adviceRate{}, preemptibleRuns: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
+		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -76,12 +77,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var b Batch
+	ids := slices.Sorted(maps.Keys(c.dirty))
 	collect := func(terminal bool) {
-		for id, j := range c.dirty {
+		for _, id := range ids {
 			if len(b.Changes) >= n {
 				return
 			}
-			if j.state.Terminal() == terminal {
+			if j := c.dirty[id]; j.state.Terminal() == terminal {
 				b.Changes = append(b.Changes, Change{id, j.progress(), j.version, j.revision})
 			}
 		}
--- a/cell/drain.go
+++ b/cell/drain.go
@@ -12,7 +12,7 @@
 
 // planDrains moves tasks off draining workers: long-running ones at once, others when they can't end in time.
 func (c *Cell) planDrains(plan *Plan, now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if !w.info.Draining || len(w.placements) == 0 {
 			continue
 		}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -30,10 +30,10 @@
 	size := allocationOf(s.doc)
 	assignments := c.assignGang(s, advice != nil, now, func(w *worker) int { return c.fits(s, w, size) })
 	if len(assignments) < len(s.tasks) {
-		if !c.requestAdvice(plan, s, advice, len(s.tasks), now) && c.mayPreempt(s, now) && !c.preemptGang(plan, s, advice != nil, now) {
-			c.requestAdviceToPreempt(plan, s, advice, len(s.tasks), now)
+		if c.mayPreempt(s, now) && c.preemptGang(plan, s, advice != nil, now) {
+			return
 		}
-		c.scheduleTicketRenewal(plan, s, advice, now)
+		c.prepareGang(plan, s, advice, now)
 		return
 	}
 	for i, t := range s.tasks {
--- a/cell/headroom.go
+++ b/cell/headroom.go
@@ -7,28 +7,28 @@
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
-// Parameters of the headroom for urgent work.
+// Parameters of the headroom for latency-sensitive work.
 const (
-	// headroomShare is the share of the recent peak of urgent work that is kept free as headroom; the rest is freed by
+	// headroomShare is the share of the recent peak of latency-sensitive work that is kept free as headroom; the rest is freed by
 	// preemption.
 	headroomShare = 0.5
 	// maxHeadroomShare is the maximum headroom, as a share of the group's capacity.
 	maxHeadroomShare = 0.2
-	// peakDecayTime is the time constant of the decay of a peak of urgent work; swings of demand come every 15 s or so.
+	// peakDecayTime is the time constant of the decay of a peak of latency-sensitive work; swings of demand come every 15 s or so.
 	peakDecayTime = 15 * time.Second
 	// decayInterval is the minimum interval between steps of the decay: in smaller steps the few accelerators of a peak would
 	// be rounded away.
 	decayInterval = time.Second
 )
 
-// urgentDemand tracks the current and the peak allocation of urgent work.
+// urgentDemand tracks the current and the peak allocation of latency-sensitive work.
 type urgentDemand struct {
 	used      unit.Size
 	peak      unit.Size
 	decayedAt time.Time
 }
 
-// record adds an allocation of urgent work, or subtracts it if sign is negative.
+// record adds an allocation of latency-sensitive work, or subtracts it if sign is negative.
 func (d *urgentDemand) record(size unit.Size, sign int64) {
 	if sign > 0 {
 		d.used = d.used.Add(size)
@@ -49,14 +49,14 @@
 	d.peak = d.peak.Max(d.used)
 }
 
-// headroom returns the capacity that other work has to leave free: what urgent work may need beyond its current allocation.
+// headroom returns the capacity that other work has to leave free: what latency-sensitive work may need beyond its current allocation.
 func (d *urgentDemand) headroom(capacity unit.Size) unit.Size {
 	return d.peak.Sub(d.used).Max(d.peak.Scale(headroomShare)).Min(capacity.Scale(maxHeadroomShare))
 }
 
-// needsHeadroom reports whether a task of a step would use headroom for urgent work.
+// needsHeadroom reports whether a task of a step would use headroom for latency-sensitive work.
 func (c *Cell) needsHeadroom(s *step) bool {
-	if s.urgent() || s.doc.LongRunning {
+	if s.job.sensitive || s.doc.LongRunning {
 		return false
 	}
 	size := allocationOf(s.doc)
--- a/cell/index.go
+++ b/cell/index.go
@@ -2,8 +2,10 @@
 
 import (
 	"iter"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/unit"
@@ -12,54 +14,65 @@
 // anyFreeCPU is a minimum of free CPU that every worker meets.
 const anyFreeCPU = math.MinInt64
 
+// bucketCPU is the range of free CPU that a bucket of the index covers, in thousandths of a core, and numBuckets their number; the last
+// one has no upper bound.
+const (
+	bucketCPU  = 1000
+	numBuckets = 64
+)
+
 // candidateIndex lists the workers that may get work in one plan, those with most free CPU first, so that a backlog in a full
 // group does not scan all workers for each step.
 type candidateIndex struct {
 	planNumber uint64
-	entries    []indexEntry
-	// free is the free capacity of all of them, and headroom the part of it that is kept for urgent work.
+	workers    []*worker
+	// buckets holds the workers by their free CPU at the start of the plan, which can only shrink during the plan.
+	buckets [numBuckets][]*worker
+	// capacity is that of all of them, free the part of it that is free, and headroom the part of that which is kept for latency-sensitive
+	// work.
+	capacity unit.Size
 	free     unit.Size
 	headroom unit.Size
 }
 
-// indexEntry is a worker with its free CPU at the start of the plan, which can only shrink during the plan.
-type indexEntry struct {
-	w       *worker
-	freeCPU int64
-}
-
 func (idx *candidateIndex) rebuild(c *Cell, now time.Time) {
 	idx.planNumber++
-	idx.entries = idx.entries[:0]
-	idx.free = unit.Size{}
-	var capacity unit.Size
-	for _, w := range c.workers {
+	idx.workers = idx.workers[:0]
+	for i := range idx.buckets {
+		idx.buckets[i] = idx.buckets[i][:0]
+	}
+	idx.capacity, idx.free = unit.Size{}, unit.Size{}
+	for _, w := range c.sortedWorkers() {
 		if !c.mayGetWork(w, now) {
 			continue
 		}
-		w.lastPlanNumber = idx.planNumber
-		idx.entries = append(idx.entries, indexEntry{w, w.freeCPU()})
-		capacity = capacity.Add(w.info.Capacity)
+		w.lastPlanNumber, w.plannedFreeCPU = idx.planNumber, w.freeCPU()
+		bucket := bucketOf(w.plannedFreeCPU)
+		idx.workers = append(idx.workers, w)
+		idx.buckets[bucket] = append(idx.buckets[bucket], w)
+		idx.capacity = idx.capacity.Add(w.info.Capacity)
 		idx.free = idx.free.Add(w.info.Capacity.Sub(w.used).Max(unit.Size{}))
 	}
 	c.urgentDemand.decay(now)
-	idx.headroom = c.urgentDemand.headroom(capacity)
-	slices.SortFunc(idx.entries, func(a, b indexEntry) int {
-		switch {
-		case a.freeCPU != b.freeCPU:
-			return int(b.freeCPU - a.freeCPU)
-		case a.w.info.ID < b.w.info.ID:
-			return -1
-		default:
-			return 1
-		}
-	})
+	idx.headroom = c.urgentDemand.headroom(idx.capacity)
+}
+
+func bucketOf(freeCPU int64) int {
+	return int(max(0, min(freeCPU/bucketCPU, numBuckets-1)))
+}
+
+// sortedWorkers returns the workers by id; the list must not be modified.
+func (c *Cell) sortedWorkers() []*worker {
+	if len(c.workerList) != len(c.workers) {
+		c.workerList = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	}
+	return c.workerList
 }
 
 // mayGetWork reports whether a worker may get any work.
 func (c *Cell) mayGetWork(w *worker, now time.Time) bool {
 	switch {
-	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !c.recordedWorkers[w.info.ID]:
+	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.recorded:
 		return false
 	case !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil):
 		return false
@@ -72,12 +85,14 @@
 // contains reports whether a worker may get work in this plan.
 func (idx *candidateIndex) contains(w *worker) bool { return w.lastPlanNumber == idx.planNumber }
 
-// withFreeCPU yields the workers with at least minFreeCPU at the start of the plan.
+// withFreeCPU yields the workers with at least minFreeCPU at the start of the plan, those with most first.
 func (idx *candidateIndex) withFreeCPU(minFreeCPU int64) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for _, entry := range idx.entries {
-			if entry.freeCPU < minFreeCPU || !yield(entry.w) {
-				return
+		for i := numBuckets - 1; i >= bucketOf(minFreeCPU); i-- {
+			for _, w := range idx.buckets[i] {
+				if w.plannedFreeCPU >= minFreeCPU && !yield(w) {
+					return
+				}
 			}
 		}
 	}
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -31,6 +31,8 @@
 	// restored says that another scheduler left a record of the job, and may have started tasks of it.
 	restored    bool
 	longRunning bool
+	// sensitive says that a delay of some hundred milliseconds may make the job miss its objective.
+	sensitive bool
 }
 
 // occurrence is one occurrence of a job's steps.
@@ -45,6 +47,8 @@
 	objective time.Duration
 	remaining time.Duration
 	rankedAt  time.Time
+	// deferred says that the occurrence gives way to those that can meet their objective.
+	deferred bool
 }
 
 // step is a step of one occurrence.
@@ -60,10 +64,19 @@
 	numWaiting int
 	ready      bool
 	// numPerWorker holds the number of placements on each worker.
-	numPerWorker  map[*worker]int
-	permits       map[string]permit
-	advicePending bool
-	nextAdviceAt  time.Time
+	numPerWorker map[*worker]int
+	// permits holds the advisor's answers, and granted those that allow a worker.
+	permits map[*worker]*permit
+	granted []*permit
+	// adviceInFlight holds the workers named by requests for advice that have not been answered, and numRequests the number of
+	// these requests.
+	adviceInFlight map[*worker]bool
+	numRequests    int
+	nextAdviceAt   time.Time
+	// nextReservationAt is when the reservation of a gang is computed next.
+	nextReservationAt time.Time
+	// retryAt is until when the step is left out of plans after an attempt that has placed nothing.
+	retryAt time.Time
 	// nextTicketCheckAt is when the tickets of a step that waits for capacity are checked again.
 	nextTicketCheckAt time.Time
 	dependents        []*step
@@ -132,6 +145,15 @@
 	return time.Duration(j.doc.Stretch*float64(j.criticalPath(estimates, nil))) + j.doc.Objective
 }
 
+// maxSensitiveSlack is the slack up to which a job counts as latency-sensitive: too short for preemption and a second attempt.
+const maxSensitiveSlack = 1500 * time.Millisecond
+
+// declaredSlack returns how much longer than its longest chain of declared run times the job may take.
+func (j *job) declaredSlack() time.Duration {
+	chain := j.criticalPath(&runTimeEstimator{}, nil)
+	return time.Duration((j.doc.Stretch-1)*float64(chain)) + j.doc.Objective
+}
+
 // startTime returns the time from which the objective of an occurrence is counted.
 func (j *job) startTime(occ *occurrence) time.Time {
 	if !occ.due.IsZero() {
@@ -161,6 +183,7 @@
 		return
 	}
 	j := &job{doc: doc, state: graph.Queued, version: version, restored: progress != nil, longRunning: doc.LongRunning()}
+	j.sensitive = !j.longRunning && j.declaredSlack() < maxSensitiveSlack
 	c.jobs[doc.ID] = j
 	c.buildSteps(j)
 	if progress != nil {
@@ -198,7 +221,7 @@
 			doc := &j.doc.Steps[i]
 			s := &step{
 				id: graph.StepID{Job: j.doc.ID, Occurrence: k, Step: i}, job: j, doc: doc, numUnfinishedDeps: len(doc.After),
-				numUnfinished: doc.Count, numWaiting: doc.Count, numPerWorker: map[*worker]int{}, permits: map[string]permit{},
+				numUnfinished: doc.Count, numWaiting: doc.Count, numPerWorker: map[*worker]int{}, permits: map[*worker]*permit{}, adviceInFlight: map[*worker]bool{},
 			}
 			s.tasks = make([]*task, doc.Count)
 			for n := range s.tasks {
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if isRejection(res.Err, order.RejectTicket) {
-		delete(p.task.step.permits, w.info.ID)
+		p.task.step.expireTicket(w)
 	}
 	if isRejection(res.Err, order.RejectCapacity) {
 		p.task.step.nextAdviceAt = now.Add(adviceBusyDelay)
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +42,8 @@
 	slots      AdvisorSlots
 	// noSlot holds the minimum call durations for which no host had a free slot.
 	noSlot map[time.Duration]bool
+	// wanted are the requests for advice to be sent as far as hosts are free for them.
+	wanted []wantedAdvice
 	// ticketRenewals are the requests that come after all others.
 	ticketRenewals []ticketRenewal
 }
@@ -72,10 +76,16 @@
 		return plan
 	}
 	c.candidateIndex.rebuild(c, now)
+	c.admit(now)
 	for _, ranked := range c.rankedSteps(&plan, now) {
+		numStarts := len(plan.Starts)
 		c.planStep(&plan, ranked.s, cfg, now)
+		if len(plan.Starts) == numStarts {
+			ranked.s.retryAt = now.Add(c.retryInterval(ranked))
+		}
 	}
 	c.planSpeculative(&plan, cfg, now)
+	c.sendRequests(&plan, now)
 	c.renewTickets(&plan, now)
 	return plan
 }
@@ -87,7 +97,10 @@
 }
 
 func (c *Cell) planStops(plan *Plan, now time.Time) {
-	for p := range c.stopRequested {
+	requested := slices.SortedFunc(maps.Keys(c.stopRequested), func(a, b *placement) int {
+		return cmp.Or(a.task.id.Compare(b.task.id), cmp.Compare(a.run, b.run))
+	})
+	for _, p := range requested {
 		if p.w.missedPolls >= missedPollLimit {
 			continue
 		}
@@ -103,7 +116,7 @@
 
 // eligible reports whether a step's tasks may be started on a worker, regardless of capacity and permits.
 func (c *Cell) eligible(w *worker, s *step, now time.Time) bool {
-	if !c.candidateIndex.contains(w) || w.heldForOther(s, now) {
+	if !c.candidateIndex.contains(w) || c.heldForOther(w, s, now) {
 		return false
 	}
 	return s.doc.Label == "" || slices.Contains(w.info.Labels, s.doc.Label)
@@ -121,12 +134,11 @@
 			}
 			return
 		}
-		for id := range s.permits {
-			w, ok := c.workers[id]
-			if !ok || w.freeCPU() < minFreeCPU || !c.eligible(w, s, now) {
+		for _, p := range s.granted {
+			if p.w.freeCPU() < minFreeCPU || !c.eligible(p.w, s, now) || !p.usable(now) {
 				continue
 			}
-			if ticket, ok := s.usableTicket(w, true, now); ok && !yield(w, ticket) {
+			if !yield(p.w, p.ticket) {
 				return
 			}
 		}
@@ -159,7 +171,9 @@
 		if _, ok := c.dirty[s.job.doc.ID]; !ok {
 			c.markDirty(s.job)
 		}
-		c.requestAdvice(plan, s, advice, s.numWaiting, now)
+		if !s.hasTickets(now) {
+			c.requestAdvice(plan, s, advice, s.numWaiting, now)
+		}
 		return
 	}
 	if s.doc.Gang {
@@ -215,8 +229,30 @@
 	return s.job.restored && now.Before(c.earlierRunsUntil)
 }
 
-// headroomRetryDelay is the delay until the next plan if a step would use the headroom for urgent work.
-const headroomRetryDelay = 100 * time.Millisecond
+// Intervals between attempts to place a step's tasks.
+const (
+	// headroomRetryDelay is the delay until the next plan if a step would use the headroom for urgent work.
+	headroomRetryDelay = 100 * time.Millisecond
+	// blockedRetryDelay is the delay after an attempt that has placed nothing, if the step has time: in a backlog, hundreds of
+	// steps would be tried in vain whenever a run ends.
+	blockedRetryDelay = 15 * time.Millisecond
+	// lateRetryDelay applies to steps of jobs that can't be in time any more; it grows with the backlog, so that no more than about
+	// maxLateTries of them are tried in that time, and those that can be in time don't wait for plans.
+	lateRetryDelay = 80 * time.Millisecond
+	maxLateTries   = 100
+)
+
+// retryInterval returns how long a step that could not be placed is left out of plans.
+func (c *Cell) retryInterval(r rankedStep) time.Duration {
+	switch {
+	case r.urgency != onTime:
+		return lateRetryDelay * time.Duration(1+len(c.stepsToPlace)/maxLateTries)
+	case r.s.job.sensitive:
+		return 0
+	default:
+		return blockedRetryDelay
+	}
+}
 
 func (c *Cell) bestWorker(s *step, t *task, needsTicket bool, now time.Time) (*worker, string) {
 	size := allocationOf(s.doc)
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -41,6 +41,7 @@
 	left := !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0
 	if left && !w.expectsLateOrders(now) {
 		delete(c.workers, id)
+		c.workerList = nil
 		next.Gone = true
 		return next
 	}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -32,16 +32,39 @@
 	return true
 }
 
-// countPreemptible adds n to the count of runs of a step that steps of more urgent jobs may preempt.
-func (c *Cell) countPreemptible(s *step, n int) {
+// countPreemptible adds a run to those that steps of more urgent jobs may preempt, or removes it if n is -1.
+func (c *Cell) countPreemptible(p *placement, n int) {
+	s := p.task.step
 	if !s.preemptible() {
 		return
 	}
-	for p := range s.job.doc.Priority {
-		c.preemptibleRuns[p] += n
+	priority := s.job.doc.Priority
+	for more := range priority {
+		c.preemptibleRuns[more] += n
+	}
+	for len(p.w.preemptible) <= priority {
+		p.w.preemptible = append(p.w.preemptible, unit.Size{})
+	}
+	if n > 0 {
+		p.w.preemptible[priority] = p.w.preemptible[priority].Add(p.size)
+	} else {
+		p.w.preemptible[priority] = p.w.preemptible[priority].Sub(p.size)
 	}
 }
 
+// mayFit returns how many more tasks of a step fit on a worker, or would fit without less urgent runs; 0 while stops are pending
+// there.
+func (c *Cell) mayFit(s *step, w *worker, size unit.Size) int {
+	if w.numStopping > 0 {
+		return 0
+	}
+	used := w.used
+	for _, preemptible := range w.preemptible[min(len(w.preemptible), s.job.doc.Priority+1):] {
+		used = used.Sub(preemptible)
+	}
+	return s.fitsWithUsed(w, used, size)
+}
+
 // preemptible reports whether runs of a step may be preempted by more urgent work.
 func (s *step) preemptible() bool { return s.doc.Checkpoint && !s.doc.Gang && !s.doc.LongRunning }
 
@@ -99,7 +122,7 @@
 	}
 	for w, n := range tasksOn {
 		c.clear(s, w, size, n, now)
-		w.heldFor, w.heldUntil = s, now.Add(gangHoldTime)
+		w.heldFor, w.heldUntil, w.heldStart = s, now.Add(gangHoldTime), now
 	}
 	s.preemptWaitUntil = now.Add(gangHoldTime)
 	plan.replanAt(s.preemptWaitUntil)
@@ -119,10 +142,13 @@
 	}
 }
 
-// heldForOther reports whether a worker is held for another gang that is at least as urgent as a step.
-func (w *worker) heldForOther(s *step, now time.Time) bool {
-	return w.heldFor != nil && w.heldFor != s && now.Before(w.heldUntil) &&
-		w.heldFor.job.doc.Priority <= s.job.doc.Priority
+// heldForOther reports whether a worker is held for another gang that is at least as urgent as a step, and that is expected to start
+// before the step's tasks would end.
+func (c *Cell) heldForOther(w *worker, s *step, now time.Time) bool {
+	if w.heldFor == nil || w.heldFor == s || !now.Before(w.heldUntil) || w.heldFor.job.doc.Priority > s.job.doc.Priority {
+		return false
+	}
+	return s.doc.LongRunning || now.Add(c.runTimes.estimate(s.job.doc.Queue, s.doc)).After(w.heldStart)
 }
 
 // preemptOn evicts as many less urgent runs from a worker as are needed for up to maxTasks tasks of a step, and returns for
@@ -176,6 +202,7 @@
 		return cmp.Or(
 			cmp.Compare(b.p.task.step.job.doc.Priority, a.p.task.step.job.doc.Priority),
 			cmp.Compare(a.loss, b.loss),
+			a.p.task.id.Compare(b.p.task.id),
 		)
 	})
 	return list
@@ -183,6 +210,9 @@
 
 // requestStop marks a run to be stopped.
 func (c *Cell) requestStop(p *placement) {
+	if !p.stopRequested {
+		p.w.numStopping++
+	}
 	p.stopRequested = true
 	c.stopRequested[p] = struct{}{}
 }
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -33,8 +33,8 @@
 
 // rankedSteps returns the steps that may be placed, the most urgent first.
 //
-// Within a priority the earliest deadline comes first, but steps that can't meet their deadline come after those that can:
-// otherwise all jobs would be late in a backlog after an outage. Overdue steps come last, whatever their priority.
+// Steps that can't meet their deadline come after all that can: otherwise all jobs would be late in a backlog after an outage. Overdue
+// steps come last. Otherwise the priority counts, and within a priority the earliest deadline comes first.
 func (c *Cell) rankedSteps(plan *Plan, now time.Time) []rankedStep {
 	list := make([]rankedStep, 0, len(c.stepsToPlace))
 	for _, s := range c.stepsToPlace {
@@ -45,13 +45,16 @@
 			plan.replanAt(s.job.occurrences[s.id.Occurrence].due)
 			continue
 		}
+		if now.Before(s.retryAt) {
+			plan.replanAt(s.retryAt)
+			continue
+		}
 		list = append(list, c.rank(s, now))
 	}
 	slices.SortFunc(list, func(a, b rankedStep) int {
 		return cmp.Or(
-			cmp.Compare(boolInt(a.urgency == overdue), boolInt(b.urgency == overdue)),
-			cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority),
 			cmp.Compare(a.urgency, b.urgency),
+			cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority),
 			a.deadline.Compare(b.deadline),
 			cmp.Compare(a.s.id.Job, b.s.id.Job),
 			cmp.Compare(a.s.id.Step, b.s.id.Step),
@@ -60,13 +63,6 @@
 	return list
 }
 
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (c *Cell) rank(s *step, now time.Time) rankedStep {
 	j := s.job
 	occ := j.occurrences[s.id.Occurrence]
@@ -80,7 +76,7 @@
 	}
 	expectedEnd := now.Add(occ.remaining)
 	switch {
-	case !expectedEnd.After(ranked.deadline):
+	case !expectedEnd.After(ranked.deadline) && !occ.deferred:
 	case !expectedEnd.After(j.startTime(occ).Add(maxLateFactor * objective)):
 		ranked.urgency = late
 	default:
--- a/cell/record.go
+++ b/cell/record.go
@@ -14,6 +14,14 @@
 		c.expectedWorkers[id] = until(id)
 		c.recordedWorkers[id] = true
 	}
+	c.markRecorded()
+}
+
+// markRecorded marks the workers that are in the durable record.
+func (c *Cell) markRecorded() {
+	for id, w := range c.workers {
+		w.recorded = c.recordedWorkers[id]
+	}
 }
 
 // UnpolledWorkers returns the workers that an earlier scheduler used, that have not been polled under this scheduler's token
@@ -67,15 +75,17 @@
 	defer c.mu.Unlock()
 	ids := make([]string, 0, len(c.workers))
 	changed := false
+	keepExpected := time.Now().Before(c.earlierRunsUntil)
 	for id, w := range c.workers {
-		if w.listed || len(w.placements) > 0 {
+		_, expected := c.expectedWorkers[id]
+		if w.listed || len(w.placements) > 0 || (expected && keepExpected) {
 			ids = append(ids, id)
-			changed = changed || !c.recordedWorkers[id]
+			changed = changed || !w.recorded
 		}
 	}
-	if time.Now().Before(c.earlierRunsUntil) {
+	if keepExpected {
 		for id := range c.expectedWorkers {
-			if !slices.Contains(ids, id) {
+			if _, known := c.workers[id]; !known {
 				ids = append(ids, id)
 			}
 		}
@@ -89,7 +99,12 @@
 func (c *Cell) Recording(ids []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.recordedWorkers, func(id string, _ bool) bool { return !slices.Contains(ids, id) })
+	named := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		named[id] = true
+	}
+	maps.DeleteFunc(c.recordedWorkers, func(id string, _ bool) bool { return !named[id] })
+	c.markRecorded()
 }
 
 // Recorded records that the durable record names exactly these workers.
@@ -100,4 +115,5 @@
 	for _, id := range ids {
 		c.recordedWorkers[id] = true
 	}
+	c.markRecorded()
 }
--- a/cell/request.go
+++ b/cell/request.go
@@ -1,15 +1,28 @@
 package cell
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
+// priorityWeight is how many times the hosts' time a queue may take of one whose priority is lower by one.
+const priorityWeight = 10.0
+
+// minCallShare is the share of the hosts' time that every queue may take, whatever its priority.
+const minCallShare = 0.2
+
 // ticketCheckInterval is the interval between checks for tickets that have to be renewed.
 const ticketCheckInterval = 30 * time.Millisecond
 
+// maxParallelRequests is how many requests for advice about a step may be in flight, through different hosts: a wide step needs tickets
+// for more workers than one request may name, and those of the first request expire while a second one is processed.
+const maxParallelRequests = 4
+
 // requestAdvice requests advice about more workers with capacity for a step; for the result see requestAdviceWhere.
 func (c *Cell) requestAdvice(plan *Plan, s *step, advice *queues.Advice, waiting int, now time.Time) bool {
 	return c.requestAdviceWhere(plan, s, advice, waiting, allocationOf(s.doc).CPUMilli, now, c.fits)
@@ -28,7 +41,7 @@
 // scheduleTicketRenewal schedules the renewal of tickets of a step that waits for capacity, so that it can start as soon as
 // some is freed.
 func (c *Cell) scheduleTicketRenewal(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
-	if advice == nil || s.advicePending {
+	if advice == nil || s.numRequests > 0 {
 		return
 	}
 	if now.Before(s.nextTicketCheckAt) {
@@ -53,9 +66,12 @@
 			plan.replanAt(now.Add(ticketCheckInterval))
 			return
 		}
-		numRequests := len(plan.AdviceRequests)
-		c.requestAdviceWhere(plan, r.s, r.advice, maxRequestWorkers, anyFreeCPU, now, oneIfAllowed)
 		r.s.nextTicketCheckAt = now.Add(ticketCheckInterval)
+		if r.s.numRequests > 0 {
+			continue
+		}
+		numRequests := len(plan.AdviceRequests)
+		c.sendRequest(plan, wantedAdvice{r.s, r.advice, maxRequestWorkers, anyFreeCPU, oneIfAllowed}, now)
 		if len(plan.AdviceRequests) > numRequests {
 			plan.AdviceRequests[numRequests].renewal, c.renewingTickets = true, true
 		}
@@ -70,20 +86,90 @@
 	if advice == nil {
 		return false
 	}
-	if s.advicePending || !plan.hasSlot(advice.Cost(1)) {
+	if s.numRequests > 0 || !plan.hasSlot(advice.Cost(1)) {
 		return true
 	}
 	if now.Before(s.nextAdviceAt) {
 		plan.replanAt(s.nextAdviceAt)
 		return true
 	}
-	request, ok := c.newAdviceRequest(s, advice, waiting, minFreeCPU, now, capacity)
-	if !ok {
+	if !c.hasCandidate(s, advice, minFreeCPU, now, capacity) {
 		return false
 	}
-	if request.Host, ok = plan.slots.Reserve(request.Cost); ok {
-		s.advicePending, request.sentAt = true, now
-		plan.AdviceRequests = append(plan.AdviceRequests, request)
-	}
+	plan.wanted = append(plan.wanted, wantedAdvice{s, advice, waiting, minFreeCPU, capacity})
 	return true
 }
+
+// wantedAdvice is a request for advice that is sent if a host is free for it.
+type wantedAdvice struct {
+	s          *step
+	advice     *queues.Advice
+	waiting    int
+	minFreeCPU int64
+	capacity   capacityFunc
+}
+
+// sendRequests sends the wanted requests for advice as long as hosts are free. Each host goes to the queue whose calls take least of the
+// hosts' time: otherwise the long calls of one queue would take all hosts, while its steps may not even find capacity.
+func (c *Cell) sendRequests(plan *Plan, now time.Time) {
+	byQueue := map[string][]wantedAdvice{}
+	var queueNames []string
+	for _, wanted := range plan.wanted {
+		name := wanted.s.job.doc.Queue
+		if _, ok := byQueue[name]; !ok {
+			queueNames = append(queueNames, name)
+		}
+		byQueue[name] = append(byQueue[name], wanted)
+	}
+	plan.wanted = nil
+	for len(queueNames) > 0 {
+		next := slices.MinFunc(queueNames, func(a, b string) int {
+			return cmp.Compare(c.weightedCalls(byQueue[a][0].s), c.weightedCalls(byQueue[b][0].s))
+		})
+		wanted := byQueue[next][0]
+		byQueue[next] = byQueue[next][1:]
+		expected, ok := c.sendRequest(plan, wanted, now)
+		if wanted.waiting -= int(expected); ok && wanted.waiting > 0 && wanted.s.numRequests < maxParallelRequests {
+			byQueue[next] = append([]wantedAdvice{wanted}, byQueue[next]...)
+		}
+		if !ok || len(byQueue[next]) == 0 {
+			queueNames = slices.DeleteFunc(queueNames, func(name string) bool { return name == next })
+		}
+	}
+}
+
+// sendRequest sends a request for advice, and returns how many tasks it is expected to let start; false if no host is free.
+func (c *Cell) sendRequest(plan *Plan, wanted wantedAdvice, now time.Time) (expected float64, ok bool) {
+	if !plan.hasSlot(wanted.advice.Cost(1)) {
+		return 0, false
+	}
+	request, ok := c.newAdviceRequest(wanted.s, wanted.advice, wanted.waiting, wanted.minFreeCPU, now, wanted.capacity)
+	if !ok {
+		return float64(wanted.waiting), true
+	}
+	if request.Host, ok = plan.slots.Reserve(request.Cost); !ok {
+		return 0, false
+	}
+	request.sentAt = now
+	request.s.numRequests++
+	for _, w := range request.named {
+		request.s.adviceInFlight[w] = true
+	}
+	c.callsInFlight[request.Queue] += request.Cost
+	plan.AdviceRequests = append(plan.AdviceRequests, request)
+	return request.expected, true
+}
+
+// weightedCalls returns the duration of the calls in flight of a step's queue, which counts more for queues of lower priority, unless the
+// queue has less than minCallShare of all calls.
+func (c *Cell) weightedCalls(s *step) float64 {
+	all := time.Duration(0)
+	for _, calls := range c.callsInFlight {
+		all += calls
+	}
+	calls := c.callsInFlight[s.job.doc.Queue]
+	if calls.Seconds() < minCallShare*all.Seconds() {
+		return calls.Seconds()
+	}
+	return calls.Seconds() * math.Pow(priorityWeight, float64(s.job.doc.Priority))
+}
--- a/cell/suspect.go
+++ b/cell/suspect.go
@@ -42,7 +42,7 @@
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "silent": now.Sub(sent).Round(time.Millisecond).String()}).
 			Info("worker is slow to answer")
 	}
-	center := c.dataCenter(w)
+	center := w.center
 	if center.lastResponseAt.After(sent) {
 		return
 	}
@@ -58,7 +58,7 @@
 // recordResponse records that a worker has answered.
 func (c *Cell) recordResponse(w *worker, now time.Time) {
 	w.lastResponseAt, w.suspectedAt = now, time.Time{}
-	center := c.dataCenter(w)
+	center := w.center
 	center.lastResponseAt = now
 	clear(center.suspects)
 	if center.unreachable {
@@ -69,5 +69,5 @@
 
 // isSuspect reports whether a worker has missed polls, is suspected, or is in an unreachable data centre.
 func (c *Cell) isSuspect(w *worker) bool {
-	return w.missedPolls > 0 || !w.suspectedAt.IsZero() || c.dataCenter(w).unreachable
+	return w.missedPolls > 0 || !w.suspectedAt.IsZero() || w.center.unreachable
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -90,10 +90,17 @@
 type worker struct {
 	// info is the registry's entry, with the start of the newest incarnation that is known.
 	info   order.Worker
+	center *dataCenter
 	listed bool
+	// recorded says that the worker is in the durable record.
+	recorded bool
 	// listedStart is the start of the incarnation that the registry's entry describes; zero if there was no entry.
 	listedStart time.Time
 	used        unit.Size
+	// preemptible is the part of it that runs which may be preempted use, by priority, and numStopping the number of runs that are being
+	// stopped.
+	preemptible []unit.Size
+	numStopping int
 	placements  map[runKey]*placement
 	// toFence holds the runs whose start may still arrive and has to be refused by the worker, which has not confirmed that.
 	toFence map[runKey]struct{}
@@ -145,13 +152,15 @@
 	relativeSlowness float64
 	// leavesAt is when a draining worker may be gone.
 	leavesAt time.Time
-	// lastPlanNumber is the number of the last plan in which the worker may get work.
+	// lastPlanNumber is the number of the last plan in which the worker may get work, and plannedFreeCPU its free CPU at the start of that.
 	lastPlanNumber uint64
+	plannedFreeCPU int64
 	// overcommitted says that the runs on the worker exceed its capacity.
 	overcommitted bool
-	// heldFor is the gang for which the worker is held until heldUntil.
+	// heldFor is the gang for which the worker is held until heldUntil, and heldStart when that is expected to start.
 	heldFor       *step
 	heldUntil     time.Time
+	heldStart     time.Time
 	wake          chan struct{}
 	firstListedAt time.Time
 }
@@ -214,7 +223,8 @@
 			listed: true, listedStart: info.StartedAt, firstListedAt: now,
 		}
 		w.updateDrain(now)
-		c.workers[info.ID] = w
+		c.workers[info.ID], c.workerList = w, nil
+		w.recorded, w.center = c.recordedWorkers[info.ID], c.dataCenter(w)
 		c.log.WithFields(logrus.Fields{fieldWorker: info.ID, "rack": info.Rack, "draining": info.Draining}).Info("worker listed")
 		return true
 	}
@@ -233,6 +243,7 @@
 		}).Info("worker's drain state changed")
 	}
 	w.info, w.listed, w.listedStart = info, true, info.StartedAt
+	w.center = c.dataCenter(w)
 	w.updateDrain(now)
 	w.wakeUp()
 	return false
@@ -256,8 +267,8 @@
 	if t.step.doc.Speculative && !t.step.doc.Gang && !t.step.doc.LongRunning {
 		c.speculativeSteps[t.step.id] = t.step
 	}
-	c.countPreemptible(t.step, 1)
-	if t.step.urgent() && !t.step.doc.LongRunning {
+	c.countPreemptible(p, 1)
+	if t.step.job.sensitive {
 		c.urgentDemand.record(p.size, 1)
 	}
 	c.refresh(t.step, now)
@@ -282,8 +293,11 @@
 	delete(c.stopRequested, p)
 	delete(c.throttlesToSend, p)
 	w.used = w.used.Sub(p.size)
-	c.countPreemptible(s, -1)
-	if s.urgent() && !s.doc.LongRunning {
+	c.countPreemptible(p, -1)
+	if p.stopRequested {
+		w.numStopping--
+	}
+	if j.sensitive {
 		c.urgentDemand.record(p.size, -1)
 	}
 	if s.numPerWorker[w]--; s.numPerWorker[w] <= 0 {
--- a/graph/job.go
+++ b/graph/job.go
@@ -167,6 +167,11 @@
 	return s.Job + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
 }
 
+// Compare orders tasks by step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(t.StepID.Compare(o.StepID), cmp.Compare(t.Index, o.Index))
+}
+
 // String returns the text form JOB.OCCURRENCE.STEP.INDEX.
 func (t TaskID) String() string { return t.StepID.String() + "." + strconv.Itoa(t.Index) }
 
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -12,7 +12,9 @@
 // Intervals of planning.
 const (
 	// minPlanInterval is the minimum interval between plans, so that events in quick succession share one.
-	minPlanInterval = 3 * time.Millisecond
+	minPlanInterval = 5 * time.Millisecond
+	// planPauseFactor is how many times as long as a plan the pause after it is.
+	planPauseFactor = 2
 	// maxPlanInterval is the maximum interval between plans.
 	maxPlanInterval = 500 * time.Millisecond
 )
@@ -45,8 +47,8 @@
 				next = min(next, max(minPlanInterval, plan.NextPlanAt.Sub(now)))
 			}
 		}
-		// Pause for at least as long as the plan took, so that reports and replies are processed in between.
-		clock.Pause(ctx, max(minPlanInterval, r.cfg.SinceBoot()-start))
+		// Most of the time is left to reports and replies.
+		clock.Pause(ctx, max(minPlanInterval, planPauseFactor*(r.cfg.SinceBoot()-start)))
 		timer.Reset(next)
 	}
 }
