Load the table in pieces that fit the link, and keep what was read

Cause: a new holder read all 48 partitions of its group's jobs at once, with one time limit of 1.6 s for the whole, and began anew after it. On a link of 2 Mbit/s these bytes take many seconds, so it never finished, and its reads filled the link: the renewal of its lease waited behind them, the lease ran out, and the next holder did the same.

Change: table.Loader reads ranges in pages. Page size and calls in flight follow from the bytes of the answers and the time that they take; a slow table isn't taken for a narrow link. A failed call costs its page only. A runner reads its jobs' progress in the same way. The time limit of a call for changes doubles after a timeout, up to 5 s: what changed during an outage may take that long. jsonClient reports a connection's timeout as the context's, since the two fire at nearly the same time.

Tests: TestLoadingFitsTheLink plays a link of 2, 20 and 200 Mbit/s and a slow table in virtual time, with small reads beside the loading: before, 2 Mbit/s and the slow table never loaded and a small read took 18 s; now 9.4 s (7.1 s is the least), 0.58 s. TestManyChangesArriveOverNarrowLink failed, too. TestHandoverRequiresStoredProgress waits for 400 ms rather than 300 in its set-up, so that the runs end while the table fails: loading takes 16 ms rather than 8 there, and they ended just as the runner was stopped. Its check is the same.

Ruled out: fewer reads at a time alone (the time limit for the whole stays); reading with the smallest pages from the start (a call a row).

--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -77,27 +77,23 @@
 
 // loadProgress reads the progress of all jobs of the group, retrying until it succeeds or ctx is done.
 func (r *Runner) loadProgress(ctx context.Context) (map[string]storedProgress, error) {
-	for {
-		call, cancel := context.WithTimeout(ctx, r.cfg.Timeout(tableTimeout))
-		rows, _, err := table.ReadAll(call, r.cfg.Store, table.Range{Table: TableRuns, Partition: r.cfg.Epoch.Group})
-		cancel()
+	l := table.Loader{
+		Store: r.cfg.Store, Timeout: func() time.Duration { return r.cfg.Timeout(tableTimeout) },
+		OnFailure: func(err error) { r.log.WithError(err).Warn("progress of jobs can't be read") },
+	}
+	rows, _, err := l.Load(ctx, []table.Range{{Table: TableRuns, Partition: r.cfg.Epoch.Group}})
+	if err != nil {
+		return nil, err
+	}
+	progressByJob := make(map[string]storedProgress, len(rows))
+	for _, row := range rows {
+		p, err := graph.DecodeProgress(row.Value)
 		if err != nil {
-			r.log.WithError(err).Warn("progress of jobs can't be read")
-			if !clock.Pause(ctx, tableRetryDelay) {
-				return nil, ctx.Err()
-			}
-			continue
-		}
-		progressByJob := make(map[string]storedProgress, len(rows))
-		for _, row := range rows {
-			p, err := graph.DecodeProgress(row.Value)
-			if err != nil {
-				r.log.WithError(err).WithField("job", row.Name).Error("stored progress of a job can't be decoded; the job is not run")
-			}
-			progressByJob[row.Name] = storedProgress{p, row.Version}
+			r.log.WithError(err).WithField("job", row.Name).Error("stored progress of a job can't be decoded; the job is not run")
 		}
-		return progressByJob, nil
+		progressByJob[row.Name] = storedProgress{p, row.Version}
 	}
+	return progressByJob, nil
 }
 
 // followJobs adds the group's jobs as they are accepted, and closes loaded once all jobs accepted before are known.
--- a/table/follow.go
+++ b/table/follow.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/corianderdrift/corianderdrift/clock"
 )
@@ -18,8 +16,8 @@
 	followWait = 1000 * time.Millisecond
 	// followSlack is added to followWait to get the timeout of the call.
 	followSlack = 600 * time.Millisecond
-	// maxConcurrentReads bounds the partitions that are read at a time.
-	maxConcurrentReads = 24
+	// maxFollowSlack bounds followSlack, which is doubled after a timeout: the changes since an outage may take long on a narrow link.
+	maxFollowSlack = 5 * time.Second
 	// followRetryDelay is the delay after a failed call.
 	followRetryDelay = 150 * time.Millisecond
 )
@@ -69,25 +67,17 @@
 }
 
 func (f *Follower) load(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
-	defer cancel()
-	partitions := f.Partitions()
-	rowsByPartition := make([][]Row, len(partitions))
-	versions := make([]uint64, len(partitions))
-	eg, ctx := errgroup.WithContext(ctx)
-	eg.SetLimit(maxConcurrentReads)
-	for i, partition := range partitions {
-		eg.Go(func() error {
-			var err error
-			rowsByPartition[i], versions[i], err = ReadAll(ctx, f.Store, Range{Table: f.Table, Partition: partition})
-			return err
-		})
+	var ranges []Range
+	for _, partition := range f.Partitions() {
+		ranges = append(ranges, Range{Table: f.Table, Partition: partition})
+	}
+	l := Loader{
+		Store: f.Store, Timeout: func() time.Duration { return followWait + followSlack }, OnAnswer: f.recordAnswer, OnFailure: f.logFailure,
 	}
-	if err := eg.Wait(); err != nil {
+	rows, version, err := l.Load(ctx, ranges)
+	if err != nil {
 		return 0, err
 	}
-	rows, version := slices.Concat(rowsByPartition...), slices.Min(versions)
-	f.recordAnswer()
 	f.Load(rows)
 	return version, nil
 }
@@ -104,8 +94,9 @@
 
 // followChanges follows changes after a version; a failed call is retried from the same version until the history is lost.
 func (f *Follower) followChanges(ctx context.Context, version uint64) error {
+	slack := followSlack
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, followWait+followSlack)
+		call, cancel := context.WithTimeout(ctx, followWait+slack)
 		changes, err := f.Store.Changes(call, f.Table, version, followWait)
 		cancel()
 		var lost *HistoryLostError
@@ -117,8 +108,12 @@
 				f.logFailure(err)
 				clock.Pause(ctx, followRetryDelay)
 			}
+			if errors.Is(err, context.DeadlineExceeded) {
+				slack = min(maxFollowSlack, 2*slack)
+			}
 			continue
 		}
+		slack = followSlack
 		f.recordAnswer()
 		version = max(version, changes.Version)
 		if len(changes.Rows) > 0 {
