Hand a group over to a host that can carry it, and relay through strong hosts that reach the table

The holder reads its jobs' changes through the nearest hosts, mostly weak ones, and asks those first again that are cut off as well.

Change: calls to the table go through strong hosts first, and last through those that answered within a second that they can't reach it. A holder gives its group up, as at a planned stop, once for a second a clearly stronger host, or while it is cut off itself one as strong, has answered a read of the table; at most every 15 s. A host that doesn't reach the table itself waits for a free lease as weak ones do. A relayed call for changes takes as long as the follower allows.

Ruled out: a longer wait of weak hosts for a free lease alone: it had passed during the outage.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -69,8 +69,10 @@
 	handovers map[string]storedHandover
 	// confirmedAt is when the unresponsive holder of a group last confirmed that it runs it; only the campaign uses it.
 	confirmedAt map[string]time.Time
-	wg          sync.WaitGroup
-	stopping    bool
+	// yieldedAt is when this host last handed a group over to a more suitable one.
+	yieldedAt map[string]time.Time
+	wg        sync.WaitGroup
+	stopping  bool
 }
 
 // storedHandover is the handover state of a runner that held its lease under token.
@@ -81,7 +83,8 @@
 
 func newGroups(a *Agent) *groups {
 	return &groups{
-		a: a, running: map[string]*runner.Runner{}, confirmedAt: map[string]time.Time{}, handovers: map[string]storedHandover{},
+		a: a, running: map[string]*runner.Runner{}, confirmedAt: map[string]time.Time{}, yieldedAt: map[string]time.Time{},
+		handovers: map[string]storedHandover{},
 	}
 }
 
@@ -142,10 +145,10 @@
 }
 
 // acquireDelay returns how long this host leaves a free lease to the hosts before it in the group's ranking. Hosts with clearly
-// more CPU come first, since running a group is most of a host's work.
+// more CPU come first, since running a group is most of a host's work, and so do hosts that reach the table themselves.
 func (g *groups) acquireDelay(service string, numRunning int) time.Duration {
 	rank, weak := g.rank(service)
-	weak = weak || (g.a.settings.CPUShare < minStrongCores && time.Since(g.a.started) < discoveryTime)
+	weak = weak || (g.a.settings.CPUShare < minStrongCores && time.Since(g.a.started) < discoveryTime) || !g.a.direct.Reachable(time.Now())
 	delay := time.Duration(min(rank, maxDelayRank))*rankDelay + time.Duration(numRunning)*busyDelay
 	if weak {
 		delay += weakDelay
@@ -228,8 +231,11 @@
 	debug.SetGCPercent(gcPercentRunning)
 	g.mu.Unlock()
 	g.wg.Add(1)
+	ctx, yield := context.WithCancel(ctx)
+	g.wg.Go(func() { g.yieldToBetterHost(ctx, epoch.Group, yield) })
 	go func() {
 		defer g.wg.Done()
+		defer yield()
 		err := r.Run(ctx, sentAt)
 		g.mu.Lock()
 		delete(g.running, epoch.Group)
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -13,17 +13,15 @@
 const (
 	// relayTimeout bounds a commit or a read, so that a host that is partitioned itself soon responds to its callers.
 	relayTimeout = 600 * time.Millisecond
-	// changesSlack is added to the wait time of a Changes call.
-	changesSlack = 500 * time.Millisecond
+	// withoutTableDuration is how long a host that could not reach the table is asked after all others.
+	withoutTableDuration = time.Second
 )
 
-// relayStores returns the routes to the table through other hosts, those of this data centre first.
+// relayStores returns the routes to the table through other hosts.
 func (a *Agent) relayStores() []table.Store {
 	var stores []table.Store
-	for _, h := range a.hosts.usable(time.Now()) {
-		if h.Name != a.settings.Name {
-			stores = append(stores, &relayStore{hosts: a.hosts, host: h})
-		}
+	for _, h := range a.hosts.relays(time.Now()) {
+		stores = append(stores, &relayStore{hosts: a.hosts, host: h})
 	}
 	return stores
 }
@@ -48,6 +46,16 @@
 	return &table.UnansweredError{Op: op, Err: err}
 }
 
+// failure returns the error of a call that the host has answered.
+func (s *relayStore) failure(op string, f *cellpb.Failure) error {
+	err := failureFromProto(op, f)
+	var refused *table.RefusedError
+	if errors.As(err, &refused) {
+		s.hosts.setWithoutTable(s.host.Name, time.Now())
+	}
+	return err
+}
+
 // Commit implements table.Store.
 func (s *relayStore) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
 	const op = "commit"
@@ -61,7 +69,7 @@
 	if err != nil {
 		return 0, s.unanswered(op, err)
 	}
-	return reply.GetVersion(), failureFromProto(op, reply.GetFailure())
+	return reply.GetVersion(), s.failure(op, reply.GetFailure())
 }
 
 // Read implements table.Store.
@@ -78,14 +86,12 @@
 		return table.Page{}, s.unanswered(op, err)
 	}
 	page := table.Page{Rows: rowsFromProto(reply.GetRows()), More: reply.GetMore(), Version: reply.GetVersion()}
-	return page, failureFromProto(op, reply.GetFailure())
+	return page, s.failure(op, reply.GetFailure())
 }
 
-// Changes implements table.Store.
+// Changes implements table.Store; it takes as long as ctx allows, since the changes may have to come over a narrow link.
 func (s *relayStore) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
 	const op = "changes"
-	ctx, cancel := context.WithTimeout(ctx, wait+changesSlack)
-	defer cancel()
 	c, err := s.client()
 	if err != nil {
 		return table.Changes{}, s.unanswered(op, err)
@@ -94,7 +100,7 @@
 	if err != nil {
 		return table.Changes{}, s.unanswered(op, err)
 	}
-	err = failureFromProto(op, reply.GetFailure())
+	err = s.failure(op, reply.GetFailure())
 	var lost *table.HistoryLostError
 	if errors.As(err, &lost) {
 		lost.Table, lost.After = name, after
--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -103,3 +104,35 @@
 	c.Assert(errors.As(err, &unanswered), qt.IsTrue)
 	c.Assert(h.usable(time.Now()), qt.HasLen, 0)
 }
+
+// A runner that was cut off from the table reads all its jobs through one host: a weak one can't carry that, and a host that is cut off
+// as well must not be asked first again and again.
+func TestStrongHostsWithTableRelayFirst(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts("a-0", "a")
+	for _, dataCenter := range []string{"a", "b"} {
+		for i := range 6 {
+			peer := host{Name: fmt.Sprintf("%s-%d", dataCenter, i), DataCenter: dataCenter, Cores: 0.2}
+			if i == 2 {
+				peer.Cores = 0.8
+			}
+			h.known[peer.Name] = peer
+		}
+	}
+	h.sort()
+	h.chooseFastPath()
+	first := func(now time.Time) []string {
+		var names []string
+		for _, peer := range h.relays(now)[:2] {
+			names = append(names, peer.Name)
+		}
+		return names
+	}
+	now := time.Now()
+	c.Assert(h.relays(now), qt.HasLen, 11)
+	c.Assert(first(now), qt.DeepEquals, []string{"a-2", "b-2"})
+	h.setWithoutTable("a-2", now)
+	c.Assert(first(now)[0], qt.Equals, "b-2")
+	c.Assert(h.relays(now)[10].Name, qt.Equals, "a-2")
+	c.Assert(first(now.Add(2*withoutTableDuration)), qt.DeepEquals, []string{"a-2", "b-2"})
+}
