--- a/table/load_test.go
+++ b/table/load_test.go
@@ -167,3 +167,49 @@
 		c.Assert(received, qt.Equals, 200)
 	})
 }
+
+// A worker that left while the table was being loaded, or a key that was withdrawn, must not be in use afterwards: what was read before has to
+// be followed from the version at which it was read.
+func TestRowsRemovedDuringLoadingAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := fakes.NewTable()
+		partitions := fillTable(c, store)
+		link := &narrowLink{Store: store, bytesPerSecond: 2 * mbit, latency: 5 * time.Millisecond}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		known := map[table.Key]bool{}
+		loaded := false
+		apply := func(rows []table.Row) {
+			for _, r := range rows {
+				if known[r.Key] = true; r.Deleted {
+					delete(known, r.Key)
+				}
+			}
+		}
+		f := table.Follower{
+			Store: link, Table: "jobs", Log: log, Partitions: func() []string { return partitions },
+			Load: func(rows []table.Row) { loaded = true; clear(known); apply(rows) }, Apply: apply,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		removed := 0
+		for ; !loaded; removed++ {
+			if removed == numPartitions/2 {
+				// Calls fail for a while: what was read is kept.
+				store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
+				time.Sleep(3 * time.Second)
+				store.SetFault(nil)
+			}
+			_, err := store.Commit(ctx, table.Tx{Removes: []table.Key{
+				{Table: "jobs", Partition: partitions[removed%numPartitions], Name: fmt.Sprintf("%03d", removed/numPartitions)},
+			}})
+			c.Assert(err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		c.Assert(known, qt.HasLen, numPartitions*numRows-removed)
+	})
+}
