A stopping holder keeps its groups while their leases can't be written

Change: a stopping host also waits, within the same limit, while the last attempt to renew a group's lease has failed.

Test: TestRunnerTellsThatItsLeaseCannotBeRenewed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -303,12 +304,15 @@
 	a.close(abort)
 }
 
-// awaitTable keeps the groups of a stopping host running while the table is unreachable, since their leases could not be
-// released; it leaves part of the shutdown timeout for releasing them.
+// awaitTable keeps the groups of a stopping host running while the table is unreachable or refuses to renew their leases, since these
+// could not be released and no other host could run the groups; it leaves part of the shutdown timeout for releasing them.
 func (a *Agent) awaitTable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.stopLimit()-shutdownReserve-2*releaseTimeout)
 	defer cancel()
-	for len(a.groups.runners()) > 0 && !a.health.Reachable(time.Now()) && clock.Pause(ctx, shutdownPollInterval) {
+	for (len(a.groups.runners()) > 0 && !a.health.Reachable(time.Now())) || slices.ContainsFunc(a.groups.runners(), (*runner.Runner).RenewalFails) {
+		if !clock.Pause(ctx, shutdownPollInterval) {
+			return
+		}
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -59,6 +59,8 @@
 	renewalSentAt atomic.Int64
 	// renewedAt is when the last renewal that took effect was sent.
 	renewedAt atomic.Int64
+	// renewalFails says that the last attempt to renew the lease failed.
+	renewalFails atomic.Bool
 	// recordVersion is the version of the durable record of workers; only loadRecord and then recordLoop use it.
 	recordVersion uint64
 	// loaded is set once all jobs accepted before have been read.
@@ -246,6 +248,9 @@
 	return true
 }
 
+// RenewalFails reports whether the last attempt to renew the lease failed.
+func (r *Runner) RenewalFails() bool { return r.renewalFails.Load() }
+
 // heldFor returns how long the lease has been held.
 func (r *Runner) heldFor() time.Duration {
 	return r.cfg.SinceBoot() - time.Duration(r.acquiredAt.Load())
@@ -259,13 +264,13 @@
 	}
 	r.holdUntil.Store(max(r.holdUntil.Load(), int64(sent+elect.HoldTimeout)))
 	if renews {
+		r.renewalFails.Store(false)
 		r.renewedAt.Store(max(r.renewedAt.Load(), int64(sent)))
 	}
 }
 
 // renewLoop renews the lease until ctx is done or the lease is lost.
 func (r *Runner) renewLoop(ctx context.Context) error {
-	failing := false
 	for ctx.Err() == nil {
 		if due := r.nextRenewal() - r.cfg.SinceBoot(); due > 0 {
 			clock.Pause(ctx, due)
@@ -279,13 +284,11 @@
 		}
 		if err == nil {
 			r.noteRenewal(sent, true)
-			failing = false
 			continue
 		}
-		if !failing && ctx.Err() == nil {
+		if ctx.Err() == nil && !r.renewalFails.Swap(true) {
 			r.log.WithError(err).Warn("lease can't be renewed")
 		}
-		failing = true
 		clock.Pause(ctx, renewRetryDelay)
 	}
 	return nil
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -436,6 +436,28 @@
 	}
 }
 
+// A host that stops must not give up a group while the table answers reads but refuses to write the lease: no other host could run it.
+func TestRunnerTellsThatItsLeaseCannotBeRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 1, bigWorker)
+		r, kill := s.runner()
+		defer kill()
+		time.Sleep(3 * time.Second)
+		s.c.Assert(r.RenewalFails(), qt.IsFalse)
+		s.store.SetFault(func(op string) fakes.TableFault {
+			if op == "commit" {
+				return fakes.TableUnavailable
+			}
+			return fakes.TableOK
+		})
+		time.Sleep(2 * time.Second)
+		s.c.Assert(r.RenewalFails(), qt.IsTrue)
+		s.store.SetFault(nil)
+		time.Sleep(time.Second)
+		s.c.Assert(r.RenewalFails(), qt.IsFalse)
+	})
+}
+
 // Jobs of which an earlier runner started nothing must not wait for unreachable workers.
 func TestTakeoverStartsNewJobsImmediately(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
