--- a/table/load_test.go
+++ b/table/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,7 +180,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		known := map[table.Key]bool{}
-		loaded := false
+		var loaded atomic.Bool
 		apply := func(rows []table.Row) {
 			for _, r := range rows {
 				if known[r.Key] = true; r.Deleted {
@@ -189,12 +190,12 @@
 		}
 		f := table.Follower{
 			Store: link, Table: "jobs", Log: log, Partitions: func() []string { return partitions },
-			Load: func(rows []table.Row) { loaded = true; clear(known); apply(rows) }, Apply: apply,
+			Load: func(rows []table.Row) { clear(known); apply(rows); loaded.Store(true) }, Apply: apply,
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		removed := 0
-		for ; !loaded; removed++ {
+		for ; !loaded.Load(); removed++ {
 			if removed == numPartitions/2 {
 				// Calls fail for a while: what was read is kept.
 				store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
