Read a group's jobs and their progress together, and remove finished jobs as fast as jobs end

And the rows of finished jobs were removed by 30 every 30 s, while this site ends 130 a second: what a new runner reads grew without end.

Change: the two are read at the same time; the other loops start after progress and record, as before. No other host writes the progress once the lease is acquired, so that the order doesn't matter. Finished jobs are removed in a loop of their own, 500 at a time by partition, every 5 s until none is left that ended 10 minutes ago. A line "progress of jobs loaded" and one "jobs loaded" say rows, bytes and the time since the lease.

TestRowsOfFinishedJobsAreRemovedAsFastAsJobsEnd: of 1,200 jobs 1,170 were left 20 s after their time, now none.

Ruled out: starting planning before the record of workers is known: a runner could then take all workers for reported.

--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/clock"
@@ -61,7 +64,11 @@
 	commitInterval = 30 * time.Millisecond
 	// maxCommitJobs limits the jobs in a commit: of its 100 entries, each job takes a check and a write, and the lease a check.
 	maxCommitJobs = 48
-	sweepInterval = 30 * time.Second
+	// sweepInterval is the interval between removals of the rows of finished jobs, sweepJobs how many jobs are removed at a time, and
+	// maxSweepKeys how many rows by one commit.
+	sweepInterval = 5 * time.Second
+	sweepJobs     = 500
+	maxSweepKeys  = 90
 )
 
 // storedProgress is the progress of a job as read from the table, nil if it can't be decoded, and the version of its row.
@@ -85,6 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.logLoaded("progress of jobs loaded", rows)
 	progressByJob := make(map[string]storedProgress, len(rows))
 	for _, row := range rows {
 		p, err := graph.DecodeProgress(row.Value)
@@ -96,8 +104,21 @@
 	return progressByJob, nil
 }
 
-// followJobs adds the group's jobs as they are accepted, and closes loaded once all jobs accepted before are known.
-func (r *Runner) followJobs(ctx context.Context, progressByJob map[string]storedProgress, loaded chan<- struct{}) {
+// logLoaded logs how much was read for the take-over, and how long after the lease was acquired.
+func (r *Runner) logLoaded(msg string, rows []table.Row) {
+	size := 0
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	r.log.WithFields(logrus.Fields{
+		"rows": len(rows), "bytes": size, "after": r.heldFor().Round(time.Millisecond).String(),
+	}).Info(msg)
+}
+
+// followJobs adds the group's jobs as they are accepted, and closes loaded once all jobs accepted before are known. It reads them while their
+// progress is still being read, which no other host writes any more.
+func (r *Runner) followJobs(ctx context.Context, progress <-chan map[string]storedProgress, loaded chan<- struct{}) {
+	var progressByJob map[string]storedProgress
 	first := true
 	addRows := func(rows []table.Row) {
 		now := time.Now()
@@ -132,7 +153,15 @@
 	f := table.Follower{
 		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Group), Log: r.log, Partitions: func() []string { return partitionNames(r.cfg.Epoch.Group) },
 		Load: func(rows []table.Row) {
+			if first {
+				select {
+				case progressByJob = <-progress:
+				case <-ctx.Done():
+					return
+				}
+			}
 			addRows(rows)
+			r.logLoaded("jobs loaded", rows)
 			if first {
 				r.loaded.Store(true)
 				close(loaded)
@@ -154,15 +183,13 @@
 	r.wakePlan()
 }
 
-// commitLoop stores progress as it changes, and removes the rows of finished jobs from time to time.
+// commitLoop stores progress as it changes.
 func (r *Runner) commitLoop(ctx context.Context) error {
-	lastSweep := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-r.commitWake:
-		case <-time.After(sweepInterval):
 		}
 		for ctx.Err() == nil {
 			dirty, urgent := r.cell.Dirty()
@@ -176,10 +203,6 @@
 				return err
 			}
 		}
-		if time.Since(lastSweep) > sweepInterval {
-			lastSweep = time.Now()
-			r.sweep(ctx)
-		}
 	}
 }
 
@@ -254,32 +277,45 @@
 	return nil
 }
 
-// sweep removes the rows of jobs that ended long ago. The progress is removed last, since without it a job would run again.
-func (r *Runner) sweep(ctx context.Context) {
-	const maxJobs = 30
-	ids := r.cell.ExpiredJobs(time.Now(), maxJobs)
-	if len(ids) == 0 {
-		return
+// sweepLoop removes the rows of jobs that ended long ago, as fast as jobs end: the next runner reads what is left.
+func (r *Runner) sweepLoop(ctx context.Context) {
+	for clock.Pause(ctx, sweepInterval) {
+		for ctx.Err() == nil && r.sweep(ctx) {
+		}
 	}
+}
+
+// sweep removes the rows of some jobs that ended long ago, and reports whether there may be more. The progress is removed last, since without
+// it a job would run again.
+func (r *Runner) sweep(ctx context.Context) bool {
+	ids := r.cell.ExpiredJobs(time.Now(), sweepJobs)
 	service := r.cfg.Epoch.Group
 	byPartition := map[string][]table.Key{}
-	progressKeys := make([]table.Key, len(ids))
-	for i, id := range ids {
+	for _, id := range ids {
 		partition := JobPartition(service, id)
 		job := table.Key{Table: TableJobs(service), Partition: partition, Name: id}
 		cancelMark := job
 		cancelMark.Name += CancelSuffix
 		byPartition[partition] = append(byPartition[partition], job, cancelMark)
-		progressKeys[i] = table.Key{Table: TableRuns, Partition: service, Name: id}
 	}
-	for _, keys := range byPartition {
-		if !r.remove(ctx, table.Tx{Removes: keys}) {
-			return
+	for _, partition := range slices.Sorted(maps.Keys(byPartition)) {
+		for keys := range slices.Chunk(byPartition[partition], maxSweepKeys) {
+			if !r.remove(ctx, table.Tx{Removes: keys}) {
+				return false
+			}
 		}
 	}
-	if r.remove(ctx, table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}, Removes: progressKeys}) {
-		r.cell.Forget(ids)
+	for swept := range slices.Chunk(ids, maxSweepKeys) {
+		keys := make([]table.Key, len(swept))
+		for i, id := range swept {
+			keys[i] = table.Key{Table: TableRuns, Partition: service, Name: id}
+		}
+		if !r.remove(ctx, table.Tx{Checks: []table.Check{r.cfg.Epoch.Check()}, Removes: keys}) {
+			return false
+		}
+		r.cell.Forget(swept)
 	}
+	return len(ids) == sweepJobs
 }
 
 func (r *Runner) remove(ctx context.Context, tx table.Tx) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -128,38 +128,46 @@
 	return err
 }
 
-// runLoops loads the progress of jobs and then runs the loops of the group.
+// runLoops loads the group's jobs and their progress, and runs the loops of the group.
 func (r *Runner) runLoops(ctx context.Context) error {
-	progressByJob, err := r.loadProgress(ctx)
-	if err != nil {
-		return err
-	}
 	r.cell.HoldRestored(r.cfg.PreviousOrdersUntil.Add(r.cfg.Settings.Lease + takeoverSlack))
 	eg, ctx := errgroup.WithContext(ctx)
-	if err := r.loadRecord(ctx); err != nil {
-		return err
-	}
-	loaded := make(chan struct{})
-	eg.Go(func() error { r.followJobs(ctx, progressByJob, loaded); return nil })
+	progress, loaded := make(chan map[string]storedProgress, 1), make(chan struct{})
+	eg.Go(func() error { r.followJobs(ctx, progress, loaded); return nil })
 	eg.Go(func() error {
-		// The end of a run can be recorded only once its job is loaded.
-		select {
-		case <-loaded:
-		case <-ctx.Done():
-			return ctx.Err()
+		progressByJob, err := r.loadProgress(ctx)
+		if err != nil {
+			return err
 		}
-		r.adoptHandover(ctx)
-		r.cfg.Registry.Follow(ctx, func(l []order.Worker) { r.setWorkers(ctx, l) },
-			func(w order.Worker) { r.setWorker(ctx, w) }, r.removeWorker)
+		if err := r.loadRecord(ctx); err != nil {
+			return err
+		}
+		progress <- progressByJob
+		eg.Go(func() error { return r.followWorkers(ctx, loaded) })
+		eg.Go(func() error { return r.planLoop(ctx) })
+		eg.Go(func() error { return r.commitLoop(ctx) })
+		eg.Go(func() error { r.sweepLoop(ctx); return nil })
+		eg.Go(func() error { return r.recordLoop(ctx) })
+		eg.Go(func() error { r.awaitReports(ctx); return nil })
 		return nil
 	})
-	eg.Go(func() error { return r.planLoop(ctx) })
-	eg.Go(func() error { return r.commitLoop(ctx) })
-	eg.Go(func() error { return r.recordLoop(ctx) })
-	eg.Go(func() error { r.awaitReports(ctx); return nil })
 	return eg.Wait()
 }
 
+// followWorkers adopts what an earlier runner handed over and follows the group's workers, once the jobs are loaded: the end of a run can't be
+// recorded before.
+func (r *Runner) followWorkers(ctx context.Context, loaded <-chan struct{}) error {
+	select {
+	case <-loaded:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	r.adoptHandover(ctx)
+	r.cfg.Registry.Follow(ctx, func(l []order.Worker) { r.setWorkers(ctx, l) },
+		func(w order.Worker) { r.setWorker(ctx, w) }, r.removeWorker)
+	return nil
+}
+
 // Unconfirmed returns, for the next runner, the workers that this runner can't reach and for how long runs may still be active
 // there. It must be called only after Run has returned.
 func (r *Runner) Unconfirmed(now time.Time) []elect.UnconfirmedWorker {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -436,6 +436,43 @@
 	}
 }
 
+// The rows of finished jobs used to be removed by 30 every 30 s, less than end, so that each new runner read more.
+func TestRowsOfFinishedJobsAreRemovedAsFastAsJobsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 2, bigWorker)
+		s.workers.Outcome = fixedDuration(10 * time.Millisecond)
+		r, kill := s.runner()
+		defer kill()
+		const numJobs = 1200
+		id := func(i int) string { return fmt.Sprintf("%016x", i+1) }
+		for i := range numJobs {
+			s.submit(id(i), graph.Step{Count: 1, Size: cores(1)})
+		}
+		for i := range numJobs {
+			s.awaitState(r, id(i), graph.Completed, 20*time.Second)
+		}
+		numRows := func(name string, partitions ...string) int {
+			n := 0
+			for _, partition := range partitions {
+				rows, _, err := table.ReadAll(t.Context(), s.store, table.Range{Table: name, Partition: partition})
+				s.c.Assert(err, qt.IsNil)
+				n += len(rows)
+			}
+			return n
+		}
+		var partitions []string
+		for i := range numJobs {
+			if p := runner.JobPartition(service, id(i)); !slices.Contains(partitions, p) {
+				partitions = append(partitions, p)
+			}
+		}
+		s.c.Assert(numRows(runner.TableJobs(service), partitions...), qt.Equals, numJobs)
+		time.Sleep(10*time.Minute + 20*time.Second)
+		s.c.Assert(numRows(runner.TableJobs(service), partitions...), qt.Equals, 0)
+		s.c.Assert(numRows(runner.TableRuns, service), qt.Equals, 0)
+	})
+}
+
 // A host that stops must not give up a group while the table answers reads but refuses to write the lease: no other host could run it.
 func TestRunnerTellsThatItsLeaseCannotBeRenewed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
