--- a/emul/scenario.go
+++ b/emul/scenario.go
@@ -88,7 +88,7 @@
 		c := &s.Classes[i]
 		demand += c.Rate * c.meanWork()
 	}
-	return demand / s.room()
+	return demand / s.cores()
 }
 
 // Scaled returns the scenario with all rates multiplied, so that its demand is the given share of the workers' CPU.
@@ -106,8 +106,8 @@
 	return max(1, c.Steps.Mean) * max(1, c.Width.Mean) * c.Seconds.Mean * c.CPUMilli.Mean / 1000
 }
 
-// room returns the workers' CPU in cores.
-func (s *Scenario) room() float64 { return float64(s.Workers) * float64(s.Capacity.CPUMilli) / 1000 }
+// cores returns the workers' CPU in cores.
+func (s *Scenario) cores() float64 { return float64(s.Workers) * float64(s.Capacity.CPUMilli) / 1000 }
 
 // paused returns when the pause ends in which t lies, or t.
 func (s *Scenario) paused(t time.Duration) time.Duration {
--- a/emul/score.go
+++ b/emul/score.go
@@ -33,7 +33,7 @@
 
 func (r *Result) score(p *player) {
 	s := p.scenario
-	r.Utilization = r.usedSeconds / (s.room() * s.Length.Seconds())
+	r.Utilization = r.usedSeconds / (s.cores() * s.Length.Seconds())
 	r.Windows = make([]Window, int((s.Length+WindowLength-1)/WindowLength))
 	for i := range s.Classes {
 		class := ClassResult{Queue: s.Classes[i].Queue}
@@ -72,7 +72,7 @@
 func (p *player) bound() float64 {
 	jobs := slices.Clone(p.arrived)
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(b.worth/b.work, a.worth/a.work) })
-	room, sum := p.scenario.room()*p.scenario.Length.Seconds(), 0.0
+	room, sum := p.scenario.cores()*p.scenario.Length.Seconds(), 0.0
 	for _, j := range jobs {
 		if room <= 0 {
 			break
