Show that a replaced holder starts running tasks again

The old holder has lost the path to w0, then the table and the other hosts. The next holder reaches w0, adopts the run and renews its lease, but does not reach w1. The old one counts the run on w0 as lost, 6.35 s after it last renewed its lease, and starts the task on w1. In the second test it never reached w0 and waits for the lease that its predecessor renewed; the window is wider there, since it can't renew that lease itself.

--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -66,6 +66,8 @@
 	freezeAtStart time.Duration
 	// tableFault is the fault of this host's calls to the table.
 	tableFault fakes.TableFault
+	// isolated says that other hosts can't reach this one.
+	isolated bool
 	// pathFaults holds the faults of the paths to workers.
 	pathFaults  map[string]fakes.OrderFaultKind
 	stopping    bool
@@ -175,6 +177,20 @@
 	return h.thawed != nil
 }
 
+// isolate keeps other hosts from reaching this one.
+func (h *host) isolate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isolated = true
+}
+
+// isReachable reports whether the host answers other hosts.
+func (h *host) isReachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.thawed == nil && !h.isolated
+}
+
 // sinceBoot is the boot clock; reading it takes as long as the host is frozen.
 func (h *host) sinceBoot() time.Duration {
 	if h.awaitThaw() != nil {
@@ -245,7 +261,7 @@
 		return true
 	}
 	holder := h.n.findHost(previous.Holder)
-	if holder == nil || holder.isFrozen() || !holder.holds(previous.Token) {
+	if holder == nil || !holder.isReachable() || !holder.holds(previous.Token) {
 		return false
 	}
 	h.confirmedAt = time.Now()
@@ -275,7 +291,7 @@
 		return cell.Handover{}, false
 	}
 	h := n.findHost(fmt.Sprintf("host%d", previous.HandoverAddress.Port()-1))
-	if h == nil || h.isFrozen() {
+	if h == nil || !h.isReachable() {
 		return cell.Handover{}, false
 	}
 	h.mu.Lock()
