Log how old the group's lease is where a lease of a worker counts as expired

A log could not tell whether a host that counted a run as lost, or ended its wait after a take-over, might have been replaced by then. "run lost" and "all workers have reported their runs" now name the age of the group's lease, the latter also how many workers did not report, and group_lease_age_seconds shows it on scrapes.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -81,6 +81,13 @@
 		sumStats(func(s cell.Stats) uint64 { return s.Resurfaced }))
 	gauge("group_overcommits", "Times that a worker's runs came to exceed its capacity, since this host runs its group.",
 		sumStats(func(s cell.Stats) uint64 { return s.Overcommits }))
+	gauge("group_lease_age_seconds", "Longest time since the last renewal of a lease of the groups that this host runs.", func() float64 {
+		age := time.Duration(0)
+		for _, r := range a.groups.runners() {
+			age = max(age, r.LeaseAge())
+		}
+		return age.Seconds()
+	})
 	gauge("requests_in_flight", "Requests without a whole answer yet.", func() float64 { return float64(a.inFlight.Load()) })
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if cfg := a.queues.Current(); cfg != nil {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -18,6 +18,8 @@
 	DataCenter string
 	// Early is how long before its due time an occurrence may start.
 	Early time.Duration
+	// LeaseAge returns how long ago the last renewal of the group's lease was sent, suspended time included; nil means now.
+	LeaseAge func() time.Duration
 	// RunsPerToken is how many run numbers are reserved for each token, so that new runs don't reuse numbers of unreported
 	// runs of an earlier scheduler.
 	RunsPerToken int
@@ -113,6 +115,14 @@
 	}
 }
 
+// leaseAge returns the age of the group's lease.
+func (c *Cell) leaseAge() time.Duration {
+	if c.settings.LeaseAge == nil {
+		return 0
+	}
+	return c.settings.LeaseAge()
+}
+
 // Token returns the fencing token of all orders.
 func (c *Cell) Token() uint64 { return c.token }
 
--- a/cell/fields.go
+++ b/cell/fields.go
@@ -9,4 +9,6 @@
 	fieldReason = "why"
 	fieldPlaced = "placed"
 	fieldTook   = "took"
+	// fieldLeaseAge is how long ago the group's lease was renewed: beyond elect.TakeoverTimeout another host may run the group.
+	fieldLeaseAge = "lease-age"
 )
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -77,6 +77,7 @@
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
 			"since-renewal": now.Sub(w.lastRenewal(now)).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
+			fieldLeaseAge: c.leaseAge().Round(time.Millisecond).String(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -89,11 +89,18 @@
 		cfg.Timeout = func(base time.Duration) time.Duration { return base }
 	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Group, "token": cfg.Epoch.Token})
-	return &Runner{
-		cfg: cfg, cell: cell.New(cfg.Settings, cfg.Epoch.Token, log), log: log,
-		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
+	r := &Runner{
+		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
 		orderSlots: map[string]chan struct{}{},
 	}
+	cfg.Settings.LeaseAge = r.LeaseAge
+	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
+	return r
+}
+
+// LeaseAge returns how long ago the last renewal of the group's lease that took effect was sent, suspended time included.
+func (r *Runner) LeaseAge() time.Duration {
+	return r.cfg.SinceBoot() - time.Duration(r.renewedAt.Load())
 }
 
 // Cell returns the group's state.
@@ -231,7 +238,9 @@
 		unpolled := r.cell.UnpolledWorkers(time.Now())
 		if len(unpolled) == 0 {
 			r.cell.HoldRestored(time.Time{})
-			r.log.Info("all workers have reported their runs")
+			r.log.WithFields(logrus.Fields{
+				"expired": len(r.cell.UnpolledWorkers(time.Time{})), "lease-age": r.LeaseAge().Round(time.Millisecond).String(),
+			}).Info("all workers have reported their runs")
 			r.wakePlan()
 			return
 		}
