Don't take a worker's lease for expired while another host may run the group

Cause: a host may send orders for 6 s after its last renewal of the group's lease, so that work goes on while the table is away for all; another host may hold the group 2.3 s after it. In between, the old one counted the runs of a silent worker as lost 6.35 s after it had last renewed their leases, and ended its wait after a take-over by the clock, although the next holder may reach that worker and have renewed them. Tokens don't help where the task is started again on a worker that the next holder doesn't reach.

Change: such a conclusion is drawn only while the group's lease is so young that nobody else can have acquired it (FreshTimeout, 1.7 s, on the clock that counts suspended time). A conclusion that is put off is drawn with the next renewal that takes effect, since nobody held the group in between. The wait after a take-over has no end of its own any more; it ends when every worker has reported or its time has passed under the same condition.

Cost: while the table is away for all, tasks of a worker that died wait for the table's return.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -20,6 +20,8 @@
 	Early time.Duration
 	// LeaseAge returns how long ago the last renewal of the group's lease was sent, suspended time included; nil means now.
 	LeaseAge func() time.Duration
+	// ExclusiveFor is the age of the group's lease up to which no other scheduler can have acquired it.
+	ExclusiveFor time.Duration
 	// RunsPerToken is how many run numbers are reserved for each token, so that new runs don't reuse numbers of unreported
 	// runs of an earlier scheduler.
 	RunsPerToken int
@@ -60,8 +62,8 @@
 	stopRequested map[*placement]struct{}
 	// throttlesToSend holds the runs whose CPU throttle has changed and has not been sent.
 	throttlesToSend map[*placement]struct{}
-	// earlierRunsUntil is when tasks that an earlier scheduler may have started are guaranteed to have ended on all workers.
-	earlierRunsUntil time.Time
+	// awaitingReports says that runs of earlier schedulers may be active on workers that have not reported yet.
+	awaitingReports bool
 	// allRunsKnown says that the runs on all workers are known; a scheduler that ends before that can't hand over its runs.
 	allRunsKnown bool
 	// expectedWorkers are the workers that an earlier scheduler used, with the time when its runs there are guaranteed to
@@ -123,15 +125,25 @@
 	return c.settings.LeaseAge()
 }
 
+// isExclusive reports whether no other scheduler can have acquired the group's lease, which is as old as given. Only then does the time
+// since this scheduler's last order tell when a worker's lease ends: another one may have renewed it.
+func (c *Cell) isExclusive(leaseAge time.Duration) bool { return leaseAge <= c.settings.ExclusiveFor }
+
 // Token returns the fencing token of all orders.
 func (c *Cell) Token() uint64 { return c.token }
 
-// HoldRestored holds back tasks of restored jobs until t, unless they are found running; the zero time says that all runs are
-// known.
-func (c *Cell) HoldRestored(t time.Time) {
+// AwaitReports holds back tasks of restored jobs that are not found running, until AllRunsKnown is called.
+func (c *Cell) AwaitReports() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitingReports, c.allRunsKnown = true, false
+}
+
+// AllRunsKnown records that the runs of earlier schedulers on all workers are known or have ended.
+func (c *Cell) AllRunsKnown() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.earlierRunsUntil, c.allRunsKnown = t, t.IsZero()
+	c.awaitingReports, c.allRunsKnown = false, true
 }
 
 // State returns a job's state; known is false if the group has no such job in the queue.
--- a/cell/fence_test.go
+++ b/cell/fence_test.go
@@ -146,7 +146,7 @@
 // A run that is to be fenced and has not ended yet must be handed over once: the next scheduler would never see the end of the other.
 func TestRunToFenceIsHandedOverOnce(t *testing.T) {
 	h := newHarness(t, 1, 4)
-	h.cell.HoldRestored(time.Time{})
+	h.cell.AllRunsKnown()
 	h.add(shortJob("j", 1))
 	o := h.unanswered()
 	h.restart(o.Worker.ID)
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -85,7 +85,7 @@
 		c.takeOverRun(&h.Runs[i], now)
 	}
 	clear(c.expectedWorkers)
-	c.earlierRunsUntil, c.allRunsKnown = time.Time{}, true
+	c.awaitingReports, c.allRunsKnown = false, true
 	c.log.WithFields(logrus.Fields{"runs": len(h.Runs), "workers": len(h.Workers)}).Info("runs taken over from the previous scheduler")
 }
 
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -66,7 +66,7 @@
 func (w *worker) isEntryCurrent() bool { return w.listedStart.Equal(w.info.StartedAt) }
 
 // loseRuns ends the placements of a worker on which nothing can be running any more, but for those that keep returns.
-func (c *Cell) loseRuns(w *worker, reason string, now time.Time, keep func(p *placement) bool) {
+func (c *Cell) loseRuns(w *worker, reason string, now time.Time, leaseAge time.Duration, keep func(p *placement) bool) {
 	for key, p := range w.placements {
 		if keep(p) {
 			continue
@@ -77,7 +77,7 @@
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
 			"since-renewal": now.Sub(w.lastRenewal(now)).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
-			fieldLeaseAge: c.leaseAge().Round(time.Millisecond).String(),
+			fieldLeaseAge: leaseAge.Round(time.Millisecond).String(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
@@ -92,14 +92,15 @@
 	return w.minClock(now) + lease
 }
 
-// expireLeases ends the placements on a worker whose leases are guaranteed to have expired, and forgets runs of unknown jobs there.
-func (c *Cell) expireLeases(w *worker, now time.Time) {
+// expireLeases ends the placements on a worker whose leases are guaranteed to have expired, and forgets runs of unknown jobs there;
+// leaseAge is the age of the group's lease at now or later.
+func (c *Cell) expireLeases(w *worker, now time.Time, leaseAge time.Duration) {
 	if w.missedPolls < missedPollLimit || len(w.placements)+len(w.unknownRuns) == 0 {
 		return
 	}
-	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin {
+	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin && c.isExclusive(leaseAge) {
 		clear(w.unknownRuns)
-		c.loseRuns(w, "its lease has expired", now, func(p *placement) bool {
+		c.loseRuns(w, "its lease has expired", now, leaseAge, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
 		})
 	}
--- a/cell/leases_test.go
+++ b/cell/leases_test.go
@@ -55,7 +55,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, 1, 4)
-			h.cell.HoldRestored(time.Time{})
+			h.cell.AllRunsKnown()
 			h.running["w0"] = []order.Run{{Task: graph.TaskID{StepID: graph.StepID{Job: "unknown"}}, Run: 1}}
 			h.pollAll()
 			h.cell.Unlist("w0")
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -162,8 +162,7 @@
 	if q := cfg.Queue(s.job.doc.Queue); q != nil {
 		advice = q.Advice
 	}
-	if c.mayRunElsewhere(s, now) {
-		plan.replanAt(c.earlierRunsUntil)
+	if c.mayRunElsewhere(s) {
 		return
 	}
 	if s.job.version == 0 {
@@ -225,9 +224,7 @@
 
 // mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker that has not reported yet.
 // A scheduler that left no record of the job's progress has started none of them.
-func (c *Cell) mayRunElsewhere(s *step, now time.Time) bool {
-	return s.job.restored && now.Before(c.earlierRunsUntil)
-}
+func (c *Cell) mayRunElsewhere(s *step) bool { return s.job.restored && c.awaitingReports }
 
 // Intervals between attempts to place a step's tasks.
 const (
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -29,13 +29,14 @@
 
 // NextPoll returns the next poll of a worker.
 func (c *Cell) NextPoll(id string, now time.Time) NextPoll {
+	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
 	if !ok {
 		return NextPoll{Gone: true}
 	}
-	c.expireLeases(w, now)
+	c.expireLeases(w, now, leaseAge)
 	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
 	left := !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0
@@ -127,6 +128,7 @@
 
 // PollMissed records that a poll got no answer.
 func (c *Cell) PollMissed(id string, err error, now time.Time) {
+	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
@@ -142,15 +144,16 @@
 		w.unresponsiveSince = now
 		c.log.WithError(err).WithFields(logrus.Fields{fieldWorker: id, fieldPlaced: len(w.placements)}).Warn("worker does not answer")
 	}
-	c.expireLeases(w, now)
+	c.expireLeases(w, now, leaseAge)
 }
 
 // Replaced records that another worker answers at a worker's address.
 func (c *Cell) Replaced(id string, now time.Time) {
+	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w, ok := c.workers[id]; ok {
-		c.loseRuns(w, "another worker has its address", now, func(*placement) bool { return false })
+		c.loseRuns(w, "another worker has its address", now, leaseAge, func(*placement) bool { return false })
 		w.forgetOrders()
 		clear(w.unknownRuns)
 		w.listed = false
--- a/cell/record.go
+++ b/cell/record.go
@@ -25,14 +25,15 @@
 }
 
 // UnpolledWorkers returns the workers that an earlier scheduler used, that have not been polled under this scheduler's token
-// and that may still have its runs. Nothing was started on workers that are not in the record.
+// and that may still have its runs, or those of a later one. Nothing was started on workers that are not in the record.
 func (c *Cell) UnpolledWorkers(now time.Time) []string {
+	exclusive := c.isExclusive(c.leaseAge())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []string
 	for id, until := range c.expectedWorkers {
 		w, ok := c.workers[id]
-		if (!ok || !w.polled) && now.Before(until) {
+		if (!ok || !w.polled) && (now.Before(until) || !exclusive) {
 			ids = append(ids, id)
 		}
 	}
@@ -75,15 +76,14 @@
 	defer c.mu.Unlock()
 	ids := make([]string, 0, len(c.workers))
 	changed := false
-	keepExpected := time.Now().Before(c.earlierRunsUntil)
 	for id, w := range c.workers {
 		_, expected := c.expectedWorkers[id]
-		if w.listed || len(w.placements) > 0 || (expected && keepExpected) {
+		if w.listed || len(w.placements) > 0 || (expected && c.awaitingReports) {
 			ids = append(ids, id)
 			changed = changed || !w.recorded
 		}
 	}
-	if keepExpected {
+	if c.awaitingReports {
 		for id := range c.expectedWorkers {
 			if _, known := c.workers[id]; !known {
 				ids = append(ids, id)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -93,7 +93,7 @@
 		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
 		orderSlots: map[string]chan struct{}{},
 	}
-	cfg.Settings.LeaseAge = r.LeaseAge
+	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
 	return r
 }
@@ -137,7 +137,7 @@
 
 // runLoops loads the group's jobs and their progress, and runs the loops of the group.
 func (r *Runner) runLoops(ctx context.Context) error {
-	r.cell.HoldRestored(r.cfg.PreviousOrdersUntil.Add(r.cfg.Settings.Lease + takeoverSlack))
+	r.cell.AwaitReports()
 	eg, ctx := errgroup.WithContext(ctx)
 	progress, loaded := make(chan map[string]storedProgress, 1), make(chan struct{})
 	eg.Go(func() error { r.followJobs(ctx, progress, loaded); return nil })
@@ -237,7 +237,7 @@
 		}
 		unpolled := r.cell.UnpolledWorkers(time.Now())
 		if len(unpolled) == 0 {
-			r.cell.HoldRestored(time.Time{})
+			r.cell.AllRunsKnown()
 			r.log.WithFields(logrus.Fields{
 				"expired": len(r.cell.UnpolledWorkers(time.Time{})), "lease-age": r.LeaseAge().Round(time.Millisecond).String(),
 			}).Info("all workers have reported their runs")
