Count the lease of an order from the check of the group's lease

Cause: a start or poll was allowed by the group's lease, then waited for the group's lock, and only then read the clock from which the worker's lease is computed. A host that stood still in between gave a worker a lease of 6 s from the end of its pause; the next holder waits for orders that are sent, by their lease, 6 s after the last renewal. A report that was handled in between also moved the estimate of the worker's clock, on which the lease ends.

Change: the clock is read before the group's lease is checked, and the worker's lease counts from then, also where the estimate of its clock is newer.

The tests of cell and runner pass.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -8,9 +8,12 @@
 	"github.com/corianderdrift/corianderdrift/order"
 )
 
-// minClock returns a time that the worker's clock is guaranteed to have reached.
-func (w *worker) minClock(now time.Time) time.Duration {
-	elapsed := max(0, now.Sub(w.clockAt))
+// minClock returns a time that the worker's clock is guaranteed to have reached at t, which may be before its last answer.
+func (w *worker) minClock(t time.Time) time.Duration {
+	elapsed := t.Sub(w.clockAt)
+	if elapsed < 0 {
+		return w.clock + elapsed
+	}
 	return w.clock + elapsed - time.Duration(maxClockDrift*float64(elapsed))
 }
 
@@ -20,7 +23,7 @@
 	if clock <= 0 {
 		return
 	}
-	if !w.clockAt.IsZero() && clock < w.minClock(sent).Truncate(time.Millisecond) {
+	if !w.clockAt.IsZero() && clock < max(w.clock, w.minClock(sent)).Truncate(time.Millisecond) {
 		w.mayHaveRestarted = true
 	}
 	w.clock, w.clockAt = clock, now
@@ -89,7 +92,7 @@
 	if w.clockAt.IsZero() {
 		return 0
 	}
-	return w.minClock(now) + lease
+	return max(0, w.minClock(now)+lease)
 }
 
 // expireLeases ends the placements on a worker whose leases are guaranteed to have expired, and forgets runs of unknown jobs there;
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -255,6 +255,13 @@
 // holds reports whether the lease still permits sending orders.
 func (r *Runner) holds() bool { return int64(r.cfg.SinceBoot()) < r.holdUntil.Load() }
 
+// orderTime returns the time from which the lease that an order gives counts, and whether orders may be sent. The clock is read before the
+// group's lease is checked: if the process stands still in between, or before it sends the order, the worker's lease is shorter.
+func (r *Runner) orderTime() (now time.Time, allowed bool) {
+	now = time.Now()
+	return now, r.holds()
+}
+
 // addRenewal adds a renewal of the lease to a commit if one is due soon, and reports whether it did.
 func (r *Runner) addRenewal(tx *table.Tx) bool {
 	if r.cfg.SinceBoot()-time.Duration(r.renewedAt.Load()) < elect.RenewInterval/2 {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -112,6 +112,8 @@
 	unconfirmed map[string]time.Time
 	// handover is the handover state of the last runner; nil if there is none.
 	handover *cell.Handover
+	// sinceBoot is the boot clock of the runners.
+	sinceBoot func() time.Duration
 }
 
 func newCluster(t *testing.T, numWorkers int, size unit.Size) *cluster {
@@ -122,6 +124,7 @@
 	}
 	s.store.Latency = 4 * time.Millisecond
 	s.orders = s.workers
+	s.sinceBoot = func() time.Duration { return time.Since(s.startedAt) }
 	// A test must not end before its goroutines.
 	t.Cleanup(func() { time.Sleep(2 * registryLag) })
 	for i := range numWorkers {
@@ -144,10 +147,9 @@
 	epoch, err := elect.Acquire(ctx, s.store, s.epoch, elect.Candidate{Name: fmt.Sprintf("host%d", s.numRunners)})
 	s.c.Assert(err, qt.IsNil)
 	s.epoch = epoch
-	sinceBoot := func() time.Duration { return time.Since(s.startedAt) }
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
-		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: sinceBoot, Log: log, Unconfirmed: s.unconfirmed,
+		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: s.sinceBoot, Log: log, Unconfirmed: s.unconfirmed,
 		FetchHandover: func(context.Context) (cell.Handover, bool) {
 			if s.handover == nil {
 				return cell.Handover{}, false
@@ -158,7 +160,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = r.Run(ctx, sinceBoot())
+		_ = r.Run(ctx, s.sinceBoot())
 	}()
 	return r, func() {
 		kill()
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -88,11 +88,12 @@
 func (r *Runner) pollLoop(ctx context.Context, id string) {
 	paused := false
 	for ctx.Err() == nil {
-		if !r.holds() {
+		now, allowed := r.orderTime()
+		if !allowed {
 			clock.Pause(ctx, holdCheckInterval)
 			continue
 		}
-		next := r.cell.NextPoll(id, time.Now())
+		next := r.cell.NextPoll(id, now)
 		if next.Gone {
 			r.cfg.Workers.Forget(&next.Worker)
 			return
@@ -224,11 +225,12 @@
 	defer func() { <-slot }()
 	var res cell.StartResult
 	for range maxStartAttempts {
-		if !reported || ctx.Err() != nil || !r.holds() || r.cell.Abandoned(o) {
+		now, allowed := r.orderTime()
+		if !reported || ctx.Err() != nil || !allowed || r.cell.Abandoned(o) {
 			break
 		}
+		o.Order.LeaseUntil = r.cell.StartLease(o, now)
 		res.Sent = time.Now()
-		o.Order.LeaseUntil = r.cell.StartLease(o, res.Sent)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
 		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
