Keep the runs of a worker that has moved when its former address answers

Cause: an answer "another worker has this address" ended all runs of the worker, whichever incarnation the order was sent to. If the worker had started again at another address meanwhile, and runs had been placed there, they were counted as lost and started elsewhere.

Change: the answer counts only for the incarnation and address that were polled.

Evidence: TestAnswerFromFormerAddressEndsNoRuns failed before (the task was started on w1 while it ran on w0) and passes now.

--- a/cell/leases_test.go
+++ b/cell/leases_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 	h.add(shortJob("j", 1))
 	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
 	h.c.Assert(h.cell.Abandoned(o), qt.IsFalse)
-	h.cell.Replaced(o.Worker.ID, h.now)
+	h.cell.Replaced(o.Worker, h.now)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 	h.c.Assert(h.cell.Abandoned(o), qt.IsTrue)
 }
@@ -49,7 +50,7 @@
 	}{
 		{"silent", func(h *harness) { h.missPolls("w0", 10*time.Minute) }},
 		{"another worker has its address", func(h *harness) {
-			h.cell.Replaced("w0", h.now)
+			h.cell.Replaced(h.workers["w0"], h.now)
 			h.now = h.now.Add(10 * time.Minute)
 		}},
 	} {
@@ -66,3 +67,22 @@
 		})
 	}
 }
+
+// A worker that has moved answers at its new address while the answer of another one at the old address is still on its way; that answer
+// must not end the runs of its new incarnation, which would run twice.
+func TestAnswerFromFormerAddressEndsNoRuns(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	former := h.workers["w0"]
+	moved := former
+	moved.Address, moved.StartedAt = netip.MustParseAddrPort("10.0.0.2:80"), h.now
+	h.setWorker(moved)
+	h.advance(time.Second)
+	h.add(shortJob("j", 1))
+	starts := h.plan().Starts
+	h.c.Assert(starts, qt.HasLen, 1)
+	h.c.Assert(starts[0].Worker.ID, qt.Equals, "w0")
+	h.cell.Replaced(former, h.now)
+	h.c.Assert(h.plan().Starts, qt.HasLen, 0)
+	h.cell.Replaced(moved, h.now)
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -147,12 +147,13 @@
 	c.expireLeases(w, now, leaseAge)
 }
 
-// Replaced records that another worker answers at a worker's address.
-func (c *Cell) Replaced(id string, now time.Time) {
+// Replaced records that another worker has answered an order to the given incarnation of a worker.
+func (c *Cell) Replaced(polled order.Worker, now time.Time) {
 	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.workers[id]; ok {
+	w, ok := c.workers[polled.ID]
+	if ok && w.info.Address == polled.Address && w.info.StartedAt.Equal(polled.StartedAt) {
 		c.loseRuns(w, "another worker has its address", now, leaseAge, func(*placement) bool { return false })
 		w.forgetOrders()
 		clear(w.unknownRuns)
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -147,7 +147,7 @@
 		r.wakePlan()
 		r.wakeCommit()
 	case errors.As(err, &gone):
-		r.cell.Replaced(id, now)
+		r.cell.Replaced(next.Worker, now)
 		r.wakePlan()
 		r.wakeCommit()
 		clock.Pause(ctx, tableRetryDelay)
