Hand over until when late renewals may prolong the leases of runs

Cause: a renewal without an answer may be carried out seconds later by the worker's next incarnation, whose runs it then keeps alive. The scheduler waits for that, but told the next one only that the lease was renewed now, so that the next one, if it could not reach the worker, started the tasks elsewhere up to 13 s too early.

Change: the age of the last renewal in the handover state is negative while such a renewal may still arrive; so is the time that a release reports for workers that can't be reached.

Evidence: TestHandoverCoversLateRenewals failed before (the task was started on the other worker within the lease) and passes now, as do the tests of cell and runner.

--- a/cell/handover.go
+++ b/cell/handover.go
@@ -16,7 +16,7 @@
 	Worker string
 	// Stop says that a stop of the run is requested, or that its start was never answered.
 	Stop bool
-	// Age is how long ago the last order was sent that renewed the lease on its worker.
+	// Age is how long ago the last order was sent that renewed the lease on its worker; negative if one may still arrive.
 	Age time.Duration
 }
 
@@ -55,7 +55,7 @@
 		}
 		for key, p := range w.placements {
 			h.Runs = append(h.Runs, HandoverRun{
-				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal(now)),
+				key.task, key.run, id, p.stopRequested || p.confirmedAt.IsZero(), now.Sub(w.lastRenewal()),
 			})
 		}
 		for key := range w.toFence {
--- /dev/null
+++ b/cell/handover_test.go
@@ -0,0 +1,52 @@
+package cell_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// The next scheduler must not start a task again before the lease ends that a late renewal, sent to an earlier incarnation of the worker,
+// may still prolong.
+func TestHandoverCoversLateRenewals(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.cell.PollSent("w0", order.Poll{LeaseUntil: time.Minute}, h.now)
+	h.cell.PollSent("w1", order.Poll{LeaseUntil: time.Minute}, h.now)
+	sentAt := h.now
+	h.restart("w0")
+	h.restart("w1")
+	h.pollAll()
+	doc := shortJob("j", 1)
+	h.add(doc)
+	o := h.plan().Starts[0]
+	h.advance(time.Second)
+	h.cell.AllRunsKnown()
+	handover, err := h.cell.Handover(h.now)
+	h.c.Assert(err, qt.IsNil)
+
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.cell = cell.New(cell.Settings{Lease: 6 * time.Second, RunsPerToken: 1000}, 2, log)
+	h.cell.Recorded([]string{"w0", "w1"})
+	h.cell.Add(doc, &graph.Progress{State: graph.Running, Queue: doc.Queue}, 1, h.now)
+	h.cell.TakeOver(handover, h.now)
+	for _, w := range h.workers {
+		h.cell.SetWorker(w, h.now)
+	}
+	for id, w := range h.workers {
+		if id != o.Worker.ID {
+			h.cell.Polled(id, order.Report{Clock: time.Minute, StartedAt: w.StartedAt}, 0, h.now, h.now)
+		}
+	}
+	h.missPolls(o.Worker.ID, 19*time.Second-h.now.Sub(sentAt))
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+	h.missPolls(o.Worker.ID, time.Second)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
+}
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -79,7 +79,7 @@
 		}
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
-			"since-renewal": now.Sub(w.lastRenewal(now)).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
+			"since-renewal": now.Sub(w.lastRenewal()).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
 			fieldLeaseAge: leaseAge.Round(time.Millisecond).String(),
 		}).Warn("run lost")
 		c.stats.Lost++
@@ -101,7 +101,7 @@
 	if w.missedPolls < missedPollLimit || len(w.placements)+len(w.unknownRuns) == 0 {
 		return
 	}
-	if now.Sub(w.lastRenewal(now)) > c.settings.Lease+leaseMargin && c.isExclusive(leaseAge) {
+	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin && c.isExclusive(leaseAge) {
 		clear(w.unknownRuns)
 		c.loseRuns(w, "its lease has expired", now, leaseAge, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
@@ -109,12 +109,9 @@
 	}
 }
 
-// lastRenewal returns the last time, up to now, at which an order that renews the leases on a worker was sent, or at which one that
-// was sent to an earlier incarnation may have arrived.
-func (w *worker) lastRenewal(now time.Time) time.Time {
-	if now.Before(w.lateRenewalUntil) {
-		return now
-	}
+// lastRenewal returns the last time at which an order that renews the leases on a worker was sent, or until which one that was sent to an
+// earlier incarnation may arrive; that may be in the future.
+func (w *worker) lastRenewal() time.Time {
 	last := w.renewedAt
 	if w.lateRenewalUntil.After(last) {
 		last = w.lateRenewalUntil
--- a/cell/record.go
+++ b/cell/record.go
@@ -61,7 +61,7 @@
 
 // runsUntil returns until when runs may be active on a worker that does not answer.
 func (c *Cell) runsUntil(w *worker, now time.Time) time.Time {
-	renewed := w.lastRenewal(now)
+	renewed := w.lastRenewal()
 	for _, p := range w.placements {
 		if late := p.lateUntil(); late.After(renewed) {
 			renewed = late
