Wait for unreachable workers as long as the release of the lease says

Cause: a host that releases the lease names the workers that it can't reach, and for how long runs may be active there, which is up to 19 s where orders without an answer may still arrive.

Change: it is used in any case.

Evidence: TestTakeoverWaitsAsLongAsReleaseSays failed before (the task was started elsewhere too early) and passes now, as do the tests of runner.

--- a/runner/record.go
+++ b/runner/record.go
@@ -52,11 +52,10 @@
 
 // unconfirmedUntil returns the time until which runs of earlier runners may be active on a worker that has not reported yet.
 func (r *Runner) unconfirmedUntil(id string) time.Time {
-	until := r.cfg.PreviousOrdersUntil.Add(r.cfg.Settings.Lease + takeoverSlack)
-	if reported, ok := r.cfg.Unconfirmed[id]; ok && reported.Before(until) {
+	if reported, ok := r.cfg.Unconfirmed[id]; ok {
 		return reported
 	}
-	return until
+	return r.cfg.PreviousOrdersUntil.Add(r.cfg.Settings.Lease + takeoverSlack)
 }
 
 // recordLoop keeps the stored record of workers up to date; nothing is started on a worker before it is recorded.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -384,6 +384,31 @@
 	})
 }
 
+// A host that releases the lease may know that orders without an answer can keep runs alive on a worker for longer than a lease; the next
+// one must not start their tasks elsewhere before that.
+func TestTakeoverWaitsAsLongAsReleaseSays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const remaining = 19 * time.Second
+		s := newCluster(t, 2, bigWorker)
+		s.workers.Outcome = fixedDuration(time.Hour)
+		_, kill := s.runner()
+		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(2)})
+		time.Sleep(500 * time.Millisecond)
+		s.c.Assert(s.workers.NumRunning("w0"), qt.Equals, 1)
+		s.workers.SetUnreachable("w0", true)
+		kill()
+		releasedAt := time.Now()
+		s.unconfirmed = map[string]time.Time{"w0": releasedAt.Add(remaining)}
+		_, kill = s.runner()
+		defer kill()
+		for s.workers.NumStarts() == 1 {
+			s.c.Assert(time.Since(releasedAt) < remaining+2*time.Second, qt.IsTrue)
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.c.Assert(time.Since(releasedAt) >= remaining, qt.IsTrue)
+	})
+}
+
 // A host is stopped while a worker is unreachable. The runs on it are known from the handover state, so no other task may
 // wait for it.
 func TestHandoverDoesNotWaitForUnreachableWorker(t *testing.T) {
