Make the test of asking an unresponsive holder independent of the machine's speed

TestUnresponsiveHolderIsAskedBeforeTakeover failed twice beside other work at a load average of 37 (once in a run of the package, once in 30 runs of the test): the holder's answer took longer than the 200 ms after which it counts as unresponsive (the failing case took 0.73 s).

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -38,11 +38,11 @@
 	// the calls are charged for. Hosts that rank low for every group need not detect an unresponsive holder before the others.
 	shortReadInterval = 200 * time.Millisecond
 	longReadInterval  = 800 * time.Millisecond
-	// holdsTimeout bounds the Holds call to an unresponsive holder, and confirmationTTL is how long its answer is valid. A
+	// defaultHoldsTimeout bounds the Holds call to an unresponsive holder, and confirmationTTL is how long its answer is valid. A
 	// holder without a visible renewal for maxUnrenewed is replaced whatever it answers.
-	holdsTimeout    = 200 * time.Millisecond
-	confirmationTTL = 500 * time.Millisecond
-	maxUnrenewed    = 6 * time.Second
+	defaultHoldsTimeout = 200 * time.Millisecond
+	confirmationTTL     = 500 * time.Millisecond
+	maxUnrenewed        = 6 * time.Second
 	// gcPercentRunning replaces gcPercent on a host that runs a group: at peak load, the garbage collector would take a tenth
 	// of its CPU.
 	gcPercentRunning = 250
@@ -71,8 +71,10 @@
 	confirmedAt map[string]time.Time
 	// yieldedAt is when this host last handed a group over to a more suitable one.
 	yieldedAt map[string]time.Time
-	wg        sync.WaitGroup
-	stopping  bool
+	// holdsTimeout bounds the Holds call to an unresponsive holder.
+	holdsTimeout time.Duration
+	wg           sync.WaitGroup
+	stopping     bool
 }
 
 // storedHandover is the handover state of a runner that held its lease under token.
@@ -84,7 +86,7 @@
 func newGroups(a *Agent) *groups {
 	return &groups{
 		a: a, running: map[string]*runner.Runner{}, confirmedAt: map[string]time.Time{}, yieldedAt: map[string]time.Time{},
-		handovers: map[string]storedHandover{},
+		handovers: map[string]storedHandover{}, holdsTimeout: defaultHoldsTimeout,
 	}
 }
 
@@ -200,7 +202,7 @@
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.holdsTimeout)
 	defer cancel()
 	reply, err := cellpb.NewCellsClient(conn).Holds(ctx, &cellpb.HoldsRequest{Service: previous.Group, Token: previous.Token})
 	if err != nil || !reply.GetHolds() {
--- a/agent/groups_test.go
+++ b/agent/groups_test.go
@@ -53,6 +53,8 @@
 			ctx := context.Background()
 			holder, candidate := newTestAgent("holder"), newTestAgent("asker")
 			c.Cleanup(candidate.hosts.close)
+			// On a busy machine the call may take longer than the default.
+			candidate.groups.holdsTimeout = 30 * time.Second
 			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
 			store := fakes.NewTable()
