Wait for the orders of a holder that was replaced by one that this host has not seen

Callers could see a task run twice after two changes of a group's holder in short order.

Cause: OrdersUntil takes the holder before the last one into account by the time at which the last one acquired the lease. That time was only recorded from epochs with a holder. If a host reads the lease row next when the holder has released it (the table refused the host, its history was lost, or it reads every 0.8 s), it has never seen that holder and goes on using the time of an earlier epoch, which is long past. It then takes the release for the end of all orders, although the holder before may have been cut off from the table and may send orders for 6 s after its last renewal.

Evidence: TestOrdersBeforeUnseenHolder. A holder renews last at 10 s and is replaced; the next one releases the lease before this host reads it at 12.8 s. Before, orders were expected until 12.8 s; the first holder may send them until 16 s.

Change: a released epoch whose token differs from the last one seen counts as acquired when it is seen.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -139,10 +139,11 @@
 				continue
 			}
 			e.Group, e.Version = r.Partition, r.Version
-			s.epoch, s.lastChange, s.epochSeenAt = e, now, now
-			if e.Holder != "" || s.heldSince.IsZero() {
+			// A released epoch with a new token is that of a holder which was not seen.
+			if e.Holder != "" || e.Token != s.epoch.Token {
 				s.heldSince = now
 			}
+			s.epoch, s.lastChange, s.epochSeenAt = e, now, now
 		case r.Name == rowRenewal:
 			s.lastChange, s.renewal = now, r
 		default:
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -184,3 +184,30 @@
 		c.Assert(ordersUntil.Before(renewedAt.Add(elect.HoldTimeout)), qt.IsFalse)
 	}
 }
+
+// Guards against a wait that is too short after a holder whose lease this host has not seen: the one before it may still send orders.
+func TestOrdersBeforeUnseenHolder(t *testing.T) {
+	c := qt.New(t)
+	store, ctx := fakes.NewTable(), context.Background()
+	start := time.Unix(1_000_000, 0)
+	view := elect.NewView()
+	apply := func(elapsed time.Duration) {
+		page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
+		c.Assert(err, qt.IsNil)
+		c.Assert(view.Apply(page.Rows, start.Add(elapsed)), qt.IsNil)
+	}
+	first, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
+	c.Assert(err, qt.IsNil)
+	apply(0)
+	const renewedAt = 10 * time.Second
+	c.Assert(elect.Renew(ctx, store, first, renewedAt), qt.IsNil)
+	apply(renewedAt)
+	// The second host acquires the lease of one that is cut off, and stops.
+	second, err := elect.Acquire(ctx, store, first, elect.Candidate{Name: "b", Incarnation: "1"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(elect.Release(ctx, store, second, nil), qt.IsNil)
+	seenAt := renewedAt + elect.TakeoverTimeout + 500*time.Millisecond
+	apply(seenAt)
+	ordersUntil := view.OrdersUntil(group, start.Add(seenAt))
+	c.Assert(ordersUntil.Before(start.Add(renewedAt+elect.HoldTimeout)), qt.IsFalse, qt.Commentf("%v after the start", ordersUntil.Sub(start)))
+}
