Keep the lease of a process whose announcement is still that of an earlier one

Callers could see a group change hands without need right after a host had restarted, and a task run twice if the holder was then cut off.

Cause: a lease counted as free if its holder's incarnation was not the one that the host's row names. The row and the lease are in different partitions; a process whose announcement is slow, refused or lost may acquire a lease first. The others then took it for an ended process, whose row they had known for long: they acquired its lease at once, without asking it, and expected no orders beyond 3.7 s after they had seen it acquire the lease, although it may send them for 6 s.

Evidence: TestLeaseOfUnannouncedProcessIsNotFree. Before, the lease was acquirable right after its acquisition, and OrdersUntil was less than HoldTimeout away.

Change: an announcement ends a holder only if its row is newer than the holder's epoch. Versions come from one counter of the table. Callers that have no row keep SetIncarnation.

--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -33,7 +33,7 @@
 			rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
 			c.Assert(err, qt.IsNil)
 			c.Assert(b.leases.Apply(rows, time.Now()), qt.IsNil)
-			c.Assert(b.hosts.apply(rows, b.leases.SetIncarnation), qt.IsNil)
+			c.Assert(b.hosts.apply(rows, b.leases.SetAnnounced), qt.IsNil)
 		}
 		b.leases.TableAnswered(time.Now())
 		_, acquirable := b.leases.Acquirable(testService, 0, time.Now())
@@ -41,6 +41,39 @@
 	})
 }
 
+// Guards against taking the lease of a running process for free because the table still has the announcement of an earlier one.
+func TestLeaseOfUnannouncedProcessIsNotFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), context.Background()
+		store := fakes.NewTable()
+		c.Assert(announce(ctx, store, host{Name: "a", Incarnation: "first"}), qt.IsNil)
+		b := newTestAgent("b")
+		read := func() {
+			for _, partition := range []string{hostsPartition, testService} {
+				rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
+				c.Assert(err, qt.IsNil)
+				c.Assert(b.leases.Apply(rows, time.Now()), qt.IsNil)
+				c.Assert(b.hosts.apply(rows, b.leases.SetAnnounced), qt.IsNil)
+			}
+			b.leases.TableAnswered(time.Now())
+		}
+		read()
+		time.Sleep(time.Minute)
+		// The next process of the host acquires the lease before its announcement is carried out.
+		_, err := elect.Acquire(ctx, store, elect.Epoch{Group: testService}, elect.Candidate{Name: "a", Incarnation: "second"})
+		c.Assert(err, qt.IsNil)
+		read()
+		_, acquirable := b.leases.Acquirable(testService, 0, time.Now())
+		c.Check(acquirable, qt.IsFalse)
+		c.Check(b.leases.OrdersUntil(testService, time.Now()).Before(time.Now().Add(elect.HoldTimeout)), qt.IsFalse)
+		// A process that is announced later has ended the holder.
+		c.Assert(announce(ctx, store, host{Name: "a", Incarnation: "third"}), qt.IsNil)
+		read()
+		_, acquirable = b.leases.Acquirable(testService, 0, time.Now())
+		c.Check(acquirable, qt.IsTrue)
+	})
+}
+
 // The withdrawal of an earlier process that the table carries out late must not remove the row of the host's running process.
 func TestLateWithdrawalKeepsRowOfLaterProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -128,7 +128,7 @@
 	})
 }
 
-func (h *hosts) apply(rows []table.Row, onStarted func(name, incarnation string, now time.Time)) error {
+func (h *hosts) apply(rows []table.Row, onStarted func(name, incarnation string, version uint64, now time.Time)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var lastErr error
@@ -146,7 +146,7 @@
 			continue
 		}
 		h.known[r.Name] = peer
-		onStarted(r.Name, peer.Incarnation, time.Now())
+		onStarted(r.Name, peer.Incarnation, r.Version, time.Now())
 	}
 	h.sort()
 	h.chooseFastPath()
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -103,9 +104,10 @@
 	incarnations map[string]incarnation
 }
 
-// incarnation is a process of a host, and when it was first seen.
+// incarnation is a process of a host, the version of the row that announced it, and when it was first seen.
 type incarnation struct {
 	name      string
+	version   uint64
 	firstSeen time.Time
 }
 
@@ -168,10 +170,16 @@
 
 // SetIncarnation records the newest incarnation of a host; leases that earlier incarnations hold are free.
 func (v *View) SetIncarnation(host, name string, now time.Time) {
+	v.SetAnnounced(host, name, math.MaxUint64, now)
+}
+
+// SetAnnounced records the incarnation of a host that its row of the given version announces; leases that other incarnations acquired
+// before are free.
+func (v *View) SetAnnounced(host, name string, version uint64, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.incarnations[host].name != name {
-		v.incarnations[host] = incarnation{name, now}
+		v.incarnations[host] = incarnation{name, version, now}
 	}
 }
 
@@ -247,10 +255,11 @@
 	return until
 }
 
-// holderRestarted reports whether a newer process of the holder's host has started.
+// holderRestarted reports whether a newer process of the holder's host has started. An incarnation that was announced before the lease was
+// acquired is an earlier one, whose row the holder has not replaced yet.
 func (v *View) holderRestarted(e Epoch) bool {
 	newest, ok := v.incarnations[e.Holder]
-	return ok && newest.name != e.Incarnation
+	return ok && newest.name != e.Incarnation && newest.version > e.Version
 }
 
 // Candidate identifies a host process that wants to acquire a lease.
