--- a/agent/agent.go
+++ b/agent/agent.go
@@ -232,7 +232,7 @@
 		if err := a.leases.Apply(rows, time.Now()); err != nil {
 			a.log.WithError(err).Error("invalid lease row in the table")
 		}
-		if err := a.hosts.apply(rows, a.leases.SetAnnounced); err != nil {
+		if err := a.hosts.apply(rows, a.leases.SetIncarnation); err != nil {
 			a.log.WithError(err).Error("invalid host row in the table")
 		}
 	}
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -33,7 +33,7 @@
 			rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
 			c.Assert(err, qt.IsNil)
 			c.Assert(b.leases.Apply(rows, time.Now()), qt.IsNil)
-			c.Assert(b.hosts.apply(rows, b.leases.SetAnnounced), qt.IsNil)
+			c.Assert(b.hosts.apply(rows, b.leases.SetIncarnation), qt.IsNil)
 		}
 		b.leases.TableAnswered(time.Now())
 		_, acquirable := b.leases.Acquirable(testService, 0, time.Now())
@@ -53,7 +53,7 @@
 				rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
 				c.Assert(err, qt.IsNil)
 				c.Assert(b.leases.Apply(rows, time.Now()), qt.IsNil)
-				c.Assert(b.hosts.apply(rows, b.leases.SetAnnounced), qt.IsNil)
+				c.Assert(b.hosts.apply(rows, b.leases.SetIncarnation), qt.IsNil)
 			}
 			b.leases.TableAnswered(time.Now())
 		}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -168,14 +167,9 @@
 	}
 }
 
-// SetIncarnation records the newest incarnation of a host; leases that earlier incarnations hold are free.
-func (v *View) SetIncarnation(host, name string, now time.Time) {
-	v.SetAnnounced(host, name, math.MaxUint64, now)
-}
-
-// SetAnnounced records the incarnation of a host that its row of the given version announces; leases that other incarnations acquired
-// before are free.
-func (v *View) SetAnnounced(host, name string, version uint64, now time.Time) {
+// SetIncarnation records the incarnation of a host that its row of the given version announces; leases that other incarnations of the host
+// acquired before are free.
+func (v *View) SetIncarnation(host, name string, version uint64, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.incarnations[host].name != name {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 			}
 			c.Assert(view.Apply(page.Rows, start.Add(test.renewed)), qt.IsNil)
 			if test.restarted {
-				view.SetIncarnation(test.holder, "2", start)
+				view.SetIncarnation(test.holder, "2", announcedLater, start)
 			}
 			now := start.Add(10 * time.Second)
 			_, acquirable := view.Acquirable(group, 0, now)
@@ -133,8 +134,8 @@
 	c.Assert(err, qt.IsNil)
 	apply(after(21 * time.Second))
 	c.Assert(view.Unconfirmed(group), qt.HasLen, 0)
-	view.SetIncarnation("b", "1", after(21*time.Second))
-	view.SetIncarnation("b", "2", after(26*time.Second))
+	view.SetIncarnation("b", "1", announcedLater, after(21*time.Second))
+	view.SetIncarnation("b", "2", announcedLater, after(26*time.Second))
 	c.Assert(view.OrdersUntil(group, queriedAt).Equal(after(26*time.Second)), qt.IsTrue)
 }
 
@@ -151,7 +152,7 @@
 		c.Assert(err, qt.IsNil)
 		view := elect.NewView()
 		c.Assert(view.Apply(page.Rows, start), qt.IsNil)
-		view.SetIncarnation("a", "2", start)
+		view.SetIncarnation("a", "2", announcedLater, start)
 		// The holder before the last may have sent orders until this long after the last one acquired the lease.
 		want := max(0, elect.HoldTimeout-elect.TakeoverTimeout-held)
 		c.Assert(view.OrdersUntil(group, start).Equal(start.Add(want)), qt.IsTrue)
@@ -185,6 +186,9 @@
 	}
 }
 
+// announcedLater is the version of a row that is written after all leases.
+const announcedLater = math.MaxUint64
+
 // Guards against a wait that is too short after a holder whose lease this host has not seen: the one before it may still send orders.
 func TestOrdersBeforeUnseenHolder(t *testing.T) {
 	c := qt.New(t)
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -128,7 +128,7 @@
 	_ = h.view.Apply(rows, time.Now())
 	for _, row := range rows {
 		if row.Partition == hostsPartition {
-			h.view.SetIncarnation(row.Name, string(row.Value), time.Now())
+			h.view.SetIncarnation(row.Name, string(row.Value), row.Version, time.Now())
 		}
 	}
 }
