Don't take runs that a restarted worker no longer knows for lost while another host may run the group

Cause: the next holder may have made the end of a run durable and acknowledged it before the worker restarted. A former holder that still may send orders then hears from the worker's new incarnation, or from another worker at its address, that the run is not there, counted it as lost, and started the task on a worker that the next holder doesn't reach.

Change: such an answer ends a run of an earlier incarnation only while the group's lease is fresh, like the time without an answer. Later answers repeat it. A report of the same incarnation proves that no higher token was seen, so nothing changes there.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -153,17 +153,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[polled.ID]
-	if ok && w.info.Address == polled.Address && w.info.StartedAt.Equal(polled.StartedAt) {
-		c.loseRuns(w, "another worker has its address", now, leaseAge, func(*placement) bool { return false })
-		w.forgetOrders()
-		clear(w.unknownRuns)
-		w.listed = false
-		w.polled = false
+	if !ok || w.info.Address != polled.Address || !w.info.StartedAt.Equal(polled.StartedAt) {
+		return
+	}
+	w.listed = false
+	if !c.isExclusive(leaseAge) {
+		// The next scheduler may have acknowledged ends of these runs.
+		return
 	}
+	c.loseRuns(w, "another worker has its address", now, leaseAge, func(*placement) bool { return false })
+	w.forgetOrders()
+	clear(w.unknownRuns)
+	w.polled = false
 }
 
 // Polled handles a worker's report; sent is when the poll was sent and acked the number of the last end that it acknowledged.
 func (c *Cell) Polled(id string, report order.Report, acked uint64, sent, now time.Time) {
+	exclusive := c.isExclusive(c.leaseAge())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
@@ -206,6 +212,10 @@
 		if running[key] || report.MoreEnds || !w.absenceProvesEnd(key, p, sent, now) {
 			continue
 		}
+		if !exclusive && !p.incarnation.Equal(w.info.StartedAt) {
+			// The next scheduler may have acknowledged its end before the worker restarted.
+			continue
+		}
 		c.log.WithFields(logrus.Fields{fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: id, "stopped": p.stopAnswered}).
 			Info("run is no longer on its worker")
 		c.release(p, order.EndExpired, p.checkpoint, now)
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,3 +155,37 @@
 	time.Sleep(10 * time.Second)
 	qt.Assert(t, violations, qt.HasLen, 0)
 }
+
+// A holder that can't renew the group's lease must not start a task again because its worker has restarted: the next holder may have
+// recorded the task's end before that.
+func TestDoneTaskIsNotRepeatedAfterRestartSeenByReplacedHolder(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		address netip.AddrPort
+	}{
+		{"at the same address", netip.AddrPort{}},
+		{"at another address", netip.AddrPortFrom(netip.IPv4Unspecified(), 9)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(2)
+				n.workers.Outcome = fixedDuration(4200 * time.Millisecond)
+				old, next := n.findHost("host0"), n.findHost("host1")
+				n.startTask(t)
+				time.Sleep(500 * time.Millisecond)
+				old.setPathFault("w0", fakes.OrderDropped)
+				time.Sleep(500 * time.Millisecond)
+				old.setTableFault(fakes.TableNoReply)
+				old.isolate()
+				next.setPathFault("w1", fakes.OrderDropped)
+				time.Sleep(3400 * time.Millisecond)
+				qt.Check(t, next.currentRunner(), qt.IsNotNil)
+				n.workers.TakeDown("w0")
+				time.Sleep(200 * time.Millisecond)
+				n.registry.Set(n.workers.Restart("w0", func(w *order.Worker) { w.Address = test.address }))
+				old.setPathFault("w0", fakes.OrderOK)
+				n.checkNoTaskRunsTwice(t, next)
+			})
+		})
+	}
+}
