Name workers whose leases a late renewal may prolong when a lease is released

Found by a review of the fix of leases.

Cause: a renewal without an answer may be carried out by the next incarnation of its worker up to 13 s later. A host that stopped named only the workers that it couldn't reach; if the next host couldn't reach such a worker, and had no handover state, it waited 6.4 s.

Change: these workers are named too, with the time until which runs may be active there.

A holder that dies tells nobody of such renewals: open.

--- a/cell/record.go
+++ b/cell/record.go
@@ -41,7 +41,8 @@
 	return ids
 }
 
-// Unconfirmed returns the unconfirmed workers, which can't be reached but may still have runs, and for how long from now.
+// Unconfirmed returns the unconfirmed workers and for how long from now they may have runs: those that can't be reached, and those whose
+// leases a late renewal may prolong beyond the usual time.
 func (c *Cell) Unconfirmed(now time.Time) map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,15 +53,15 @@
 		}
 	}
 	for id, w := range c.workers {
-		if w.polled && c.isSuspect(w) {
-			unconfirmed[id] = max(0, c.runsUntil(w, now).Sub(now))
+		if w.polled && (c.isSuspect(w) || now.Before(w.lateRenewalUntil)) {
+			unconfirmed[id] = max(0, c.runsUntil(w).Sub(now))
 		}
 	}
 	return unconfirmed
 }
 
 // runsUntil returns until when runs may be active on a worker that does not answer.
-func (c *Cell) runsUntil(w *worker, now time.Time) time.Time {
+func (c *Cell) runsUntil(w *worker) time.Time {
 	renewed := w.lastRenewal()
 	for _, p := range w.placements {
 		if late := p.lateUntil(); late.After(renewed) {
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,3 +190,79 @@
 		})
 	}
 }
+
+// A host that does not see a short tenure, only its release, must wait for the orders of the holder before that: the task would run twice.
+func TestTakeoverAfterUnseenTenureWaitsForOrdersOfReplacedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(3)
+		first, second, third := n.findHost("host0"), n.findHost("host1"), n.findHost("host2")
+		n.startTask(t)
+		second.setPathFault("w0", fakes.OrderDropped)
+		third.setPathFault("w0", fakes.OrderDropped)
+		time.Sleep(time.Second)
+		first.setTableFault(fakes.TableNoReply)
+		first.isolate()
+		time.Sleep(time.Second)
+		third.setTableFault(fakes.TableNoReply)
+		for second.currentRunner() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		second.stop()
+		for second.currentRunner() != nil {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		n.store.DropHistory()
+		third.setTableFault(fakes.TableOK)
+		n.checkNoTaskRunsTwice(t, third)
+	})
+}
+
+// A poll that was sent to an earlier incarnation of a worker may renew the lease of the new one's runs after the runner has changed: the
+// next runner, which does not reach the worker, must not start their tasks elsewhere before that lease has expired.
+func TestLatePollOfLastRunnerRenewsLeaseOfNewIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		handedOver bool
+	}{
+		{"runs handed over", true},
+		{"runs not handed over", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(2)
+				n.workers.SetUnreachable("w1", true)
+				first, second := n.findHost("host0"), n.findHost("host1")
+				second.setPathFault("w0", fakes.OrderDropped)
+				time.Sleep(time.Minute)
+				n.startTask(t)
+				time.Sleep(2 * time.Second)
+				delayed := make(chan struct{})
+				var once sync.Once
+				n.workers.SetFault(func(call fakes.OrderCall) fakes.OrderFault {
+					fault := fakes.OrderFault{}
+					if call.Worker == "w0" && call.Op == fakes.OpPoll {
+						once.Do(func() {
+							fault.Transit = 8 * time.Second
+							close(delayed)
+						})
+					}
+					return fault
+				})
+				<-delayed
+				numStarts := n.workers.NumStarts()
+				n.registry.Set(n.workers.Crash("w0"))
+				for n.workers.NumStarts() == numStarts {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				n.workers.SetUnreachable("w1", false)
+				if !test.handedOver {
+					first.isolate()
+				}
+				first.stop()
+				n.checkNoTaskRunsTwice(t, second)
+			})
+		})
+	}
+}
