Count the time for orders from renewals only

Cause: a commit leaves out the renewal of the lease if the last one is younger than 225 ms, and counted as a renewal for the time until which orders may be sent. The next holder counts from the last renewal that it has seen. A host that stood still between the check and the sending gained the length of its pause; without a pause, 225 ms of the 400 ms that cover slow clocks and orders in flight were used up.

Change: only a commit that includes a renewal prolongs that time, which now follows from the last renewal.

--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -64,6 +64,10 @@
 	thawed chan struct{}
 	// freezeAtStart freezes the host for that time as it is about to send its next start.
 	freezeAtStart time.Duration
+	// freezeAfterCheck freezes the host for that time after a commit has found that the lease need not be renewed with it; renewals are lost
+	// from then on.
+	freezeAfterCheck time.Duration
+	renewalsLost     bool
 	// tableFault is the fault of this host's calls to the table.
 	tableFault fakes.TableFault
 	// isolated says that other hosts can't reach this one.
@@ -196,7 +200,30 @@
 	if h.awaitThaw() != nil {
 		return math.MaxInt64 / 2
 	}
-	return time.Since(h.n.startedAt)
+	now := time.Since(h.n.startedAt)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.freezeAfterCheck > 0 && h.runner != nil && isCalledBy(".addRenewal") {
+		d, r := h.freezeAfterCheck, h.runner
+		h.freezeAfterCheck = 0
+		h.mu.Unlock()
+		age := r.LeaseAge()
+		h.mu.Lock()
+		if age >= elect.RenewInterval/2 {
+			h.freezeAfterCheck = d
+			return now
+		}
+		h.renewalsLost = true
+		h.freezeLocked(d)
+	}
+	return now
+}
+
+// freezeAfterRenewalCheck freezes the host for some time after its next commit has found that the lease need not be renewed with it.
+func (h *host) freezeAfterRenewalCheck(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.freezeAfterCheck = d
 }
 
 // kill ends the process at once; nothing that it still does reaches anyone.
@@ -377,6 +404,15 @@
 	if err := s.enter(ctx, "commit"); err != nil {
 		return 0, err
 	}
+	s.h.mu.Lock()
+	lost := s.h.renewalsLost
+	s.h.mu.Unlock()
+	for _, w := range tx.Writes {
+		if lost && w.Key == elect.RenewWrite(service, 0).Key {
+			<-ctx.Done()
+			return 0, &table.UnansweredError{Op: "commit", Err: ctx.Err()}
+		}
+	}
 	version, err := s.h.n.store.Commit(ctx, tx)
 	return version, s.leave(ctx, "commit", err)
 }
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -224,7 +224,9 @@
 		version, err := r.cfg.Store.Commit(call, tx)
 		cancel()
 		if err == nil {
-			r.noteRenewal(sent, renews)
+			if renews {
+				r.noteRenewal(sent)
+			}
 			r.cell.Committed(batch, version, time.Now())
 			r.wakePlan()
 			return nil
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,9 +51,7 @@
 	cfg  Config
 	cell *cell.Cell
 	log  logrus.FieldLogger
-	// holdUntil is the time until which orders may be sent, on the boot clock, as are the three times below.
-	holdUntil atomic.Int64
-	// acquiredAt is when the request that acquired the lease was sent.
+	// acquiredAt is when the request that acquired the lease was sent, on the boot clock, as are the two times below.
 	acquiredAt atomic.Int64
 	// renewalSentAt is when the last commit that includes a renewal was sent, whether or not it took effect.
 	renewalSentAt atomic.Int64
@@ -108,8 +106,7 @@
 
 // Ready reports whether the group's jobs are loaded and its lease was renewed recently enough to answer for it.
 func (r *Runner) Ready() bool {
-	freshUntil := r.holdUntil.Load() - int64(elect.HoldTimeout-elect.FreshTimeout)
-	return r.loaded.Load() && int64(r.cfg.SinceBoot()) < freshUntil
+	return r.loaded.Load() && r.LeaseAge() < elect.FreshTimeout
 }
 
 // Run runs the group until ctx is done or the lease is lost; acquiredAt is when the request that acquired the lease was sent, on
@@ -118,7 +115,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.cancel = cancel
-	r.holdUntil.Store(int64(acquiredAt + elect.HoldTimeout))
 	r.renewedAt.Store(int64(acquiredAt))
 	r.acquiredAt.Store(int64(acquiredAt))
 	r.log.Info("acquired the group's lease")
@@ -253,7 +249,7 @@
 }
 
 // holds reports whether the lease still permits sending orders.
-func (r *Runner) holds() bool { return int64(r.cfg.SinceBoot()) < r.holdUntil.Load() }
+func (r *Runner) holds() bool { return r.LeaseAge() < elect.HoldTimeout }
 
 // orderTime returns the time from which the lease that an order gives counts, and whether orders may be sent. The clock is read before the
 // group's lease is checked: if the process stands still in between, or before it sends the order, the worker's lease is shorter.
@@ -280,17 +276,15 @@
 	return r.cfg.SinceBoot() - time.Duration(r.acquiredAt.Load())
 }
 
-// noteRenewal records a write sent at the given time that confirmed the lease; renews says that it included a renewal.
-func (r *Runner) noteRenewal(sent time.Duration, renews bool) {
+// noteRenewal records that a renewal sent at the given time took effect. A write that only checks the lease does not prolong it: the next
+// holder counts from the last renewal that it has seen.
+func (r *Runner) noteRenewal(sent time.Duration) {
 	if !r.holds() {
 		r.log.Info("lease confirmed; orders can be sent again")
 		r.wakePlan()
 	}
-	r.holdUntil.Store(max(r.holdUntil.Load(), int64(sent+elect.HoldTimeout)))
-	if renews {
-		r.renewalFails.Store(false)
-		r.renewedAt.Store(max(r.renewedAt.Load(), int64(sent)))
-	}
+	r.renewalFails.Store(false)
+	r.renewedAt.Store(max(r.renewedAt.Load(), int64(sent)))
 }
 
 // renewLoop renews the lease until ctx is done or the lease is lost.
@@ -307,7 +301,7 @@
 			return lost
 		}
 		if err == nil {
-			r.noteRenewal(sent, true)
+			r.noteRenewal(sent)
 			continue
 		}
 		if ctx.Err() == nil && !r.renewalFails.Swap(true) {
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"fmt"
 	"io"
 	"net/netip"
 	"sync"
@@ -266,3 +267,35 @@
 		})
 	}
 }
+
+// A commit without a renewal must not let a holder send orders for longer than the next one waits, however long it stood still after it had
+// checked that the last renewal is recent.
+func TestCommitWithoutRenewalAfterPauseDoesNotProlongOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 2100 * time.Millisecond
+		n := newNetwork(2)
+		n.workers.Outcome = func(_ string, task graph.TaskID, _ int) (time.Duration, order.EndKind) {
+			if task.Job == longJob {
+				return time.Minute, order.EndDone
+			}
+			return shortRun, order.EndDone
+		}
+		old, next := n.findHost("host0"), n.findHost("host1")
+		n.startTask(t)
+		next.setPathFault("w0", fakes.OrderDropped)
+		old.setPathFault("w1", fakes.OrderDropped)
+		old.freezeAfterRenewalCheck(pause)
+		for i := 0; !old.isFrozen(); i++ {
+			n.submit(t, fmt.Sprintf("%s%d", shortJob, i))
+			time.Sleep(70 * time.Millisecond)
+		}
+		old.isolate()
+		time.Sleep(pause - time.Millisecond)
+		for old.isFrozen() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		old.setTableFault(fakes.TableNoReply)
+		n.checkNoTaskRunsTwice(t, next)
+	})
+}
