--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -43,6 +43,9 @@
 	log       logrus.FieldLogger
 	startedAt time.Time
 
+	// unannounced is a process whose announcement is lost.
+	unannounced string
+
 	mu    sync.Mutex
 	hosts []*host
 }
@@ -408,7 +411,7 @@
 	lost := s.h.renewalsLost
 	s.h.mu.Unlock()
 	for _, w := range tx.Writes {
-		if lost && w.Key == elect.RenewWrite(service, 0).Key {
+		if (w.Partition == hostsPartition && s.h.process == s.h.n.unannounced) || lost && w.Key == elect.RenewWrite(service, 0).Key {
 			<-ctx.Done()
 			return 0, &table.UnansweredError{Op: "commit", Err: ctx.Err()}
 		}
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -299,3 +299,29 @@
 		n.checkNoTaskRunsTwice(t, next)
 	})
 }
+
+// A holder whose announcement is lost must not be replaced at once by a host that knows an earlier process of it, which would wait for the
+// orders of that one only: the task would run twice.
+func TestUnannouncedHolderIsNotTakenForItsEarlierProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(2)
+		n.unannounced = "process2"
+		first, other := n.findHost("host0"), n.findHost("host1")
+		n.startTask(t)
+		other.setPathFault("w0", fakes.OrderDropped)
+		other.setTableFault(fakes.TableNoReply)
+		first.kill()
+		time.Sleep(500 * time.Millisecond)
+		n.startHost(0, n.unannounced)
+		holder := n.findHost("host0")
+		for holder.currentRunner() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		other.setTableFault(fakes.TableOK)
+		time.Sleep(400 * time.Millisecond)
+		holder.setTableFault(fakes.TableNoReply)
+		holder.isolate()
+		n.checkNoTaskRunsTwice(t, other)
+	})
+}
