Name a worker with runs whose present report is not known when a lease is released

Cause: a worker that an earlier scheduler had used, and that was listed with an earlier start time later, counted as one that had never reported, whose earlier runs had ended. The next host was told that it need not wait for it, though runs of the releasing one may be there.

Change: such a worker is named with the time until which its runs may be active.

Evidence: TestUnconfirmedCoversRunsOnWorkerListedAnew failed before and passes now, as do the tests of cell and runner.

--- a/cell/handover_test.go
+++ b/cell/handover_test.go
@@ -50,3 +50,18 @@
 	h.missPolls(o.Worker.ID, time.Second)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// A worker that an earlier scheduler used and whose present report is not known may run tasks of this one; the next one must be told so, as
+// it would start them elsewhere at once.
+func TestUnconfirmedCoversRunsOnWorkerListedAnew(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.cell.ExpectWorkers([]string{"w0"}, func(string) time.Time { return h.now.Add(time.Second) })
+	h.cell.AllRunsKnown()
+	h.advance(2 * time.Second)
+	h.add(shortJob("j", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+	stale := h.workers["w0"]
+	stale.StartedAt = stale.StartedAt.Add(-time.Hour)
+	h.cell.SetWorker(stale, h.now)
+	h.c.Assert(h.cell.Unconfirmed(h.now)["w0"] > 6*time.Second, qt.IsTrue)
+}
--- a/cell/record.go
+++ b/cell/record.go
@@ -53,8 +53,9 @@
 		}
 	}
 	for id, w := range c.workers {
-		if w.polled && (c.isSuspect(w) || now.Before(w.lateRenewalUntil)) {
-			unconfirmed[id] = max(0, c.runsUntil(w).Sub(now))
+		unreported := !w.polled && len(w.placements) > 0
+		if unreported || (w.polled && (c.isSuspect(w) || now.Before(w.lateRenewalUntil))) {
+			unconfirmed[id] = max(unconfirmed[id], c.runsUntil(w).Sub(now))
 		}
 	}
 	return unconfirmed
