Report a task as running only if its worker has confirmed it

Callers could see a job that never ends: a task whose start was lost counts as running for as long as its worker keeps its holder.

Cause: a holder reported a task as running, without asking the worker, once its lease had been renewed for longer than LeaseTTL after the task had got its capacity. A renewal says which tasks have ended, not which run. A gang keeps its reservations for up to 20 s and a row may be written slowly, so the time may be over before the start is sent; and where the next look at the task comes later than LeaseTTL after a start without an answer, it is over as well. If the start never reached the worker, nothing is ever reported as ended.

Evidence: TestLostStartIsNotReportedAsRunning. Before, a task whose start the worker never got was reported as "running" twice, and without a question to the worker; it is "absent".

Change: the answer to a start, the worker's list at the acquisition of its lease, or a look at the task confirms that it runs; unconfirmed tasks are asked for each time.

--- a/holder/held.go
+++ b/holder/held.go
@@ -84,6 +84,8 @@
 	class     entry.Class
 	// maybeStarted counts the starts of a job's task that are not proved to have had no effect.
 	maybeStarted int
+	// confirmed says that the worker has answered that the task runs, so that its end will be reported with a renewal.
+	confirmed bool
 	// reportedMemoryMiB is the memory that the worker last reported for the task.
 	reportedMemoryMiB int64
 	reportedAt        time.Time
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -137,7 +137,7 @@
 		h.ledger.Adopt(ledger.Item{Task: t.ID, Size: t.Size, Long: long, Suspended: suspended})
 		h.running[t.ID] = run{
 			work: t.Entry, owner: t.Owner, stateSince: since, size: t.Size, suspended: suspended, usesQuota: p.cfg.Quotas != nil,
-			maybeStarted: 1,
+			maybeStarted: 1, confirmed: true,
 		}
 		if p.cfg.Quotas != nil {
 			p.cfg.Quotas.Adopt(t.Owner, t.Size)
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -645,3 +645,47 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(state, qt.Equals, worker.NeverStarted)
 }
+
+// Guards against reporting a task as running for as long as its worker is held although its only start was lost.
+func TestLostStartIsNotReportedAsRunning(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// drops and loses make the start, and its reply, get lost.
+		drops, loses bool
+		want         worker.TaskState
+	}{
+		{"start lost", true, false, worker.Absent},
+		{"reply lost", false, true, worker.Running},
+		{"answered", false, false, worker.Running},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			w := newTestWorker(c, "w")
+			p := newTestPool()
+			h := p.holdWorker(c, w)
+			_, err := p.Reserve(ctx, Need{Task: "a", Work: testWork}, time.Hour)
+			c.Assert(err, qt.IsNil)
+			if test.drops {
+				w.dropCalls("/tasks/")
+			}
+			if test.loses {
+				w.loseReplies(http.MethodPut, "/tasks/")
+			}
+			_, err = p.startTask("a")
+			c.Assert(err == nil, qt.Equals, !test.drops && !test.loses)
+			w.dropCalls("")
+			w.loseReplies("", "")
+			h.applyRenewal(time.Now().Add(2*p.cfg.LeaseTTL), worker.LeaseReply{Granted: true})
+			for range 2 {
+				answer, err := p.Inspect(ctx, "a", "w")
+				c.Assert(err, qt.IsNil)
+				c.Check(answer.State, qt.Equals, test.want)
+			}
+			// The worker need not be polled for a task that it has confirmed.
+			w.dropCalls("/tasks/")
+			_, err = p.Inspect(ctx, "a", "w")
+			c.Check(err == nil, qt.Equals, test.want == worker.Running)
+		})
+	}
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -60,6 +60,8 @@
 	if err == nil {
 		if state.Terminal() {
 			p.Release(g)
+		} else {
+			p.confirm(g.Worker, need.Task)
 		}
 		return state, nil
 	}
@@ -179,15 +181,28 @@
 	if errors.As(err, &refused) && refused.Fault == worker.FaultAbsent {
 		return worker.Answer{State: worker.Absent}, nil
 	}
+	if err == nil && !answer.State.Terminal() {
+		p.confirm(h, task)
+	}
 	return p.taskAnswer(h, task, answer, err)
 }
 
+// confirm records that a task's worker has answered that it runs.
+func (p *Pool) confirm(h *HeldWorker, task string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := h.running[task]; ok {
+		r.confirmed = true
+		h.running[task] = r
+	}
+}
+
 // knownRunning reports whether a task is known from lease renewals to run, so that its worker need not be polled.
 func (p *Pool) knownRunning(h *HeldWorker, task string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := h.running[task]
-	return ok && h.renewedAt.Sub(r.stateSince) > p.cfg.LeaseTTL
+	return ok && r.confirmed && h.renewedAt.Sub(r.stateSince) > p.cfg.LeaseTTL
 }
 
 // StopTask stops a task, or makes sure that it never starts.
