Suspend, throttle and stop tasks only under a valid lease

Callers could see a job that never ends, or a task that was stopped although its worker had room.

Cause: a holder looks at its lease before it starts or resumes a task, and the worker checks the epoch. Calls that suspend, throttle or stop a task for other work or for its memory carry no epoch, and the holder sent them as long as it had not noticed the loss of the lease: after a pause, while renewals had no answer, or after several such calls in a row, which delay the next renewal. The next holder has adopted the task as running and never resumes it.

Evidence: TestTasksAreLeftAloneAfterTheLeaseExpired. Before, a former holder suspended a task of the next holder ("checkpointed" in two cases) and stopped it in the third.

Change: these calls are sent only under a valid lease and end with it. Stops that a job's driver asks for are unchanged.

--- a/holder/overuse.go
+++ b/holder/overuse.go
@@ -28,9 +28,7 @@
 			continue
 		}
 		if u.CPUMilli > declared.CPUMilli {
-			if err := h.client.Throttle(ctx, u.Task, declared.CPUMilli); err == nil {
-				h.pool.stats.WorkerEvent("throttled")
-			}
+			h.throttle(ctx, u.Task, declared.CPUMilli)
 		}
 		if memoryTight && u.MemoryMiB > declared.MemoryMiB {
 			h.evict(ctx, u.Task)
@@ -38,6 +36,14 @@
 	}
 }
 
+func (h *HeldWorker) throttle(ctx context.Context, task string, cpuMilli int64) {
+	ctx, cancel, valid := h.underLease(ctx)
+	defer cancel()
+	if valid && h.client.Throttle(ctx, task, cpuMilli) == nil {
+		h.pool.stats.WorkerEvent("throttled")
+	}
+}
+
 func (p *Pool) recordUsage(h *HeldWorker, u worker.Usage) (declared unitSize, memoryTight, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,6 +97,11 @@
 	if checkpointable && p.checkpoint(ctx, h, task) {
 		return
 	}
+	ctx, cancel, valid := h.underLease(ctx)
+	defer cancel()
+	if !valid {
+		return
+	}
 	if state, err := h.client.Stop(ctx, task); err == nil && state.Terminal() {
 		p.stats.WorkerEvent("stopped-over-size")
 		p.log.WithFields(map[string]any{fieldWorker: h.name, "task": task}).Warn("task stopped: it used more memory than it declared")
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -689,3 +689,46 @@
 		})
 	}
 }
+
+// Guards against a task that a former holder suspends or stops after its lease has expired, unknown to the next holder.
+func TestTasksAreLeftAloneAfterTheLeaseExpired(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		checkpointable bool
+		act            func(p *Pool, h *HeldWorker)
+	}{
+		{"preempted", true, func(p *Pool, h *HeldWorker) { p.checkpoint(context.Background(), h, "a") }},
+		{"suspended for its memory", true, func(_ *Pool, h *HeldWorker) {
+			h.limitOveruse(context.Background(), []worker.Usage{{Task: "a", CPUMilli: 1000, MemoryMiB: 1900}})
+		}},
+		{"stopped for its memory", false, func(_ *Pool, h *HeldWorker) {
+			h.limitOveruse(context.Background(), []worker.Usage{{Task: "a", CPUMilli: 1000, MemoryMiB: 1900}})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			w := newTestWorker(c, "w")
+			former, next := newTestPool(), newTestPool()
+			next.cfg.Holder = "host@2"
+			h := former.holdWorker(c, w)
+			work := testWork
+			work.Checkpointable = test.checkpointable
+			_, err := former.Start(ctx, Need{Task: "a", Work: work}, "w", Call{Params: "run=10m"})
+			c.Assert(err, qt.IsNil)
+			// The lease expires on the worker and for its holder, which has not noticed yet.
+			c.Assert(h.client.ReleaseLease(ctx, former.cfg.Holder, h.epoch), qt.IsNil)
+			h.lease.Lost()
+			adopting := next.addWorker(c, w)
+			for range 2 {
+				// The first request learns the worker's epoch.
+				adopting.acquire(ctx)
+			}
+			c.Assert(next.Load().Held, qt.Contains, "w")
+			test.act(former, h)
+			answer, err := h.client.Attach(ctx, "a", 0)
+			c.Assert(err, qt.IsNil)
+			c.Check(answer.State, qt.Equals, worker.Running)
+		})
+	}
+}
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -107,15 +107,30 @@
 	return best, best.worker != nil
 }
 
+// underLease returns a context for a call to the worker that must not be sent after the lease has expired, because the worker doesn't check
+// who sends it; it reports false if the lease isn't valid.
+func (h *HeldWorker) underLease(ctx context.Context) (context.Context, context.CancelFunc, bool) {
+	remaining := h.lease.Remaining(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	return ctx, cancel, remaining > 0
+}
+
 func (p *Pool) checkpoint(ctx context.Context, h *HeldWorker, task string) bool {
-	err := h.client.Checkpoint(ctx, task)
+	err := error(reason.Refuse(reason.LeaseLost, "worker %s", h.name))
+	callCtx, cancel, valid := h.underLease(ctx)
+	defer cancel()
+	noEffect := true
+	if valid {
+		err = h.client.Checkpoint(callCtx, task)
+		noEffect = err != nil && hadNoEffect(err)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := h.running[task]
 	if !ok {
 		return err == nil
 	}
-	r.uncertain = err != nil && !hadNoEffect(err)
+	r.uncertain = err != nil && !noEffect
 	r.suspended = err == nil || r.uncertain
 	r.stateSince = time.Now()
 	h.running[task] = r
