Start a job's tasks only in the leadership in which they were placed

Callers could see a task of a job run on two workers at the same time, and one that may not be repeated run twice.

Cause: a driver looked at the shard's lease before a round, and wrote the placement before the start so that a leader that was paused would fail to write. A leader that stands still after the commit, or gets its answer late, has nothing left to fail: it sent the start, with a timeout that began only then. Meanwhile the next leader had inspected the attempt. A stop fences it on its worker; but where the worker could not be reached the proof is that its lease has expired, which fences nothing, and a worker that restarts forgets its fences.

Evidence: TestPausedLeaderStartsNothing. Before, the first leader started attempt 1 on a worker that was reachable again after the next leader had started attempt 2 on another ("job.0.2", "job.0.1"), whether or not it led the shard again by then.

Change: a start is sent only if the leadership in which the round began still holds, and its call ends with it. An attempt that was not started is inspected and fenced as before.

--- a/jobs/driver.go
+++ b/jobs/driver.go
@@ -75,6 +75,8 @@
 	wake        chan struct{}
 	backoff     time.Duration
 	reservation gangReservation
+	// epoch is that of the shard's lease in which the present round began.
+	epoch uint64
 	// cancelSeen is set when a scan finds a cancellation request in the row.
 	cancelSeen atomic.Bool
 	// lastWritten is a snapshot of the job as last read or written, for other goroutines.
@@ -91,7 +93,12 @@
 
 func (d *driver) run(ctx context.Context) {
 	defer d.releaseGang(ctx)
-	for ctx.Err() == nil && d.manager.leaders.IsLeader(ShardOf(d.job.ID)) {
+	for ctx.Err() == nil {
+		epoch, _, leads := d.manager.leaders.tenure(ShardOf(d.job.ID))
+		if !leads {
+			return
+		}
+		d.epoch = epoch
 		pause, err := d.round(ctx)
 		if errors.Is(err, errFenced) || d.job.State.Terminal() {
 			return
@@ -139,6 +146,14 @@
 	return d.placeTasks(ctx)
 }
 
+// whileLeading returns a context for a call that must not be sent once another host may have concluded that it never will be: it ends with the
+// leadership in which the round began. It reports false if that has ended.
+func (d *driver) whileLeading(ctx context.Context) (context.Context, context.CancelFunc, bool) {
+	epoch, until, leads := d.manager.leaders.tenure(ShardOf(d.job.ID))
+	ctx, cancel := context.WithDeadline(ctx, until)
+	return ctx, cancel, leads && epoch == d.epoch
+}
+
 func (d *driver) setWaitReason(why reason.Reason, detail string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/jobs/leaders.go
+++ b/jobs/leaders.go
@@ -70,6 +70,14 @@
 	return time.Now().Before(l.shards[shard].leaderUntil)
 }
 
+// tenure returns the epoch in which this host leads a shard now, and until when it does unless it renews the lease; ok is false if it doesn't.
+func (l *Leaders) tenure(shard int) (epoch uint64, until time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lease := &l.shards[shard]
+	return lease.row.Epoch, lease.leaderUntil, time.Now().Before(lease.leaderUntil)
+}
+
 // Leader returns the host that was last seen as the leader of a shard.
 func (l *Leaders) Leader(shard int) string {
 	l.mu.Lock()
--- a/jobs/steps.go
+++ b/jobs/steps.go
@@ -223,6 +223,11 @@
 		if _, reservedNow := placements[i]; !reservedNow {
 			return taskResult{}
 		}
+		ctx, endLeading, leads := d.whileLeading(ctx)
+		defer endLeading()
+		if !leads {
+			return taskResult{err: reason.Uncertain(reason.LeaseLost, "this host has lost the lease of the job's shard")}
+		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		state, err := d.manager.fleet.Start(ctx, d.taskID(i), d.work, t.placement(), &d.job)
