Ask the hosts twice whether a task's lease has expired

Callers could see a task of a job run twice at the same time after its worker had been out of reach of its holder.

Cause: a task counts as ended if every host that could have renewed its worker's lease replies that it has not done so for TaskTTL and LeaseTTL. The hosts are asked one after another, and each reply holds for its own moment only. A host that has replied may acquire the lease right afterwards, while the task still runs because of another host's renewals, and that one may reply when these are long past. With a LeaseTTL of 1 s a reply that takes just over a second suffices.

Evidence: TestTaskIsNotExpiredIfLeaseIsAcquiredMeanwhile. Before, a task counted as stopped although the host that was asked first ran it by the time the second replied.

Change: after a round of confirmations all hosts are asked again. A renewal between its two replies shows in a host's second one. The rounds must take less than TaskTTL together, by the clock that counts suspended time.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/jobs"
@@ -266,15 +267,32 @@
 		return worker.Answer{}, cause
 	}
 	query := &peerpb.TaskQuery{Task: task, Worker: at.Worker}
+	began := clock.SinceBoot()
+	// A host that has replied may acquire the lease while the task still runs, before another replies that its own renewals are long past. If
+	// none has done so until the second round, the task had ended when that began.
+	for range 2 {
+		if !f.hostsConfirmExpired(ctx, query, at.DataCenter) {
+			return worker.Answer{}, cause
+		}
+	}
+	if clock.SinceBoot()-began > f.pool.TaskTTL() {
+		return worker.Answer{}, cause
+	}
+	return worker.Answer{State: worker.Stopped, Body: []byte("the task's lease lapsed")}, nil
+}
+
+// hostsConfirmExpired reports whether every host that could have renewed a worker's lease replies that it has not done so for longer than a
+// task runs without a renewal.
+func (f *Fleet) hostsConfirmExpired(ctx context.Context, query *peerpb.TaskQuery, dataCenter string) bool {
 	unconfirmed := map[string]bool{}
-	for _, name := range f.listedHosts(at.DataCenter) {
+	for _, name := range f.listedHosts(dataCenter) {
 		unconfirmed[name] = true
 	}
 	if len(unconfirmed) == 0 {
 		// Either the list was never read or the data centre was taken out of it, which doesn't end what runs there.
-		return worker.Answer{}, cause
+		return false
 	}
-	for _, m := range f.possibleHolders(at.DataCenter) {
+	for _, m := range f.possibleHolders(dataCenter) {
 		var reply *peerpb.TaskReply
 		var err error
 		name := f.name
@@ -285,14 +303,11 @@
 			reply, err = peers.Call(ctx, f.transport, m.Address, query, peerpb.PeerClient.Inspect)
 		}
 		if err != nil || reply.GetState() != StateExpired {
-			return worker.Answer{}, cause
+			return false
 		}
 		delete(unconfirmed, name)
 	}
-	if len(unconfirmed) > 0 {
-		return worker.Answer{}, cause
-	}
-	return worker.Answer{State: worker.Stopped, Body: []byte("the task's lease lapsed")}, nil
+	return len(unconfirmed) == 0
 }
 
 // StateExpired reports that a host has not renewed a worker's lease for longer than a task runs without a renewal.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
@@ -33,17 +37,28 @@
 func (noStats) WorkerEvent(string)           {}
 func (noStats) Preempted()                   {}
 
-// fakeServer is this host's server with a fixed reply.
+// fakeServer is this host's server, which gives the same reply to all calls.
 type fakeServer struct {
 	LocalServer
+	mu    sync.Mutex
 	reply *peerpb.TaskReply
 }
 
+func (s *fakeServer) setReply(reply *peerpb.TaskReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reply = reply
+}
+
 func (s *fakeServer) Inspect(context.Context, *peerpb.TaskQuery) (*peerpb.TaskReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.reply, nil
 }
 
 func (s *fakeServer) Start(context.Context, *peerpb.StartRequest) (*peerpb.TaskReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.reply, nil
 }
 
@@ -69,7 +84,9 @@
 		}
 	}
 	members := peers.NewMembership("host", "here")
-	return New("host", "here", local, pool, members, nil, func() uint64 { return 1 },
+	transport := peers.NewTransport(members, insecure.NewCredentials(), &net.Dialer{}, func() *peerpb.HostState { return &peerpb.HostState{} })
+	c.Cleanup(transport.Close)
+	return New("host", "here", local, pool, members, transport, func() uint64 { return 1 },
 		func(context.Context, *jobs.Job) ([]byte, error) { return nil, nil }, func(string) []string { return listedHosts })
 }
 
@@ -110,3 +127,50 @@
 		})
 	}
 }
+
+// peerServer is another host that answers each inspection with the reply of inspect.
+type peerServer struct {
+	peerpb.UnimplementedPeerServer
+	inspect func() *peerpb.TaskReply
+}
+
+func (s *peerServer) Inspect(context.Context, *peerpb.TaskQuery) (*peerpb.TaskReply, error) {
+	return s.inspect(), nil
+}
+
+// addPeer adds another host of the fleet's data centre, whose last report has the given age.
+func (f *Fleet) addPeer(c *qt.C, name string, age time.Duration, inspect func() *peerpb.TaskReply) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := grpc.NewServer()
+	peerpb.RegisterPeerServer(server, &peerServer{inspect: inspect})
+	go func() { _ = server.Serve(l) }()
+	c.Cleanup(server.Stop)
+	f.members.Observe(&peerpb.HostState{
+		Name: name, Incarnation: "1", Address: l.Addr().String(), DataCenter: "here", AgeMicros: age.Microseconds(),
+	}, time.Now())
+}
+
+// Guards against a second run of a task whose worker's lease is acquired by a host that has confirmed the expiry, before another confirms it.
+func TestTaskIsNotExpiredIfLeaseIsAcquiredMeanwhile(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		acquires bool
+		expired  bool
+	}{{"acquired meanwhile", true, false}, {"not acquired", false, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			local := &fakeServer{reply: &peerpb.TaskReply{State: StateExpired}}
+			f := newTestFleet(c, local, false, []string{"host", "other"})
+			f.addPeer(c, "other", 0, func() *peerpb.TaskReply {
+				if test.acquires {
+					// The task still ran, since the other host had renewed the lease until it lost it.
+					local.setReply(&peerpb.TaskReply{State: string(worker.Running)})
+				}
+				return &peerpb.TaskReply{State: StateExpired}
+			})
+			answer, err := f.Inspect(context.Background(), "a", jobs.Placement{Worker: "w", DataCenter: "here"})
+			c.Check(err == nil && answer.State == worker.Stopped, qt.Equals, test.expired, qt.Commentf("state %q, error %v", answer.State, err))
+		})
+	}
+}
