Count on renewals by hosts that were taken off the list a moment ago

Callers could see a task of a job run twice at the same time after a host was removed.

Cause: whether a task's lease has expired is asked of the hosts that the platform lists and of those that are alive. A host that has left the list counts as gone 3 s (8 s from another data centre) after its last report, but the tasks whose leases it renewed run for TaskTTL, 12 s by default. Until the next holder has the lease, the remaining hosts truthfully reply that they have not renewed it, and the task was started elsewhere. A host whose reports were late was not even asked.

Evidence: TestUnlistedHostMayHaveRenewedLease. Before, a task counted as stopped 5 s after the last report of a host that was no longer listed, with TaskTTL of an hour, and also where that host answers that the task runs.

Change: hosts that are not listed are asked until twice TaskTTL after their last report. A task on a worker that can't be reached waits that much longer if a host of its data centre was removed just before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -313,7 +313,10 @@
 // StateExpired reports that a host has not renewed a worker's lease for longer than a task runs without a renewal.
 const StateExpired = "lapsed"
 
-// possibleHolders returns the hosts of a data centre that are listed or alive; nil means this host.
+// unlistedTTLs is for how many TaskTTL after its last report a host that isn't listed may have renewed leases on which tasks still run.
+const unlistedTTLs = 2
+
+// possibleHolders returns the hosts of a data centre that are listed or were heard of recently; nil means this host.
 func (f *Fleet) possibleHolders(dataCenter string) []*peers.Member {
 	var members []*peers.Member
 	if dataCenter == f.dataCenter {
@@ -323,8 +326,10 @@
 	for _, name := range f.listedHosts(dataCenter) {
 		listed[name] = true
 	}
+	now := time.Now()
 	for _, m := range f.members.Members() {
-		if m.DataCenter == dataCenter && (listed[m.Name] || f.members.Alive(m, time.Now())) {
+		recent := f.members.Alive(m, now) || now.Sub(m.ReportedAt) < unlistedTTLs*f.pool.TaskTTL()
+		if m.DataCenter == dataCenter && (listed[m.Name] || recent) {
 			members = append(members, &m)
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -174,3 +174,31 @@
 		})
 	}
 }
+
+// Guards against a second run of a task that a host keeps alive, or kept alive until a moment ago, which the platform no longer lists.
+func TestUnlistedHostMayHaveRenewedLease(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lastReport is the time since the last report of the host that is no longer listed.
+		lastReport time.Duration
+		answers    bool
+		expired    bool
+	}{
+		{"late reports", 5 * time.Second, true, false},
+		{"no answer", 5 * time.Second, false, false},
+		{"gone for long", 24 * time.Hour, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(c, &fakeServer{reply: &peerpb.TaskReply{State: StateExpired}}, false, []string{"host"})
+			f.addPeer(c, "other", test.lastReport, func() *peerpb.TaskReply {
+				if !test.answers {
+					return &peerpb.TaskReply{Refusal: peers.EncodeRefusal(reason.Uncertain(reason.PeerSilent, "test"))}
+				}
+				return &peerpb.TaskReply{State: string(worker.Running)}
+			})
+			answer, err := f.Inspect(context.Background(), "a", jobs.Placement{Worker: "w", DataCenter: "here"})
+			c.Check(err == nil && answer.State == worker.Stopped, qt.Equals, test.expired, qt.Commentf("state %q, error %v", answer.State, err))
+		})
+	}
+}
