Count a request for a free lease as carried out until it is settled

Callers could see a task of a job run twice at the same time after links to its worker were cut more than once.

Cause: a request for a worker's lease that got no answer counted as carried out when it was sent. A link that holds bytes back, or a worker that stands still, carries it out later: then it is granted if the lease is free by then, and prolongs all tasks that still run there by TaskTTL from that moment. If the worker is out of reach again afterwards, all hosts confirm that the tasks have expired while they run. (A renewal that comes late is refused once the lease has expired; the LeaseTTL in the wait covers it.)

Evidence: TestLateLeaseRequestCountsAsRenewal. Before, LastRenewal gave a time before the moment at which the request was carried out.

Change: such a request counts as carried out up to TaskTTL after it was sent, unless an answer to a later one settles it: an epoch is granted once. That a request is not carried out later than that is an assumption; a connection's bytes may in theory wait longer. Only requests for a free lease that were sent and got no answer make tasks of a dead worker wait longer.

--- a/holder/held.go
+++ b/holder/held.go
@@ -61,7 +61,8 @@
 	// ackedEnd is the sequence number of the last reported task end, which the next renewal acknowledges.
 	ackedEnd  uint64
 	renewedAt time.Time
-	// maybeRenewedAt is when the last request was sent that renewed the lease or may have; unanswered marks one without an answer.
+	// maybeRenewedAt is when the lease was last renewed or may have been, by the time at which the request was sent, or the latest at which one
+	// without an answer may be carried out; unanswered marks such a request.
 	maybeRenewedAt time.Time
 	unanswered     bool
 	lastHolder     string
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -68,7 +68,8 @@
 		}
 	}
 	sentAt := time.Now()
-	reply, err := h.requestLease(ctx, sentAt, epoch, 0)
+	// A free lease may be granted by a request that is carried out late, for as long as tasks live that it would prolong.
+	reply, err := h.requestLease(ctx, sentAt, p.cfg.TaskTTL, epoch, 0)
 	if err != nil {
 		return pause
 	}
@@ -90,20 +91,28 @@
 	return pause
 }
 
-// requestLease requests or renews the lease; without an answer the request counts as one that took effect.
-func (h *HeldWorker) requestLease(ctx context.Context, sentAt time.Time, epoch, acked uint64) (worker.LeaseReply, error) {
+// requestLease requests or renews the lease; without an answer the request counts as one that took effect maxDelay after it was sent.
+func (h *HeldWorker) requestLease(
+	ctx context.Context, sentAt time.Time, maxDelay time.Duration, epoch, acked uint64,
+) (worker.LeaseReply, error) {
 	p := h.pool
 	p.mu.Lock()
 	previous := h.maybeRenewedAt
-	h.maybeRenewedAt = sentAt
+	if effectUntil := sentAt.Add(maxDelay); effectUntil.After(previous) {
+		h.maybeRenewedAt = effectUntil
+	}
 	p.mu.Unlock()
 	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
 	var unreachable *worker.UnreachableError
 	noEffect := (err == nil && !reply.Granted) || (err != nil && hadNoEffect(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if noEffect {
+	switch {
+	case noEffect:
 		h.maybeRenewedAt = previous
+	case err == nil:
+		// Earlier requests have no effect any more, since each epoch is granted once.
+		h.maybeRenewedAt = sentAt
 	}
 	if !errors.As(err, &unreachable) {
 		h.unanswered = err != nil && !noEffect
@@ -161,7 +170,8 @@
 	epoch, acked := h.epoch, h.ackedEnd
 	p.mu.Unlock()
 	sentAt := time.Now()
-	reply, err := h.requestLease(ctx, sentAt, epoch, acked)
+	// A renewal that is carried out after the lease has expired has no effect.
+	reply, err := h.requestLease(ctx, sentAt, 0, epoch, acked)
 	if err != nil {
 		h.handleRenewError(ctx, err)
 		return false
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -732,3 +732,40 @@
 		})
 	}
 }
+
+// Guards against counting tasks as expired that a request for their worker's lease keeps alive which is carried out late.
+func TestLateLeaseRequestCountsAsRenewal(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.addWorker(c, w)
+	late := make(chan *http.Request, 1)
+	w.mu.Lock()
+	w.drops = func(r *http.Request) bool {
+		if r.Method != http.MethodPut || r.URL.Path != "/v1/lease" {
+			return false
+		}
+		body, err := io.ReadAll(r.Body)
+		c.Check(err, qt.IsNil)
+		request := r.Clone(ctx)
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		late <- request
+		return true
+	}
+	w.mu.Unlock()
+	h.acquire(ctx)
+	c.Assert(w.HasLease(), qt.IsFalse)
+	carriedOutAt := time.Now()
+	w.Handler().ServeHTTP(httptest.NewRecorder(), <-late)
+	c.Assert(w.HasLease(), qt.IsTrue)
+	renewedAt, ok := p.LastRenewal("w")
+	c.Assert(ok, qt.IsTrue)
+	c.Check(renewedAt.Before(carriedOutAt), qt.IsFalse)
+	// An answer settles the request: the same epoch can't be granted again later.
+	w.dropCalls("")
+	h.acquire(ctx)
+	c.Assert(p.Load().Held, qt.Contains, "w")
+	renewedAt, _ = p.LastRenewal("w")
+	c.Check(renewedAt.After(time.Now()), qt.IsFalse)
+}
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -243,7 +243,8 @@
 	return h, nil
 }
 
-// LastRenewal returns when this host last sent a request that renewed a worker's lease or may have; ok is false if it never did.
+// LastRenewal returns when a request of this host last renewed a worker's lease or may have, which is in the future if one without an answer may
+// still be carried out; ok is false if there was none.
 func (p *Pool) LastRenewal(workerName string) (at time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
