End the leadership of a job shard by the clock that counts suspended time

Callers could see a task of a job run twice after a host had been suspended.

Cause: a host led a shard until 6 s after it had sent its last renewal by Go's monotonic clock, which stands still while the machine is suspended. A host that was suspended for a minute went on leading for the rest of the 6 s, in which it may send starts of attempts that the next leader has given up.

Evidence: TestSuspendedHostDoesNotLead. With the clock as a parameter that IsLeader did not use yet, the host led all 32 shards after a minute of suspension.

Change: leadership is counted by the time since boot, as the leases of groups are. The wait of the other hosts keeps the clock that stands still, which only makes it longer.

--- a/jobs/driver.go
+++ b/jobs/driver.go
@@ -94,8 +94,8 @@
 func (d *driver) run(ctx context.Context) {
 	defer d.releaseGang(ctx)
 	for ctx.Err() == nil {
-		epoch, _, leads := d.manager.leaders.tenure(ShardOf(d.job.ID))
-		if !leads {
+		epoch, remaining := d.manager.leaders.tenure(ShardOf(d.job.ID))
+		if remaining == 0 {
 			return
 		}
 		d.epoch = epoch
@@ -149,9 +149,9 @@
 // whileLeading returns a context for a call that must not be sent once another host may have concluded that it never will be: it ends with the
 // leadership in which the round began. It reports false if that has ended.
 func (d *driver) whileLeading(ctx context.Context) (context.Context, context.CancelFunc, bool) {
-	epoch, until, leads := d.manager.leaders.tenure(ShardOf(d.job.ID))
-	ctx, cancel := context.WithDeadline(ctx, until)
-	return ctx, cancel, leads && epoch == d.epoch
+	epoch, remaining := d.manager.leaders.tenure(ShardOf(d.job.ID))
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	return ctx, cancel, remaining > 0 && epoch == d.epoch
 }
 
 func (d *driver) setWaitReason(why reason.Reason, detail string) {
--- a/jobs/driver_test.go
+++ b/jobs/driver_test.go
@@ -106,7 +106,7 @@
 						mu.Lock()
 						defer mu.Unlock()
 						return live
-					}, log)
+					}, sinceNow(), log)
 					work := entry.Work{Name: "survey", Class: entry.Batch, Repeatable: true, Attempts: 3}
 					manager := jobs.NewManager(jobs.Config{
 						Table: client, Writer: &pausingWriter{Writer: client, pause: pause}, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
--- a/jobs/gang_test.go
+++ b/jobs/gang_test.go
@@ -148,7 +148,7 @@
 	client := newPlatform().NewClient()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, log)
+	leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
 	work := entry.Work{Name: "survey", Class: entry.Gang, Repeatable: true}
 	manager := jobs.NewManager(jobs.Config{
 		Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
@@ -160,6 +160,12 @@
 	return manager
 }
 
+// sinceNow returns a clock that counts from now.
+func sinceNow() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
 func submitGang(ctx context.Context, c *qt.C, manager *jobs.Manager, id string, tasks int) {
 	list := make([]jobs.Task, tasks)
 	for i := range list {
--- a/jobs/leaders.go
+++ b/jobs/leaders.go
@@ -41,7 +41,9 @@
 	table  Table
 	writer Writer
 	hosts  func() []string
-	log    logrus.FieldLogger
+	// sinceBoot returns the time since the machine booted, including the time it was suspended.
+	sinceBoot func() time.Duration
+	log       logrus.FieldLogger
 
 	mu        sync.Mutex
 	shards    [Shards]shardLease
@@ -54,28 +56,31 @@
 	version uint64
 	// changedAt is when this host first saw the version.
 	changedAt time.Time
-	// leaderUntil is when this host's leadership ends unless it renews the lease.
-	leaderUntil time.Time
+	// leaderUntil is when this host's leadership ends unless it renews the lease, on the boot clock.
+	leaderUntil time.Duration
 }
 
-// NewLeaders returns the leader election as seen by the host self; hosts returns the hosts that may become leaders.
-func NewLeaders(self string, table Table, writer Writer, hosts func() []string, log logrus.FieldLogger) *Leaders {
-	return &Leaders{self: self, table: table, writer: writer, hosts: hosts, log: log}
+// NewLeaders returns the leader election as seen by the host self; hosts returns the hosts that may become leaders, and sinceBoot the time since
+// the machine booted, including the time it was suspended.
+func NewLeaders(
+	self string, table Table, writer Writer, hosts func() []string, sinceBoot func() time.Duration, log logrus.FieldLogger,
+) *Leaders {
+	return &Leaders{self: self, table: table, writer: writer, hosts: hosts, sinceBoot: sinceBoot, log: log}
 }
 
 // IsLeader reports whether this host leads a shard now.
 func (l *Leaders) IsLeader(shard int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().Before(l.shards[shard].leaderUntil)
+	return l.sinceBoot() < l.shards[shard].leaderUntil
 }
 
-// tenure returns the epoch in which this host leads a shard now, and until when it does unless it renews the lease; ok is false if it doesn't.
-func (l *Leaders) tenure(shard int) (epoch uint64, until time.Time, ok bool) {
+// tenure returns the epoch in which this host leads a shard now, and for how long it does unless it renews the lease: 0 if it doesn't.
+func (l *Leaders) tenure(shard int) (epoch uint64, remaining time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lease := &l.shards[shard]
-	return lease.row.Epoch, lease.leaderUntil, time.Now().Before(lease.leaderUntil)
+	return lease.row.Epoch, max(0, lease.leaderUntil-l.sinceBoot())
 }
 
 // Leader returns the host that was last seen as the leader of a shard.
@@ -134,7 +139,7 @@
 		}
 		lease.row, lease.version, lease.changedAt = found, row.Version, now
 		if found.Holder != l.self {
-			lease.leaderUntil = time.Time{}
+			lease.leaderUntil = 0
 		}
 	}
 }
@@ -158,15 +163,16 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	lease := l.shards[shard]
-	isLeader := now.Before(lease.leaderUntil)
+	remaining := lease.leaderUntil - l.sinceBoot()
+	isLeader := remaining > 0
 	available := lease.row.Holder == "" || now.Sub(lease.changedAt) > leaderLeaseTTL+leaderLeaseMargin
 	row := lease.row
 	preferred = preferred && !l.releasing
 	switch {
 	case lease.row.Holder == l.self && !preferred:
 		row.Holder = ""
-		l.shards[shard].leaderUntil = time.Time{}
-	case isLeader && lease.leaderUntil.Sub(now) > leaderLeaseTTL-leaderRenewInterval:
+		l.shards[shard].leaderUntil = 0
+	case isLeader && remaining > leaderLeaseTTL-leaderRenewInterval:
 		return store.Op{}, row, false
 	case isLeader:
 	case preferred && (available || (lease.row.Holder == l.self && lease.version > 0)):
@@ -188,7 +194,7 @@
 func (l *Leaders) writeLease(ctx context.Context, shard int, op store.Op, row leaseRow) {
 	ctx, cancel := context.WithTimeout(ctx, leaderRenewInterval)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := l.sinceBoot()
 	version, err := l.writer.Do(ctx, op)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -199,13 +205,13 @@
 		wasLeader := lease.row.Holder == l.self
 		lease.row, lease.version, lease.changedAt = row, version, time.Now()
 		if row.Holder == l.self {
-			lease.leaderUntil = sentAt.Add(leaderLeaseTTL)
+			lease.leaderUntil = sentAt + leaderLeaseTTL
 		}
 		if row.Holder == l.self && !wasLeader {
 			l.log.WithFields(map[string]any{"shard": shard, "epoch": row.Epoch}).Debug("became leader of job shard")
 		}
 	case errors.As(err, &conflict):
-		lease.leaderUntil = time.Time{}
+		lease.leaderUntil = 0
 	}
 }
 
--- a/jobs/leaders_test.go
+++ b/jobs/leaders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				return live
-			}, log)
+			}, sinceNow(), log)
 			clients, leaders = append(clients, client), append(leaders, candidate)
 			go func() { _ = candidate.Run(ctx) }()
 		}
@@ -92,3 +93,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a host that goes on leading after it was suspended, which the clock of timers does not count.
+func TestSuspendedHostDoesNotLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		client := newPlatform().NewClient()
+		var suspended atomic.Int64
+		awake := sinceNow()
+		leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} },
+			func() time.Duration { return awake() + time.Duration(suspended.Load()) }, logrus.New())
+		go func() { _ = leaders.Run(ctx) }()
+		time.Sleep(5500 * time.Millisecond)
+		c.Assert(leaders.Count(), qt.Equals, jobs.Shards)
+		suspended.Store(int64(time.Minute))
+		c.Check(leaders.Count(), qt.Equals, 0)
+		time.Sleep(5 * time.Second)
+		c.Check(leaders.Count(), qt.Equals, jobs.Shards)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 	n.keeper = catlog.NewKeeper(n.store, n.transport, log, func(c *entry.Catalogue) { n.pool.UpdateHeadroom(c.Works()) })
 	n.router = route.NewRouter(n.members, n.transport, n.pool, n.metrics)
 	n.claims = claim.NewRegistry(n.ctx, n.id, n.store, n.writer, n, n.metrics, log)
-	n.leaders = jobs.NewLeaders(n.id, n.store, n.writer, n.leaderCandidates, log)
+	n.leaders = jobs.NewLeaders(n.id, n.store, n.writer, n.leaderCandidates, clock.SinceBoot, log)
 	n.fleet = fleet.New(
 		cfg.Name, cfg.DataCenter, &server{node: n}, n.pool, n.members, n.transport, n.keeper.Version, n.jobBody, n.entryHosts,
 	)
