Count a worker's lease by the clock that includes suspended time

Callers could see a task suspended or stopped by a host that had just woken up, although the next holder ran it.

Cause: a holder looked at its lease by Go's monotonic clock, which stands still while the machine is suspended. The worker refuses starts of an epoch that has ended, but not calls that suspend, throttle or stop a task, which carry none.

Evidence: TestLeaseOfSuspendedHostIsNotUsed. With the old clock a holder that was suspended for LeaseTTL suspended its task ("checkpointed") and sent a start.

Change: the lease's times are since boot.

--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -53,7 +53,7 @@
 	if p.cfg.Quotas != nil && !p.cfg.Quotas.Reserve(w.need.Work.Owner, w.size) {
 		return queue.Blocked
 	}
-	h := p.pickWorker(w, now)
+	h := p.pickWorker(w)
 	if h == nil {
 		if p.cfg.Quotas != nil {
 			p.cfg.Quotas.Release(w.need.Work.Owner, w.size)
@@ -121,8 +121,9 @@
 }
 
 // pickWorker chooses the worker for a task, or nil if none has enough free capacity.
-func (p *Pool) pickWorker(w *waiter, now time.Time) *HeldWorker {
+func (p *Pool) pickWorker(w *waiter) *HeldWorker {
 	p.clearServedStarving()
+	now := p.cfg.SinceBoot()
 	index := p.shortIndex
 	if w.long {
 		index = p.longIndex
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -94,7 +94,7 @@
 
 // runOn starts a request on the granted worker and waits for its whole answer.
 func (p *Pool) runOn(ctx context.Context, g *Grant, call Call) (worker.Answer, error) {
-	epoch, valid := g.leaseEpoch(time.Now())
+	epoch, valid := g.leaseEpoch()
 	if !valid {
 		p.mu.Lock()
 		p.cancel(g)
--- a/holder/held.go
+++ b/holder/held.go
@@ -94,6 +94,9 @@
 	peakMemoryMiB int64
 }
 
+// validLease returns the lease's epoch and whether the lease is valid now.
+func (h *HeldWorker) validLease() (uint64, bool) { return h.lease.Valid(h.pool.cfg.SinceBoot()) }
+
 // usable reports whether new work may go to the worker; the pool's lock is held.
 func (h *HeldWorker) usable() bool {
 	return h.ready && !h.handingOver && !h.info.Leaving && !h.selfLeaving && !h.health.ejected()
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -67,7 +67,7 @@
 			return pause
 		}
 	}
-	sentAt := time.Now()
+	sentAt, sentAtBoot := time.Now(), p.cfg.SinceBoot()
 	// A free lease may be granted by a request that is carried out late, for as long as tasks live that it would prolong.
 	reply, err := h.requestLease(ctx, sentAt, p.cfg.TaskTTL, epoch, 0)
 	if err != nil {
@@ -80,7 +80,7 @@
 		remaining := time.Duration(reply.RemainingMillis) * time.Millisecond
 		return min(pause, remaining+time.Millisecond)
 	}
-	h.lease.Granted(epoch, sentAt, p.cfg.LeaseTTL)
+	h.lease.Granted(epoch, sentAtBoot, p.cfg.LeaseTTL)
 	state, err := h.client.State(ctx)
 	if err != nil || state.Epoch != epoch {
 		_ = h.client.ReleaseLease(ctx, p.cfg.Holder, epoch)
@@ -169,7 +169,7 @@
 	p.mu.Lock()
 	epoch, acked := h.epoch, h.ackedEnd
 	p.mu.Unlock()
-	sentAt := time.Now()
+	sentAt, sentAtBoot := time.Now(), p.cfg.SinceBoot()
 	// A renewal that is carried out after the lease has expired has no effect.
 	reply, err := h.requestLease(ctx, sentAt, 0, epoch, acked)
 	if err != nil {
@@ -180,7 +180,7 @@
 		h.loseLease("another holder has the lease")
 		return false
 	}
-	h.lease.Granted(epoch, sentAt, p.cfg.LeaseTTL)
+	h.lease.Granted(epoch, sentAtBoot, p.cfg.LeaseTTL)
 	h.applyRenewal(sentAt, reply)
 	h.limitOveruse(ctx, reply.Usage)
 	return len(reply.Usage) > 0
@@ -190,7 +190,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if _, ok := h.lease.Valid(time.Now()); ok {
+	if _, ok := h.validLease(); ok {
 		return
 	}
 	var refused *worker.RefusedError
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/entry"
 	"github.com/corianderdrift/corianderdrift/learn"
 	"github.com/corianderdrift/corianderdrift/place"
@@ -34,6 +35,8 @@
 	Plain bool
 	// Quotas limits the owners' allocations; nil means no limits.
 	Quotas Quotas
+	// SinceBoot returns the time since the machine booted, including the time it was suspended; nil means clock.SinceBoot.
+	SinceBoot func() time.Duration
 }
 
 // Quotas limits what an owner's tasks may allocate on all workers together.
@@ -102,6 +105,9 @@
 
 // NewPool returns a pool that holds no workers.
 func NewPool(cfg Config, estimator *learn.Estimator, stats Stats, log logrus.FieldLogger) *Pool {
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = clock.SinceBoot
+	}
 	p := &Pool{
 		cfg: cfg, estimator: estimator, stats: stats, log: log,
 		inFlight:       shard.NewMap[*inFlightCall](),
@@ -164,8 +170,8 @@
 }
 
 // leaseEpoch returns the epoch for a start in this grant; it reports false if the grant's lease isn't in force any more.
-func (g *Grant) leaseEpoch(now time.Time) (uint64, bool) {
-	epoch, valid := g.Worker.lease.Valid(now)
+func (g *Grant) leaseEpoch() (uint64, bool) {
+	epoch, valid := g.Worker.validLease()
 	return epoch, valid && epoch == g.epoch
 }
 
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -769,3 +769,24 @@
 	renewedAt, _ = p.LastRenewal("w")
 	c.Check(renewedAt.After(time.Now()), qt.IsFalse)
 }
+
+// Guards against using a lease after the host was suspended, which the clock of timers does not count.
+func TestLeaseOfSuspendedHostIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	var suspended time.Duration
+	p.cfg.SinceBoot = func() time.Duration { return clock.SinceBoot() + suspended }
+	h := p.holdWorker(c, w)
+	_, err := p.startTask("a")
+	c.Assert(err, qt.IsNil)
+	suspended = p.cfg.LeaseTTL
+	c.Check(p.checkpoint(ctx, h, "a"), qt.IsFalse)
+	answer, err := h.client.Attach(ctx, "a", 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, worker.Running)
+	_, err = p.startTask("b")
+	c.Check(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(w.Log().Started, qt.Equals, uint64(1))
+}
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -110,7 +110,7 @@
 // underLease returns a context for a call to the worker that must not be sent after the lease has expired, because the worker doesn't check
 // who sends it; it reports false if the lease isn't valid.
 func (h *HeldWorker) underLease(ctx context.Context) (context.Context, context.CancelFunc, bool) {
-	remaining := h.lease.Remaining(time.Now())
+	remaining := h.lease.Remaining(h.pool.cfg.SinceBoot())
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	return ctx, cancel, remaining > 0
 }
@@ -198,7 +198,7 @@
 	p.mu.Lock()
 	wasUncertain, heldEpoch := h.running[v.task].uncertain, h.epoch
 	p.mu.Unlock()
-	epoch, valid := h.lease.Valid(time.Now())
+	epoch, valid := h.validLease()
 	err := error(reason.Refuse(reason.LeaseLost, "worker %s", h.name))
 	noEffect := true
 	if valid && epoch == heldEpoch {
--- a/holder/tasks.go
+++ b/holder/tasks.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return "", err
 	}
-	epoch, valid := g.leaseEpoch(time.Now())
+	epoch, valid := g.leaseEpoch()
 	if !valid {
 		return "", p.notStarted(g, reason.Refuse(reason.LeaseLost, "the lease of worker %s ran out before the start", workerName))
 	}
