Don't run a task again that may not be repeated because its worker has forgotten it

Callers could see a task of a job run a second time although its work may not be repeated.

Cause: a worker that does not know an attempt is told to stop it, and "never-started" then counted as proof that it had not run.

Evidence: TestForgottenTaskCountsAsRun. Before, a task that had been reported as running was started again as job.0.2, and the job went on.

Change: a task that was reported as running and is unknown to its worker now counts as ended: work that may be repeated gets a new attempt, other work fails. Not covered: a task whose start got no answer and that its worker forgot before the first look at it.

--- a/jobs/driver_test.go
+++ b/jobs/driver_test.go
@@ -144,3 +144,60 @@
 		})
 	}
 }
+
+// forgetfulFleet has a worker that forgets its tasks 10 s after their start.
+type forgetfulFleet struct {
+	cutOffFleet
+	startedAt time.Time
+}
+
+func (f *forgetfulFleet) Start(ctx context.Context, task string, work entry.Work, at jobs.Placement, job *jobs.Job) (worker.TaskState, error) {
+	f.startedAt = time.Now()
+	return f.cutOffFleet.Start(ctx, task, work, at, job)
+}
+
+func (f *forgetfulFleet) Inspect(ctx context.Context, task string, at jobs.Placement) (worker.Answer, error) {
+	if time.Since(f.startedAt) > 10*time.Second {
+		return worker.Answer{State: worker.Absent}, nil
+	}
+	return f.cutOffFleet.Inspect(ctx, task, at)
+}
+
+// Guards against a second run of a task that may not be repeated, because its worker has restarted or has forgotten the result.
+func TestForgottenTaskCountsAsRun(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		state      jobs.State
+	}{
+		{"repeatable", true, jobs.Running},
+		{"not repeatable", false, jobs.Failed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, c *qt.C) {
+				client := newPlatform().NewClient()
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
+				work := entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3}
+				f := &forgetfulFleet{}
+				manager := jobs.NewManager(jobs.Config{
+					Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
+					LookupWork: func(string) (entry.Work, bool) { return work, true },
+					Estimate:   func(entry.Work) time.Duration { return time.Second },
+				})
+				go func() { _ = leaders.Run(ctx) }()
+				go func() { _ = manager.Run(ctx) }()
+				_, err := manager.Submit(ctx, jobs.Job{ID: "job", Owner: "o", Work: "survey", Tasks: []jobs.Task{{State: jobs.TaskWaiting, Attempt: 1}}})
+				c.Assert(err, qt.IsNil)
+				time.Sleep(20 * time.Second)
+				job, _, err := manager.Get(ctx, "job")
+				c.Assert(err, qt.IsNil)
+				c.Check(job.State, qt.Equals, test.state)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				c.Check(len(f.starts) > 1, qt.Equals, test.repeatable, qt.Commentf("%v", f.starts))
+			})
+		})
+	}
+}
--- a/jobs/steps.go
+++ b/jobs/steps.go
@@ -19,8 +19,7 @@
 		id := d.taskID(i)
 		answer, err := d.manager.fleet.Inspect(ctx, id, t.placement())
 		if err == nil && answer.State == worker.Absent {
-			// Either the start request never arrived or the record of the task is gone; Stop distinguishes these and
-			// prevents a late start.
+			// Either the start request never arrived or the record of the task is gone. Stop prevents a late start.
 			answer, err = d.manager.fleet.Stop(ctx, id, t.placement())
 		}
 		if err == nil && answer.State == worker.Finished {
@@ -63,6 +62,11 @@
 	case worker.TaskFailed, worker.Stopped:
 		d.recordFailure(t, result)
 	case worker.NeverStarted, worker.Absent:
+		if before == TaskRunning {
+			// The task has run; its worker has restarted or has kept the result for too short a time.
+			d.recordFailure(t, result)
+			break
+		}
 		d.newAttempt(t, true)
 	}
 	return t.State != before || t.State == TaskWaiting
