Count the tasks left on a worker towards their owners' quotas

Callers could see more tasks of an owner run at the same time than its quota allows, after a holder had lost or released a worker's lease.

Cause: with the lease a holder freed the quota of all tasks on the worker. They go on running there until another holder adopts them, or for up to TaskTTL if nobody does, and the holder gave the same share to new tasks on its other workers at once.

Evidence: TestTasksOnLostWorkerUseQuota. Before, a task was started on a second worker beside one on a worker whose lease had been lost, with a quota of one task.

Change: such tasks go on counting until their end is known, this host adopts them again, or TaskTTL and LeaseTTL have passed.

--- a/holder/dispatch.go
+++ b/holder/dispatch.go
@@ -172,6 +172,7 @@
 	}
 	item, ok := h.ledger.Get(task)
 	if !ok {
+		p.releaseLeftTask(h.name, task)
 		return
 	}
 	if item.Long && !item.Suspended {
--- a/holder/held.go
+++ b/holder/held.go
@@ -207,6 +207,7 @@
 	if !h.ready {
 		return
 	}
+	p.leaveBehind(h)
 	for task := range h.running {
 		p.releaseTask(h, task)
 	}
--- a/holder/lease.go
+++ b/holder/lease.go
@@ -137,6 +137,7 @@
 	h.ledger = ledger.New(state.Capacity)
 	h.ledger.SetHeadroom(p.headroomOf(state.Capacity))
 	h.running = map[string]run{}
+	p.forgetLeftTasks(h.name)
 	h.health = health{}
 	now := time.Now()
 	for _, t := range state.Tasks {
--- a/holder/pool.go
+++ b/holder/pool.go
@@ -83,6 +83,8 @@
 	workers map[string]*HeldWorker
 	// formerRenewals holds the last renewals of workers that were removed, for as long as tasks may live on them.
 	formerRenewals map[string]time.Time
+	// leftBehind holds, by worker, the tasks that were left on workers whose lease has ended here.
+	leftBehind     map[string]*leftTasks
 	indexedWorkers []*HeldWorker
 	shortIndex     *place.Index
 	longIndex      *place.Index
@@ -114,6 +116,7 @@
 		reservations:   shard.NewMap[*Grant](),
 		workers:        map[string]*HeldWorker{},
 		formerRenewals: map[string]time.Time{},
+		leftBehind:     map[string]*leftTasks{},
 		shortIndex:     place.NewIndex(1),
 		longIndex:      place.NewIndex(1),
 		waitCorrection: 1,
@@ -353,6 +356,7 @@
 // cancel frees a grant in which no start was sent, unless it was freed with its lease; p.mu is held.
 func (p *Pool) cancel(g *Grant) {
 	if g.Worker.epoch != g.epoch {
+		p.releaseLeftTask(g.Worker.name, g.Task)
 		return
 	}
 	p.releaseTask(g.Worker, g.Task)
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -790,3 +790,61 @@
 	c.Check(reason.Is(err, reason.LeaseLost), qt.IsTrue, qt.Commentf("%v", err))
 	c.Check(w.Log().Started, qt.Equals, uint64(1))
 }
+
+// limitedQuota is a quota of one test task for all owners together.
+type limitedQuota struct{ countedQuota }
+
+func (q *limitedQuota) Reserve(_ string, size unit.Size) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if used := q.used.Add(size); !used.Fits(testWork.Size) {
+		return false
+	}
+	q.used = q.used.Add(size)
+	return true
+}
+
+// Guards against starting more tasks of an owner than its quota allows while others go on running on a worker whose lease was lost.
+func TestTasksOnLostWorkerUseQuota(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// settle ends the wait for the tasks on the lost worker.
+		settle func(c *qt.C, p *Pool, lost *HeldWorker, w *testWorker)
+	}{
+		{"adopted again", func(c *qt.C, p *Pool, lost *HeldWorker, _ *testWorker) {
+			lost.acquire(context.Background())
+			c.Assert(p.Load().Held, qt.Contains, "w")
+			_, err := p.StopTask(context.Background(), "a", "w")
+			c.Assert(err, qt.IsNil)
+		}},
+		{"expired", func(_ *qt.C, p *Pool, _ *HeldWorker, w *testWorker) {
+			w.server.Close()
+			p.mu.Lock()
+			p.forgetLeftTasks("w")
+			p.mu.Unlock()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			w, x := newTestWorker(c, "w"), newTestWorker(c, "x")
+			p := newTestPool()
+			p.cfg.Quotas = &limitedQuota{}
+			lost := p.holdWorker(c, w)
+			_, err := p.startTask("a")
+			c.Assert(err, qt.IsNil)
+			p.holdWorker(c, x)
+			c.Assert(lost.client.ReleaseLease(ctx, p.cfg.Holder, lost.epoch), qt.IsNil)
+			lost.loseLease("test")
+			start := func() error {
+				_, err := p.Start(ctx, Need{Task: "b", Work: testWork}, "x", Call{Params: "run=10m"})
+				return err
+			}
+			err = start()
+			c.Check(reason.Is(err, reason.OverQuota), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(w.Log().Running+x.Log().Running, qt.Equals, 1)
+			test.settle(c, p, lost, w)
+			c.Check(start(), qt.IsNil)
+		})
+	}
+}
