Renew a worker's lease only on a connection that its process has kept

Callers could see jobs that never end after a worker had restarted.

Cause: a worker that restarts within LeaseTTL grants the next renewal as a new lease, because the epoch is new to it. The holder took that for a renewal: the tasks that had ended with the process went on counting as running, with their capacity and quota, and ends of later tasks were not reported, since the holder acknowledges more ends than the new process has had.

Evidence: TestRestartedWorkerIsAdoptedAnew. Before, a task of the earlier process kept its capacity and was reported as "running".

Change: the calls of the lease have a connection of their own, and renewals open none. Where it was closed, the holder reads the worker's state first: a process that does not hold the lease under this epoch has restarted, and is acquired and adopted anew. A worker must keep connections open between renewals.

--- a/holder/lease.go
+++ b/holder/lease.go
@@ -69,7 +69,9 @@
 	}
 	sentAt, sentAtBoot := time.Now(), p.cfg.SinceBoot()
 	// A free lease may be granted by a request that is carried out late, for as long as tasks live that it would prolong.
-	reply, err := h.requestLease(ctx, sentAt, p.cfg.TaskTTL, epoch, 0)
+	reply, err := h.requestLease(sentAt, p.cfg.TaskTTL, func() (worker.LeaseReply, error) {
+		return h.client.Lease(ctx, h.leaseRequest(epoch, 0))
+	})
 	if err != nil {
 		return pause
 	}
@@ -93,7 +95,7 @@
 
 // requestLease requests or renews the lease; without an answer the request counts as one that took effect maxDelay after it was sent.
 func (h *HeldWorker) requestLease(
-	ctx context.Context, sentAt time.Time, maxDelay time.Duration, epoch, acked uint64,
+	sentAt time.Time, maxDelay time.Duration, request func() (worker.LeaseReply, error),
 ) (worker.LeaseReply, error) {
 	p := h.pool
 	p.mu.Lock()
@@ -102,8 +104,9 @@
 		h.maybeRenewedAt = effectUntil
 	}
 	p.mu.Unlock()
-	reply, err := h.client.Lease(ctx, h.leaseRequest(epoch, acked))
+	reply, err := request()
 	var unreachable *worker.UnreachableError
+	var notConnected *worker.NotConnectedError
 	noEffect := (err == nil && !reply.Granted) || (err != nil && hadNoEffect(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,7 +117,7 @@
 		// Earlier requests have no effect any more, since each epoch is granted once.
 		h.maybeRenewedAt = sentAt
 	}
-	if !errors.As(err, &unreachable) {
+	if !errors.As(err, &unreachable) && !errors.As(err, &notConnected) {
 		h.unanswered = err != nil && !noEffect
 	}
 	return reply, err
@@ -172,7 +175,14 @@
 	p.mu.Unlock()
 	sentAt, sentAtBoot := time.Now(), p.cfg.SinceBoot()
 	// A renewal that is carried out after the lease has expired has no effect.
-	reply, err := h.requestLease(ctx, sentAt, 0, epoch, acked)
+	reply, err := h.requestLease(sentAt, 0, func() (worker.LeaseReply, error) {
+		reply, err := h.client.Renew(ctx, h.leaseRequest(epoch, acked))
+		var notConnected *worker.NotConnectedError
+		if errors.As(err, &notConnected) && h.reconnect(ctx, epoch) {
+			return h.client.Renew(ctx, h.leaseRequest(epoch, acked))
+		}
+		return reply, err
+	})
 	if err != nil {
 		h.handleRenewError(ctx, err)
 		return false
@@ -187,6 +197,20 @@
 	return len(reply.Usage) > 0
 }
 
+// reconnect opens a connection for renewals, and loses the lease if the worker has restarted: a new process would grant the same epoch again, but
+// knows none of the tasks.
+func (h *HeldWorker) reconnect(ctx context.Context, epoch uint64) bool {
+	state, err := h.client.State(ctx)
+	if err != nil {
+		return false
+	}
+	if state.Epoch != epoch || state.Holder != h.pool.cfg.Holder {
+		h.loseLease("the worker has restarted or has another holder")
+		return false
+	}
+	return true
+}
+
 func (h *HeldWorker) handleRenewError(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -53,16 +53,14 @@
 }
 
 func newTestWorker(c *qt.C, name string) *testWorker {
-	w := &testWorker{Worker: fakes.NewWorker(fakes.WorkerConfig{
-		Name: name, DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
-	})}
+	w := &testWorker{Worker: newFakeWorker(name)}
 	w.loseReplies("", "")
 	w.refuseCalls("", "", "")
 	w.dropCalls("")
-	handler := w.Handler()
 	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
 		drop, lose, fault := w.drops(r), w.losesReply(r), w.faultOf(r)
+		handler := w.Handler()
 		w.mu.Unlock()
 		switch {
 		case drop:
@@ -85,6 +83,21 @@
 	return w
 }
 
+func newFakeWorker(name string) *fakes.Worker {
+	return fakes.NewWorker(fakes.WorkerConfig{
+		Name: name, DataCenter: "here", Rack: "r", Capacity: unit.Size{CPUMilli: 2000, MemoryMiB: 2000, Slots: 10, Connections: 10},
+	})
+}
+
+// restart ends the worker's process with all its tasks and connections, and starts another one at the same address.
+func (w *testWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Close()
+	w.Worker = newFakeWorker(w.Worker.Log().Worker)
+	w.server.CloseClientConnections()
+}
+
 // loseReplies makes the worker carry out matching calls without a reply; no call has an empty method.
 func (w *testWorker) loseReplies(method, pathPart string) {
 	w.mu.Lock()
@@ -848,3 +861,49 @@
 		})
 	}
 }
+
+// Guards against tasks that count as running after their worker's process has restarted between two renewals of its lease.
+func TestRestartedWorkerIsAdoptedAnew(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	w := newTestWorker(c, "w")
+	p := newTestPool()
+	h := p.holdWorker(c, w)
+	for _, task := range []string{"a", "b"} {
+		_, err := p.startTask(task)
+		c.Assert(err, qt.IsNil)
+	}
+	// The end of a task makes the holder acknowledge more ends than the next process has had.
+	_, err := h.client.Stop(ctx, "b")
+	c.Assert(err, qt.IsNil)
+	h.renew(ctx)
+	c.Assert(p.used(h), qt.Equals, testWork.Size)
+	w.restart()
+	// The first renewal may find the connection closed only when it is sent.
+	for range 2 {
+		if p.isReady(h) {
+			h.renew(ctx)
+		}
+	}
+	c.Assert(p.isReady(h), qt.IsFalse)
+	h.acquire(ctx)
+	c.Assert(p.isReady(h), qt.IsTrue)
+	c.Check(p.used(h), qt.Equals, unit.Size{})
+	h.applyRenewal(time.Now().Add(2*p.cfg.LeaseTTL), worker.LeaseReply{Granted: true})
+	answer, err := p.Inspect(ctx, "a", "w")
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.State, qt.Equals, worker.Absent)
+	h.client.Close()
+	_, err = p.startTask("c")
+	c.Assert(err, qt.IsNil)
+	_, err = h.client.Stop(ctx, "c")
+	c.Assert(err, qt.IsNil)
+	h.renew(ctx)
+	c.Check(p.used(h), qt.Equals, unit.Size{})
+}
+
+func (p *Pool) isReady(h *HeldWorker) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.ready
+}
--- a/holder/preempt.go
+++ b/holder/preempt.go
@@ -245,6 +245,7 @@
 // hadNoEffect reports whether a failed call to a worker provably had no effect.
 func hadNoEffect(err error) bool {
 	var unreachable *worker.UnreachableError
+	var notConnected *worker.NotConnectedError
 	var refused *worker.RefusedError
-	return errors.As(err, &unreachable) || errors.As(err, &refused)
+	return errors.As(err, &unreachable) || errors.As(err, &notConnected) || errors.As(err, &refused)
 }
--- a/worker/client.go
+++ b/worker/client.go
@@ -19,8 +19,10 @@
 	controlTimeout = 900 * time.Millisecond
 	dialTimeout    = 800 * time.Millisecond
 	idleTimeout    = 10 * time.Second
-	maxIdleConns   = 64
-	maxAnswerBytes = 64 << 20
+	// leaseIdleTimeout is longer than the longest time between two renewals of a lease.
+	leaseIdleTimeout = time.Minute
+	maxIdleConns     = 64
+	maxAnswerBytes   = 64 << 20
 )
 
 // Client calls the HTTP API of one worker.
@@ -28,7 +30,8 @@
 	name  string
 	base  string
 	tasks *http.Client
-	// control has connections of its own, so that no task's answer delays a lease renewal.
+	// lease and control have connections of their own, so that no task's answer delays them.
+	lease     *http.Client
 	control   *http.Client
 	unpooled  *http.Client
 	bytesSent atomic.Int64
@@ -40,22 +43,29 @@
 	c := &Client{name: name, base: "http://" + addr.String()}
 	dialer := NewDialer(source, dialTimeout)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if ctx.Value(connected{}) != nil {
+			return nil, &NotConnectedError{Worker: name}
+		}
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, &UnreachableError{Worker: name, Err: err}
 		}
 		return &countedConn{Conn: conn, client: c}, nil
 	}
-	newHTTPClient := func(keepAlive bool) *http.Client {
+	newHTTPClient := func(keepAlive bool, idleTimeout time.Duration) *http.Client {
 		return &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableKeepAlives: !keepAlive,
 			DisableCompression: true,
 		}}
 	}
-	c.tasks, c.control, c.unpooled = newHTTPClient(true), newHTTPClient(true), newHTTPClient(false)
+	c.tasks, c.control, c.unpooled = newHTTPClient(true, idleTimeout), newHTTPClient(true, idleTimeout), newHTTPClient(false, 0)
+	c.lease = newHTTPClient(true, leaseIdleTimeout)
 	return c
 }
 
+// connected is the key of the context of a call that must not open a connection.
+type connected struct{}
+
 // NewDialer returns a dialer whose connections come from source, if it is valid.
 func NewDialer(source netip.Addr, timeout time.Duration) *net.Dialer {
 	dialer := &net.Dialer{Timeout: timeout}
@@ -71,6 +81,7 @@
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.tasks.CloseIdleConnections()
+	c.lease.CloseIdleConnections()
 	c.control.CloseIdleConnections()
 	c.unpooled.CloseIdleConnections()
 }
@@ -78,24 +89,37 @@
 // Bytes returns how many bytes were sent to and read from the worker.
 func (c *Client) Bytes() (sent, read int64) { return c.bytesSent.Load(), c.bytesRead.Load() }
 
-// State returns the worker's capacity, lease and tasks.
+// State returns the worker's capacity, lease and tasks, on the connection of the lease's calls.
 func (c *Client) State(ctx context.Context) (State, error) {
 	var state State
-	err := c.controlCall(ctx, http.MethodGet, "/v1/state", nil, &state)
+	err := c.call(ctx, c.lease, http.MethodGet, "/v1/state", nil, &state)
+	return state, err
+}
+
+// CurrentState returns the same as State, on a new connection.
+func (c *Client) CurrentState(ctx context.Context) (State, error) {
+	var state State
+	err := c.call(ctx, c.unpooled, http.MethodGet, "/v1/state", nil, &state)
 	return state, err
 }
 
-// Lease requests or renews the worker's lease.
+// Lease requests the worker's lease.
 func (c *Client) Lease(ctx context.Context, req LeaseRequest) (LeaseReply, error) {
 	var reply LeaseReply
-	err := c.controlCall(ctx, http.MethodPut, "/v1/lease", req, &reply)
+	err := c.call(ctx, c.lease, http.MethodPut, "/v1/lease", req, &reply)
 	return reply, err
 }
 
+// Renew renews the worker's lease on the connection of an earlier call of Lease, State or Renew. It fails with a NotConnectedError if there is none,
+// because the worker may have restarted and would grant the lease anew.
+func (c *Client) Renew(ctx context.Context, req LeaseRequest) (LeaseReply, error) {
+	return c.Lease(context.WithValue(ctx, connected{}, true), req)
+}
+
 // ReleaseLease releases the lease.
 func (c *Client) ReleaseLease(ctx context.Context, holder string, epoch uint64) error {
 	req := LeaseRequest{Holder: holder, Epoch: epoch}
-	return c.controlCall(ctx, http.MethodDelete, "/v1/lease", req, &struct{}{})
+	return c.call(ctx, c.lease, http.MethodDelete, "/v1/lease", req, &struct{}{})
 }
 
 // Run starts a task and waits for its whole answer; if a task with this id runs already, Run attaches to it.
@@ -181,6 +205,10 @@
 }
 
 func (c *Client) controlCall(ctx context.Context, method, path string, in, out any) error {
+	return c.call(ctx, c.control, method, path, in, out)
+}
+
+func (c *Client) call(ctx context.Context, httpc *http.Client, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	var body []byte
@@ -195,9 +223,9 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.control.Do(req)
+	resp, err := httpc.Do(req)
 	if err != nil {
-		c.control.CloseIdleConnections()
+		httpc.CloseIdleConnections()
 		return c.transportError(err)
 	}
 	defer resp.Body.Close()
@@ -252,8 +280,12 @@
 
 func (c *Client) transportError(err error) error {
 	var unreachable *UnreachableError
-	if errors.As(err, &unreachable) {
+	var notConnected *NotConnectedError
+	switch {
+	case errors.As(err, &unreachable):
 		return unreachable
+	case errors.As(err, &notConnected):
+		return notConnected
 	}
 	return &UnansweredError{Worker: c.name, Err: err}
 }
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -102,3 +102,22 @@
 	}
 	c.Check(conns, qt.HasLen, 1)
 }
+
+// Guards against a renewal that a restarted worker grants as a new lease.
+func TestRenewalOpensNoConnection(t *testing.T) {
+	c := qt.New(t)
+	numCalls := 0
+	cl := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		numCalls++
+		_, _ = w.Write([]byte("{\"granted\":true}\n"))
+	})
+	_, err := cl.Renew(context.Background(), worker.LeaseRequest{})
+	var notConnected *worker.NotConnectedError
+	c.Assert(errors.As(err, &notConnected), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(numCalls, qt.Equals, 0)
+	_, err = cl.State(context.Background())
+	c.Assert(err, qt.IsNil)
+	_, err = cl.Renew(context.Background(), worker.LeaseRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(numCalls, qt.Equals, 2)
+}
--- a/worker/types.go
+++ b/worker/types.go
@@ -158,6 +158,16 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
+// NotConnectedError means that there was no connection for a call that must not open one, and so nothing was sent.
+type NotConnectedError struct {
+	Worker string
+}
+
+// Error implements error.
+func (e *NotConnectedError) Error() string {
+	return fmt.Sprintf("there is no connection to worker %s", e.Worker)
+}
+
 // UnansweredError means that a call was sent and no whole answer was received; the call may have taken effect.
 type UnansweredError struct {
 	Worker string
