Don't report work as not run because its worker has restarted

Callers could get "not-run" for a request that had run, and a request with an idempotency key could run a second time.

Cause: a request whose answer is lost is asked for, and stopped if its worker does not know it; "never-started" then counted as proof. A worker that has restarted knows nothing and answers the same, though the work had run in the process before. For a keyed request the claim was then written as not run, so the key could be claimed again.

Evidence: TestRestartedWorkerDoesNotKnowWhatRan. Before, "not-run: worker-silent: the start did not reach worker w" after the worker had started the request and restarted.

Change: never-started counts as proof only if the worker still shows the lease under which the request was sent, which no other process of it can. Otherwise work that may be repeated counts as failed, and is tried elsewhere, and the outcome of other work is unknown. A look-up of an answer takes never-started for no answer.

--- a/holder/execute.go
+++ b/holder/execute.go
@@ -114,7 +114,10 @@
 	if err != nil {
 		answer, err = p.resolveOutcome(ctx, g.Worker, g.Task, call.Need.Work.Repeatable, err)
 	}
-	if err == nil {
+	switch {
+	case err == nil && answer.State == worker.NeverStarted:
+		err = g.neverStartedError(call.Need.Work.Repeatable)
+	case err == nil:
 		err = stateError(g.Worker.name, answer)
 	}
 	p.finish(g, call.Need.Work.Name, time.Since(started), err)
@@ -185,8 +188,6 @@
 		return reason.Fail(reason.TaskFailed, "on worker %s: %s", workerName, answer.Body)
 	case worker.Stopped:
 		return reason.Fail(reason.TaskStopped, "on worker %s: %s", workerName, answer.Body)
-	case worker.NeverStarted:
-		return reason.Refuse(reason.WorkerSilent, "the start did not reach worker %s", workerName)
 	default:
 		return reason.Uncertain(reason.WorkerSilent, "worker %s answered with state %q", workerName, answer.State)
 	}
@@ -304,6 +305,23 @@
 	}
 }
 
+// neverStartedError returns the outcome of a request that its worker does not know. It is proved not to have run only if the worker still shows the
+// lease under which it was sent: a process that has restarted does not know what ran before, and does not get that epoch again.
+func (g *Grant) neverStartedError(repeatable bool) error {
+	h := g.Worker
+	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
+	defer cancel()
+	state, err := h.client.CurrentState(ctx)
+	switch {
+	case err == nil && state.Epoch == g.epoch && state.Holder == h.pool.cfg.Holder:
+		return reason.Refuse(reason.WorkerSilent, "the start did not reach worker %s", h.name)
+	case err == nil && repeatable:
+		return reason.Fail(reason.TaskFailed, "worker %s does not know the work any more", h.name)
+	default:
+		return reason.Uncertain(reason.WorkerSilent, "worker %s does not know the work and may have restarted since its start", h.name)
+	}
+}
+
 func (h *HeldWorker) fenceOnce(ctx context.Context, task string, repeatable bool) (worker.Answer, error) {
 	answer, err := h.client.Attach(ctx, task, 0)
 	var refused *worker.RefusedError
@@ -322,7 +340,7 @@
 	}
 	switch state {
 	case worker.NeverStarted:
-		return worker.Answer{}, reason.Refuse(reason.WorkerSilent, "the start did not reach worker %s", h.name)
+		return worker.Answer{State: state}, nil
 	case worker.Stopped:
 		return worker.Answer{}, reason.Fail(reason.DeadlinePassed, "the work was stopped on worker %s", h.name)
 	default:
--- a/holder/find.go
+++ b/holder/find.go
@@ -24,6 +24,9 @@
 	switch {
 	case errors.As(err, &refused):
 		return Answer{}, false, nil
+	case err == nil && answer.State == worker.NeverStarted:
+		// The worker may have restarted since the start.
+		return Answer{}, false, nil
 	case err != nil || !answer.State.Terminal():
 		return Answer{}, true, reason.Uncertain(reason.KeyInUse, "the first run is still on its way")
 	}
--- a/holder/pool_test.go
+++ b/holder/pool_test.go
@@ -907,3 +907,39 @@
 	defer p.mu.Unlock()
 	return h.ready
 }
+
+// Guards against reporting work as not run, so that it may run a second time, because its worker has restarted and does not know it.
+func TestRestartedWorkerDoesNotKnowWhatRan(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		want       reason.Outcome
+	}{
+		{"repeatable", true, reason.Failed},
+		{"not repeatable", false, reason.Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newTestWorker(c, "w")
+			p := newTestPool()
+			p.holdWorker(c, w)
+			work := testWork
+			work.Class, work.Repeatable, work.RunTime = entry.Request, test.repeatable, 0
+			go func() {
+				for w.numStarted() == 0 {
+					clock.Pause(context.Background(), time.Millisecond)
+				}
+				w.restart()
+			}()
+			_, err := p.Run(context.Background(), Call{Need: Need{Task: "a", Work: work, Deadline: time.Now().Add(time.Hour)}, Params: "run=1h"})
+			c.Assert(err, qt.IsNotNil)
+			c.Check(reason.From(err).Outcome, qt.Equals, test.want, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func (w *testWorker) numStarted() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Log().Started
+}
