Keep the quota of an ended process until its tasks are adopted or have expired

Callers could see more tasks of an owner run at the same time than its quota allows, after a host was killed.

Cause: the share of a process counted as free as soon as another process of its host was heard of, or the host was neither listed nor alive, and no listed host of its data centre reported adopted tasks that its share did not cover. Until the leases of its workers expire and other hosts have adopted the tasks, none does report any, though the tasks run for up to TaskTTL.

A waiting entry of an ended process no longer holds the others back in that time: isAlive tells processes of a host apart.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -149,21 +150,47 @@
 	return o.Quota
 }
 
-// canDropShare reports whether a process has been replaced or removed and its former tasks are covered by the quota shares
+// endedProcessTTL is how long after its tasks have expired it is kept when a process was found to have ended.
+const endedProcessTTL = time.Hour
+
+// canDropShare reports whether a process has been replaced or removed and its former tasks have expired or are covered by the quota shares
 // of their new holders. It returns false while a host of that data centre is unresponsive, since that is not known then.
 func (n *Node) canDropShare(id, dataCenter string) bool {
 	name, incarnation, _ := strings.Cut(id, "@")
 	now := time.Now()
-	if !n.isReplaced(name, incarnation, now) {
+	if !n.tasksExpiredSinceEnd(id, n.isReplaced(name, incarnation, now), now) {
 		return false
 	}
 	return n.hostsCovered(dataCenter, name, now) && (dataCenter != n.cfg.DataCenter || !n.quotas.HasUncoveredTasks())
 }
 
+// tasksExpiredSinceEnd reports whether a process has been found to have ended for so long that tasks on its workers which no other host has adopted
+// have expired.
+func (n *Node) tasksExpiredSinceEnd(id string, ended bool, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !ended {
+		delete(n.endedSince, id)
+		return false
+	}
+	expiry := n.cfg.TaskTTL + n.cfg.LeaseTTL
+	since, ok := n.endedSince[id]
+	if !ok {
+		if n.endedSince == nil {
+			n.endedSince = map[string]time.Time{}
+		}
+		maps.DeleteFunc(n.endedSince, func(_ string, since time.Time) bool { return now.Sub(since) > expiry+endedProcessTTL })
+		n.endedSince[id] = now
+		return false
+	}
+	return now.Sub(since) > expiry
+}
+
+// isAlive reports whether a report of a process was received recently.
 func (n *Node) isAlive(id string) bool {
-	name, _, _ := strings.Cut(id, "@")
+	name, incarnation, _ := strings.Cut(id, "@")
 	m, ok := n.members.Member(name)
-	return ok && n.members.Alive(m, time.Now())
+	return ok && m.State.GetIncarnation() == incarnation && n.members.Alive(m, time.Now())
 }
 
 // adoptionsCovered reports whether the quota shares of all other hosts of this data centre cover the tasks they adopted.
--- a/node/node.go
+++ b/node/node.go
@@ -70,8 +70,10 @@
 	leaving atomic.Bool
 	mu      sync.Mutex
 	hosts   []store.Host
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// endedSince holds when processes with a share of a quota were first found to have ended.
+	endedSince map[string]time.Time
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
 // New assembles an entry host; nothing runs before Run.
