Judge starts by the order of steps, due times and attempts in the fakes

The fake workers recorded violations of TWICE, LIMIT and ROUTE only, so that no test could fail for a start before the steps that it depends on are done or before its time (ORDER), or after as many failed runs as the queue allows (BUDGET). They are recorded now as RULES.md puts them: ends count once they are acknowledged, also later, unless the lease expired in between. SetJob declares a whole job. Not judged, as before: members of a gang waiting for each other (GANG), and what RULES.md asks of machines in touch only (UNASKED, DRAIN).

--- a/fakes/rules.go
+++ b/fakes/rules.go
@@ -16,6 +16,8 @@
 	run    int
 	// event is the number of the start among all starts and ends.
 	event int
+	// overAttempts says that the start is recorded as a violation of the number of attempts.
+	overAttempts bool
 }
 
 // doneEnd is a successful end of a task.
@@ -27,6 +29,17 @@
 	acknowledged bool
 }
 
+// failedEnd is an end of a failed run.
+type failedEnd struct {
+	run          int
+	event        int
+	ws           *workerState
+	acknowledged bool
+}
+
+// maxEarly is how long before its due time a task of an occurrence may start.
+const maxEarly = 250 * time.Millisecond
+
 // ticket permits starts of a step on one incarnation of a worker.
 type ticket struct {
 	step       graph.StepID
@@ -38,11 +51,40 @@
 func (s *WorkerSet) SetStep(id graph.StepID, doc *graph.Step, needsTicket bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setStep(id, doc, needsTicket)
+}
+
+func (s *WorkerSet) setStep(id graph.StepID, doc *graph.Step, needsTicket bool) *stepRules {
 	size := doc.Size
 	if doc.Backfill {
 		size.CPUMilli = 0
 	}
-	s.stepRules[id] = stepRules{size, doc.Speculative, doc.Label, doc.MaxPerWorker, needsTicket}
+	rules := &stepRules{
+		size: size, speculative: doc.Speculative, label: doc.Label, maxPerWorker: doc.MaxPerWorker, needsTicket: needsTicket,
+		count: doc.Count, gang: doc.Gang, longRunning: doc.LongRunning, after: doc.After,
+	}
+	s.stepRules[id] = rules
+	return rules
+}
+
+// SetJob declares the steps of all occurrences of a job, whose starts are also checked against the job's attempts and due times.
+func (s *WorkerSet) SetJob(doc *graph.Job, needsTicket bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range doc.Occurrences() {
+		for i := range doc.Steps {
+			rules := s.setStep(graph.StepID{Job: doc.ID, Occurrence: k, Step: i}, &doc.Steps[i], needsTicket)
+			rules.maxAttempts, rules.due = doc.MaxAttempts, doc.Due(k)
+		}
+	}
+}
+
+// rulesOf returns the rules of a step; one that was not declared has none.
+func (s *WorkerSet) rulesOf(id graph.StepID) *stepRules {
+	if rules, ok := s.stepRules[id]; ok {
+		return rules
+	}
+	return &stepRules{}
 }
 
 // IssueTicket returns a ticket for starting a step on the present incarnation of a worker.
@@ -55,7 +97,7 @@
 }
 
 func (s *WorkerSet) acceptsTicket(ws *workerState, o order.Start) bool {
-	if !s.stepRules[o.Task.StepID].needsTicket {
+	if !s.rulesOf(o.Task.StepID).needsTicket {
 		return true
 	}
 	t, ok := s.tickets[o.Ticket]
@@ -77,9 +119,9 @@
 
 // usedWith returns the resources in use on a worker with one more task of a step.
 func (s *WorkerSet) usedWith(ws *workerState, step graph.StepID) unit.Size {
-	used := s.stepRules[step].size
+	used := s.rulesOf(step).size
 	for run := range ws.runs {
-		used = used.Add(s.stepRules[run.task.StepID].size)
+		used = used.Add(s.rulesOf(run.task.StepID).size)
 	}
 	return used
 }
@@ -87,8 +129,8 @@
 // checkStart records a start and the violations that it causes. late says that the worker carried out the order late.
 func (s *WorkerSet) checkStart(ws *workerState, key runKey, late bool) {
 	s.lastEvent++
-	s.starts[key.task] = append(s.starts[key.task], startRecord{ws.worker.ID, key.run, s.lastEvent})
-	rules := s.stepRules[key.task.StepID]
+	s.starts[key.task] = append(s.starts[key.task], startRecord{worker: ws.worker.ID, run: key.run, event: s.lastEvent})
+	rules := s.rulesOf(key.task.StepID)
 	for _, end := range s.doneEnds[key.task] {
 		// Of steps that allow copies, only orders that were carried out in time are judged by acknowledged ends.
 		if end.acknowledged && (!rules.speculative || !late) {
@@ -111,6 +153,8 @@
 	if rules.maxPerWorker > 0 && numOfStep > rules.maxPerWorker {
 		s.addViolation("%s run %d started on %s as one of %d tasks of its step", key.task, key.run, ws.worker.ID, numOfStep)
 	}
+	s.checkOrder(ws, key, rules)
+	s.checkAttempts(key.task, rules)
 	if rules.speculative {
 		return
 	}
@@ -125,6 +169,55 @@
 	}
 }
 
+// checkOrder records a start before its occurrence is due, or before the steps that it depends on are done.
+func (s *WorkerSet) checkOrder(ws *workerState, key runKey, rules *stepRules) {
+	if early := time.Until(rules.due); !rules.due.IsZero() && early > maxEarly {
+		s.addViolation("%s run %d started on %s %v before it is due", key.task, key.run, ws.worker.ID, early)
+	}
+	for _, dep := range rules.after {
+		id := key.task.StepID
+		id.Step = dep
+		numDone := 0
+		for i := range s.rulesOf(id).count {
+			if len(s.doneEnds[graph.TaskID{StepID: id, Index: i}]) > 0 {
+				numDone++
+			}
+		}
+		// One successful end represents all members of a gang.
+		if count := s.rulesOf(id).count; numDone < count && (numDone == 0 || !s.rulesOf(id).gang) {
+			s.addViolation("%s run %d started on %s when %d of %d tasks of step %d were done",
+				key.task, key.run, ws.worker.ID, numDone, count, dep)
+		}
+	}
+}
+
+// checkAttempts records a start of a task after so many of its runs have failed that it may not be started again, once these ends are
+// acknowledged. The members of a gang fail together, and of steps that allow copies only timely starts are judged; neither is
+// checked.
+func (s *WorkerSet) checkAttempts(task graph.TaskID, rules *stepRules) {
+	if rules.maxAttempts == 0 || rules.longRunning || rules.gang || rules.speculative {
+		return
+	}
+	starts := s.starts[task]
+	for i := range starts {
+		numFailed := 0
+		for _, end := range s.failedEnds[task] {
+			if end.acknowledged && end.event < starts[i].event {
+				numFailed++
+			}
+		}
+		if numFailed >= rules.maxAttempts && !starts[i].overAttempts {
+			starts[i].overAttempts = true
+			s.addViolation("%s run %d started on %s after %d failed runs", task, starts[i].run, starts[i].worker, numFailed)
+		}
+	}
+}
+
+func (s *WorkerSet) recordFailed(ws *workerState, key runKey) {
+	s.lastEvent++
+	s.failedEnds[key.task] = append(s.failedEnds[key.task], &failedEnd{key.run, s.lastEvent, ws, false})
+}
+
 func (s *WorkerSet) recordDone(ws *workerState, key runKey) {
 	s.lastEvent++
 	s.doneEnds[key.task] = append(s.doneEnds[key.task], &doneEnd{ws.worker.ID, key.run, s.lastEvent, ws, false})
@@ -135,12 +228,18 @@
 // its acknowledgement, the end never counts as acknowledged, since the scheduler may have started the task elsewhere by then.
 func (s *WorkerSet) acknowledge(ws *workerState, e *order.End) {
 	s.record(ws.worker.ID, e.Task, e.Run, "end %d (%s) acknowledged", e.Number, e.Kind)
+	for _, end := range s.failedEnds[e.Task] {
+		if end.ws == ws && end.run == e.Run && e.Number > ws.lapsedEnds {
+			end.acknowledged = true
+		}
+	}
+	s.checkAttempts(e.Task, s.rulesOf(e.Task.StepID))
 	for _, end := range s.doneEnds[e.Task] {
 		if end.ws != ws || end.run != e.Run || end.acknowledged || e.Number <= ws.lapsedEnds {
 			continue
 		}
 		end.acknowledged = true
-		if s.stepRules[e.Task.StepID].speculative {
+		if s.rulesOf(e.Task.StepID).speculative {
 			continue
 		}
 		for _, start := range s.starts[e.Task] {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -26,11 +26,12 @@
 	mu      sync.Mutex
 	workers map[string]*workerState
 	// stepRules holds what the starts of each step are checked against.
-	stepRules map[graph.StepID]stepRules
-	// starts and doneEnds hold the starts and the successful ends of each task.
-	starts   map[graph.TaskID][]startRecord
-	doneEnds map[graph.TaskID][]*doneEnd
-	tickets  map[string]ticket
+	stepRules map[graph.StepID]*stepRules
+	// starts, doneEnds and failedEnds hold the starts, the successful and the failed ends of each task.
+	starts     map[graph.TaskID][]startRecord
+	doneEnds   map[graph.TaskID][]*doneEnd
+	failedEnds map[graph.TaskID][]*failedEnd
+	tickets    map[string]ticket
 	// lastEvent numbers starts and ends in the order in which they happened.
 	lastEvent  int
 	violations []string
@@ -79,8 +80,9 @@
 // NewWorkerSet returns a set without workers.
 func NewWorkerSet(maxLease time.Duration) *WorkerSet {
 	return &WorkerSet{
-		MaxLease: maxLease, workers: map[string]*workerState{}, stepRules: map[graph.StepID]stepRules{},
-		starts: map[graph.TaskID][]startRecord{}, doneEnds: map[graph.TaskID][]*doneEnd{}, tickets: map[string]ticket{},
+		MaxLease: maxLease, workers: map[string]*workerState{}, stepRules: map[graph.StepID]*stepRules{},
+		starts: map[graph.TaskID][]startRecord{}, doneEnds: map[graph.TaskID][]*doneEnd{}, failedEnds: map[graph.TaskID][]*failedEnd{},
+		tickets: map[string]ticket{},
 	}
 }
 
@@ -301,8 +303,11 @@
 		Number: ws.lastEndNumber, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.checkpoint,
 	})
 	s.record(ws.worker.ID, key.task, key.run, "ended %s, number %d", kind, ws.lastEndNumber)
-	if kind == order.EndDone {
+	switch kind {
+	case order.EndDone:
 		s.recordDone(ws, key)
+	case order.EndFailed:
+		s.recordFailed(ws, key)
 	}
 	close(ws.changed)
 	ws.changed = make(chan struct{})
@@ -407,7 +412,7 @@
 	rep := order.Report{Clock: ws.clock(), StartedAt: ws.worker.StartedAt, Ended: append([]order.End(nil), ws.unackedEnds...)}
 	for key, r := range ws.runs {
 		rep.Running = append(rep.Running, order.Run{
-			Task: key.task, Run: key.run, Checkpoint: r.checkpoint, CPUPercent: 100, Gauge: float64(s.stepRules[key.task.StepID].size.CPUMilli),
+			Task: key.task, Run: key.run, Checkpoint: r.checkpoint, CPUPercent: 100, Gauge: float64(s.rulesOf(key.task.StepID).size.CPUMilli),
 		})
 	}
 	return pollReply{rep, ws.changed, ws.crashed, ws}, nil
@@ -459,4 +464,14 @@
 	label        string
 	maxPerWorker int
 	needsTicket  bool
+	// count is the number of tasks.
+	count       int
+	gang        bool
+	longRunning bool
+	// after lists the steps that must be done first.
+	after []int
+	// due is when the step's occurrence is due; the zero time means immediately.
+	due time.Time
+	// maxAttempts is how many runs of a task may fail; 0 means no limit.
+	maxAttempts int
 }
--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -583,11 +583,7 @@
 	}
 	raw, err := doc.Encode()
 	d.c.Assert(err, qt.IsNil)
-	for k := range doc.Occurrences() {
-		for i := range doc.Steps {
-			d.workers.SetStep(graph.StepID{Job: id, Occurrence: k, Step: i}, &doc.Steps[i], d.queue == guardedQueue)
-		}
-	}
+	d.workers.SetJob(doc, d.queue == guardedQueue)
 	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
 	d.jobsMu.Lock()
 	d.jobsByID[id] = job
