Add a randomized test of partitions around a change of the holder

In TestRandomPartitions they come in quick succession, with pauses between: holders that other hosts can't reach, alone and with a cut from the table; paths from hosts to several workers that are dropped, reset, refused, one-way or lossy, so that two hosts reach different workers; a zone of one host and some workers cut off from the rest; hosts that take up to 0.9 s for each piece of work, also between the check of the lease and an order; hosts that stand still several times in a row, right after a look at the clock, as the answer to a commit is on its way or after a start; groups that are handed over; together with common kinds of the older test, whose seeds keep their meaning. Tasks run for less than a second or for longer than a lease, and some fail. A host that is suspended (its steady clock stands still while the boot clock goes on) can't be expressed: the hosts of a test share one clock.

--- a/fakes/orderfaults.go
+++ b/fakes/orderfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -53,8 +54,29 @@
 	OrderReplyLost
 	// OrderNoReply lets no reply arrive after the order was carried out.
 	OrderNoReply
+	// OrderReset breaks the connection before the order arrives.
+	OrderReset
+	// OrderRefused refuses the connection, so that the order is known not to have been sent.
+	OrderRefused
 )
 
+var (
+	errConnReset   = errors.New("connection reset")
+	errConnRefused = errors.New("connection refused")
+)
+
+// ConnError returns the error of an order to a worker whose connection fails before the order arrives; nil if it does not.
+func (k OrderFaultKind) ConnError(worker string) error {
+	switch k {
+	case OrderReset:
+		return &order.UnansweredError{Worker: worker, Err: errConnReset}
+	case OrderRefused:
+		return &order.NotSentError{Worker: worker, Err: errConnRefused}
+	default:
+		return nil
+	}
+}
+
 // SetFault sets the function that returns the fault of each order; nil injects none.
 func (s *WorkerSet) SetFault(faultFor func(OrderCall) OrderFault) {
 	s.mu.Lock()
@@ -92,6 +114,10 @@
 		s.recordOrder(call, "not delivered")
 		return unanswered()
 	}
+	if err := fault.Kind.ConnError(call.Worker); err != nil {
+		s.recordOrder(call, "not delivered")
+		return none, err
+	}
 	sentAt := time.Now()
 	if fault.Transit > 0 && !sleep(ctx, fault.Transit) {
 		// The order is on its way, whether or not its sender still waits.
--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -89,6 +89,8 @@
 	seed uint64
 	// queue is the queue of all jobs.
 	queue string
+	// allKinds are the kinds of disruption that the test knows.
+	allKinds []disruption
 	// orderFaults holds the faults of orders that are in force.
 	orderFaults map[int]func(fakes.OrderCall, *rand.Rand) fakes.OrderFault
 	tableFaults map[int]func(op string, rng *rand.Rand) fakes.TableFault
@@ -107,8 +109,10 @@
 
 type jobRef struct {
 	id, queue string
-	// lasting says that the job runs until it is cancelled.
-	lasting   bool
+	// lasting says that the job runs until it is cancelled, and long that its tasks run longer than a lease.
+	lasting, long bool
+	// mayFail says that some runs of the job's tasks fail.
+	mayFail   bool
 	cancelled bool
 }
 
@@ -228,11 +232,11 @@
 func (d *disruptions) kinds() []disruption {
 	list := os.Getenv("CHAOS_KINDS")
 	if list == "" {
-		return allDisruptions()
+		return d.allKinds
 	}
 	names, excluded := strings.CutPrefix(list, "-")
 	var kinds []disruption
-	for _, k := range allDisruptions() {
+	for _, k := range d.allKinds {
 		if slices.Contains(strings.Split(names, ","), k.name) != excluded {
 			kinds = append(kinds, k)
 		}
@@ -494,12 +498,12 @@
 	})
 }
 
-func newDisruptions(t *testing.T, seed uint64, queueName string) *disruptions {
+func newDisruptions(t *testing.T, seed uint64, queueName string, numDataCenters int) *disruptions {
 	t.Helper()
 	workers := fakes.NewWorkerSet(lease)
 	workers.Record()
 	d := &disruptions{
-		t: t, c: qt.New(t), queue: queueName, rng: rand.New(rand.NewPCG(seed, 0)), seed: seed,
+		t: t, c: qt.New(t), queue: queueName, allKinds: allDisruptions(), rng: rand.New(rand.NewPCG(seed, 0)), seed: seed,
 		orderFaults: map[int]func(fakes.OrderCall, *rand.Rand) fakes.OrderFault{},
 		tableFaults: map[int]func(string, *rand.Rand) fakes.TableFault{}, unlisted: map[string]int{}, moveTo: map[string]netip.AddrPort{}, jobsByID: map[string]*jobRef{},
 	}
@@ -523,7 +527,7 @@
 	for i := range numWorkers {
 		w := workers.Add(order.Worker{
 			ID: fmt.Sprintf("w%d", i), Service: service, Capacity: bigWorker, Rack: fmt.Sprintf("r%d", i/2),
-			Labels: []string{fmt.Sprintf("kind%d", i%2)},
+			DataCenter: fmt.Sprintf("dc%d", i%numDataCenters), Labels: []string{fmt.Sprintf("kind%d", i%2)},
 		})
 		workers.SetClockDrift(w.ID, 0.02*d.float64())
 		d.registry.Set(w)
@@ -581,8 +585,14 @@
 	case 2:
 		doc.Steps = append(doc.Steps, graph.Step{Count: 2, Size: cores(4), Backfill: true})
 	}
+	d.submit(job, doc)
+}
+
+// submit makes a job durable.
+func (d *disruptions) submit(job *jobRef, doc *graph.Job) {
 	raw, err := doc.Encode()
 	d.c.Assert(err, qt.IsNil)
+	id := job.id
 	d.workers.SetJob(doc, d.queue == guardedQueue)
 	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
 	d.jobsMu.Lock()
@@ -628,6 +638,11 @@
 	return ""
 }
 
+// mayEndAs reports whether the job may end in a state.
+func (j *jobRef) mayEndAs(state graph.State) bool {
+	return state == graph.Completed || (j.cancelled && state == graph.Cancelled) || (j.mayFail && state == graph.Failed)
+}
+
 // awaitJobs waits until all jobs are completed, after cancelling those that last.
 func (d *disruptions) awaitJobs(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
@@ -635,7 +650,7 @@
 		if job.lasting && !job.cancelled {
 			d.cancel(job)
 		}
-		for state := d.state(job); state != graph.Completed && (!job.cancelled || state != graph.Cancelled); state = d.state(job) {
+		for state := d.state(job); !job.mayEndAs(state); state = d.state(job) {
 			if time.Now().After(deadline) {
 				d.t.Errorf("job %s is %q after %v", job.id, d.state(job), timeout)
 				return
@@ -704,7 +719,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				d := newDisruptions(t, seed, queueName)
+				d := newDisruptions(t, seed, queueName, 1)
 				time.Sleep(time.Second)
 				kinds := d.kinds()
 				for range 60 {
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,72 @@
 
 	mu    sync.Mutex
 	hosts []*host
+	// cuts holds the partitions of the network that are in force, in their order.
+	cuts []*cut
+}
+
+// cut is a partition of the network; a nil function cuts nothing. Hosts are given by name, since a partition outlasts their processes.
+type cut struct {
+	// order returns the fault of an order from a host to a worker.
+	order func(host string, call fakes.OrderCall) fakes.OrderFaultKind
+	// call reports whether a host can't call another one.
+	call func(from, to string) bool
+	// table returns the fault of a host's calls to the table.
+	table func(host string) fakes.TableFault
+}
+
+// addCut partitions the network until remove is called.
+func (n *network) addCut(c *cut) (remove func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts = append(n.cuts, c)
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.cuts = slices.DeleteFunc(slices.Clone(n.cuts), func(other *cut) bool { return other == c })
+	}
+}
+
+func (n *network) currentCuts() []*cut {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts
+}
+
+// pathFault returns the fault of the path by which a host sends an order to a worker.
+func (h *host) pathFault(call fakes.OrderCall) fakes.OrderFaultKind {
+	h.mu.Lock()
+	fault := h.pathFaults[call.Worker]
+	h.mu.Unlock()
+	for _, c := range h.n.currentCuts() {
+		if fault == fakes.OrderOK && c.order != nil {
+			fault = c.order(h.name, call)
+		}
+	}
+	return fault
+}
+
+// currentTableFault returns the fault of the host's calls to the table.
+func (h *host) currentTableFault() fakes.TableFault {
+	h.mu.Lock()
+	fault := h.tableFault
+	h.mu.Unlock()
+	for _, c := range h.n.currentCuts() {
+		if fault == fakes.TableOK && c.table != nil {
+			fault = c.table(h.name)
+		}
+	}
+	return fault
+}
+
+// canCall reports whether another host answers this one.
+func (h *host) canCall(other *host) bool {
+	if h != other && (!h.isReachable() || !other.isReachable()) {
+		return false
+	}
+	return !slices.ContainsFunc(h.n.currentCuts(), func(c *cut) bool {
+		return c.call != nil && h != other && c.call(h.name, other.name)
+	})
 }
 
 // host is one process of a host, which acquires the group's lease by the rules of package agent.
@@ -71,6 +138,14 @@
 	// from then on.
 	freezeAfterCheck time.Duration
 	renewalsLost     bool
+	// freezeAtClock, freezeAtCommit and freezeAfterStart freeze the host for that time once it has read its clock, as the answer
+	// to its next commit is on its way, or once its next start has been carried out.
+	freezeAtClock    time.Duration
+	readsUntilFreeze int
+	freezeAtCommit   time.Duration
+	freezeAfterStart time.Duration
+	// slowness returns how long the host takes for its next piece of work; nil if it takes no time.
+	slowness func() time.Duration
 	// tableFault is the fault of this host's calls to the table.
 	tableFault fakes.TableFault
 	// isolated says that other hosts can't reach this one.
@@ -205,19 +280,16 @@
 	}
 	now := time.Since(h.n.startedAt)
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.freezeAfterCheck > 0 && h.runner != nil && isCalledBy(".addRenewal") {
-		d, r := h.freezeAfterCheck, h.runner
-		h.freezeAfterCheck = 0
-		h.mu.Unlock()
-		age := r.LeaseAge()
-		h.mu.Lock()
-		if age >= elect.RenewInterval/2 {
-			h.freezeAfterCheck = d
-			return now
-		}
-		h.renewalsLost = true
-		h.freezeLocked(d)
+	mayFreeze := h.readsUntilFreeze == 0
+	h.readsUntilFreeze = max(0, h.readsUntilFreeze-1)
+	h.mu.Unlock()
+	if mayFreeze {
+		h.freezeOnce(&h.freezeAtClock)
+	}
+	h.freezeIfJustRenewed()
+	h.work()
+	if h.awaitThaw() != nil {
+		return math.MaxInt64 / 2
 	}
 	return now
 }
@@ -229,6 +301,47 @@
 	h.freezeAfterCheck = d
 }
 
+// freezeIfJustRenewed freezes the host for freezeAfterCheck if a commit has just found that the lease need not be renewed with it.
+func (h *host) freezeIfJustRenewed() {
+	h.mu.Lock()
+	d, r := h.freezeAfterCheck, h.runner
+	if d == 0 || r == nil || !isCalledBy(".addRenewal") {
+		h.mu.Unlock()
+		return
+	}
+	h.freezeAfterCheck = 0
+	h.mu.Unlock()
+	age := r.LeaseAge()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if age >= elect.RenewInterval/2 {
+		h.freezeAfterCheck = d
+		return
+	}
+	h.renewalsLost = true
+	h.freezeLocked(d)
+}
+
+// freezeOnce freezes the host for a time that is then cleared.
+func (h *host) freezeOnce(d *time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if *d > 0 {
+		h.freezeLocked(*d)
+		*d = 0
+	}
+}
+
+// work takes the time that the next piece of work takes on a slow host.
+func (h *host) work() {
+	h.mu.Lock()
+	slowness := h.slowness
+	h.mu.Unlock()
+	if slowness != nil {
+		time.Sleep(slowness())
+	}
+}
+
 // kill ends the process at once; nothing that it still does reaches anyone.
 func (h *host) kill() {
 	h.mu.Lock()
@@ -291,7 +404,7 @@
 		return true
 	}
 	holder := h.n.findHost(previous.Holder)
-	if holder == nil || !holder.isReachable() || !holder.holds(previous.Token) {
+	if holder == nil || !h.canCall(holder) || !holder.holds(previous.Token) {
 		return false
 	}
 	h.confirmedAt = time.Now()
@@ -316,18 +429,18 @@
 }
 
 // fetchHandover requests the handover state of a released lease from the host that released it.
-func (n *network) fetchHandover(previous elect.Epoch) (cell.Handover, bool) {
+func (h *host) fetchHandover(previous elect.Epoch) (cell.Handover, bool) {
 	if previous.Holder != "" || !previous.HandoverAddress.IsValid() {
 		return cell.Handover{}, false
 	}
-	h := n.findHost(fmt.Sprintf("host%d", previous.HandoverAddress.Port()-1))
-	if h == nil || !h.isReachable() {
+	holder := h.n.findHost(fmt.Sprintf("host%d", previous.HandoverAddress.Port()-1))
+	if holder == nil || !holder.isReachable() || !h.canCall(holder) {
 		return cell.Handover{}, false
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	handover, ok := h.handovers[previous.Token]
-	return handover, ok && !h.dead
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	handover, ok := holder.handovers[previous.Token]
+	return handover, ok && !holder.dead
 }
 
 func (h *host) run(
@@ -338,7 +451,7 @@
 		Epoch: epoch, Store: &hostStore{h}, Workers: &hostWorkers{h}, Registry: &hostRegistry{h}, Advisors: h.n.advisor, Queues: h.n.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed,
 		SinceBoot: h.sinceBoot, Log: log,
-		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.n.fetchHandover(previous) },
+		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.fetchHandover(previous) },
 	})
 	ctx, stopRunner := context.WithCancel(h.ctx)
 	h.mu.Lock()
@@ -377,10 +490,8 @@
 	if err := s.h.awaitThaw(); err != nil {
 		return &table.UnansweredError{Op: op, Err: err}
 	}
-	s.h.mu.Lock()
-	fault := s.h.tableFault
-	s.h.mu.Unlock()
-	switch fault {
+	s.h.work()
+	switch s.h.currentTableFault() {
 	case fakes.TableUnavailable:
 		return &table.RefusedError{Op: op, Status: 503}
 	case fakes.TableNoReply:
@@ -417,6 +528,7 @@
 		}
 	}
 	version, err := s.h.n.store.Commit(ctx, tx)
+	s.h.freezeOnce(&s.h.freezeAtCommit)
 	return version, s.leave(ctx, "commit", err)
 }
 
@@ -445,26 +557,28 @@
 
 // sendOrder sends an order over the path to a worker. An order that is about to be sent when the host freezes is sent when it
 // runs again.
-func sendOrder[T any](ctx context.Context, h *host, op, worker string, do func(ctx context.Context) (T, error)) (T, error) {
+func sendOrder[T any](ctx context.Context, h *host, call fakes.OrderCall, do func(ctx context.Context) (T, error)) (T, error) {
 	var none T
-	h.mu.Lock()
-	if op == fakes.OpStart && h.freezeAtStart > 0 {
-		d := h.freezeAtStart
-		h.freezeAtStart = 0
-		h.freezeLocked(d)
+	worker := call.Worker
+	if call.Op == fakes.OpStart {
+		h.freezeOnce(&h.freezeAtStart)
 	}
-	h.mu.Unlock()
+	h.work()
 	if err := h.awaitThaw(); err != nil {
 		return none, &order.UnansweredError{Worker: worker, Err: err}
 	}
-	h.mu.Lock()
-	fault := h.pathFaults[worker]
-	h.mu.Unlock()
+	fault := h.pathFault(call)
 	if fault == fakes.OrderDropped {
 		<-ctx.Done()
 		return none, &order.UnansweredError{Worker: worker, Err: ctx.Err()}
 	}
+	if err := fault.ConnError(worker); err != nil {
+		return none, err
+	}
 	reply, err := do(ctx)
+	if call.Op == fakes.OpStart {
+		h.freezeOnce(&h.freezeAfterStart)
+	}
 	if thawErr := h.awaitThaw(); thawErr != nil {
 		return none, &order.UnansweredError{Worker: worker, Err: thawErr}
 	}
@@ -479,22 +593,26 @@
 
 // Start implements order.Workers.
 func (s *hostWorkers) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
-	return sendOrder(ctx, s.h, fakes.OpStart, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Start(ctx, w, o) })
+	call := fakes.OrderCall{Op: fakes.OpStart, Worker: w.ID, Task: o.Task, Run: o.Run}
+	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Start(ctx, w, o) })
 }
 
 // Stop implements order.Workers.
 func (s *hostWorkers) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
-	return sendOrder(ctx, s.h, fakes.OpStop, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
+	call := fakes.OrderCall{Op: fakes.OpStop, Worker: w.ID, Task: o.Task, Run: o.Run}
+	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
 }
 
 // Throttle implements order.Workers.
 func (s *hostWorkers) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
-	return sendOrder(ctx, s.h, fakes.OpThrottle, w.ID, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
+	call := fakes.OrderCall{Op: fakes.OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run}
+	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
 }
 
 // Poll implements order.Workers.
 func (s *hostWorkers) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
-	return sendOrder(ctx, s.h, fakes.OpPoll, w.ID, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
+	call := fakes.OrderCall{Op: fakes.OpPoll, Worker: w.ID}
+	return sendOrder(ctx, s.h, call, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
 }
 
 // Forget implements order.Workers.
