--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -44,9 +44,6 @@
 	log       logrus.FieldLogger
 	startedAt time.Time
 
-	// unannounced is a process whose announcement is lost.
-	unannounced string
-
 	mu    sync.Mutex
 	hosts []*host
 	// cuts holds the partitions of the network that are in force, in their order.
@@ -513,19 +510,27 @@
 	return err
 }
 
+// unannouncedProcess is a process whose announcement is lost.
+const unannouncedProcess = "unannounced"
+
+// loses reports whether a commit does not reach the table.
+func (s *hostStore) loses(tx table.Tx) bool {
+	s.h.mu.Lock()
+	defer s.h.mu.Unlock()
+	renewal := elect.RenewWrite(service, 0).Key
+	return slices.ContainsFunc(tx.Writes, func(w table.Write) bool {
+		return (w.Partition == hostsPartition && s.h.process == unannouncedProcess) || (w.Key == renewal && s.h.renewalsLost)
+	})
+}
+
 // Commit implements table.Store.
 func (s *hostStore) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
 	if err := s.enter(ctx, "commit"); err != nil {
 		return 0, err
 	}
-	s.h.mu.Lock()
-	lost := s.h.renewalsLost
-	s.h.mu.Unlock()
-	for _, w := range tx.Writes {
-		if (w.Partition == hostsPartition && s.h.process == s.h.n.unannounced) || lost && w.Key == elect.RenewWrite(service, 0).Key {
-			<-ctx.Done()
-			return 0, &table.UnansweredError{Op: "commit", Err: ctx.Err()}
-		}
+	if s.loses(tx) {
+		<-ctx.Done()
+		return 0, &table.UnansweredError{Op: "commit", Err: ctx.Err()}
 	}
 	version, err := s.h.n.store.Commit(ctx, tx)
 	s.h.freezeOnce(&s.h.freezeAtCommit)
--- a/runner/paused_test.go
+++ b/runner/paused_test.go
@@ -69,9 +69,11 @@
 		op string
 		// caller is the method of the runner that checks its lease before the pause.
 		caller string
+		// numStarts is how many runs the worker has before.
+		numStarts int
 	}{
-		{fakes.OpStart, ".sendStart"},
-		{fakes.OpPoll, ".pollLoop"},
+		{fakes.OpStart, ".sendStart", 0},
+		{fakes.OpPoll, ".pollLoop", 1},
 	} {
 		t.Run(test.op, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -82,7 +84,7 @@
 				var armed atomic.Bool
 				s.sinceBoot = func() time.Duration {
 					now := time.Since(s.startedAt)
-					if armed.Load() && isCalledBy(test.caller) && armed.CompareAndSwap(true, false) {
+					if armed.Load() && isCalledBy(".holds") && isCalledBy(test.caller) && armed.CompareAndSwap(true, false) {
 						time.Sleep(pause)
 						orders.armed.Store(true)
 					}
@@ -90,8 +92,11 @@
 				}
 				_, stop := s.runner()
 				time.Sleep(time.Second)
-				armed.Store(true)
+				armed.Store(test.numStarts == 0)
 				s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(1)})
+				time.Sleep(time.Second)
+				qt.Assert(t, s.workers.NumStarts(), qt.Equals, test.numStarts)
+				armed.Store(test.numStarts > 0)
 				time.Sleep(2 * pause)
 				stop()
 				qt.Assert(t, orders.leaseUntil > 0, qt.IsTrue)
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -305,14 +305,13 @@
 func TestUnannouncedHolderIsNotTakenForItsEarlierProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(2)
-		n.unannounced = "process2"
 		first, other := n.findHost("host0"), n.findHost("host1")
 		n.startTask(t)
 		other.setPathFault("w0", fakes.OrderDropped)
 		other.setTableFault(fakes.TableNoReply)
 		first.kill()
 		time.Sleep(500 * time.Millisecond)
-		n.startHost(0, n.unannounced)
+		n.startHost(0, unannouncedProcess)
 		holder := n.findHost("host0")
 		for holder.currentRunner() == nil {
 			time.Sleep(time.Millisecond)
