--- a/holder/execute.go
+++ b/holder/execute.go
@@ -208,7 +208,9 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	poller := &taskPoller{interval: responseTimeout + time.Duration(len(call.Body))*time.Second/minUploadRate}
+	poller.mu.Lock()
 	poller.timer = time.AfterFunc(poller.interval, func() { poller.poll(callCtx, cancel, h, task) })
+	poller.mu.Unlock()
 	answer, err := h.client.Run(callCtx, task, spec, call.ContentType, call.Body)
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
