Never move the last renewal of a worker's lease back

Change: the last renewal only moves forward.

Evidence: TestStartDoesNotShortenLeaseOfLaterPoll fails with the assignment as it was, and passes now, as do the tests of cell and runner.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -124,11 +124,19 @@
 	return last
 }
 
+// noteRenewal records an order that renews the leases on a worker from a time on, which may be earlier than that of the last one.
+func (w *worker) noteRenewal(from time.Time) {
+	if from.After(w.renewedAt) {
+		w.renewedAt = from
+	}
+}
+
 // StartLease records that a start, which renews the leases on its worker, is about to be sent, and returns when the lease ends on
 // the worker's clock; 0 if that clock is not known.
 func (c *Cell) StartLease(o StartOrder, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.p.sentAt, o.p.w.renewedAt = now, now
+	o.p.sentAt = now
+	o.p.w.noteRenewal(now)
 	return o.p.w.leaseEnd(now, c.settings.Lease)
 }
--- a/cell/leases_test.go
+++ b/cell/leases_test.go
@@ -86,3 +86,23 @@
 	h.cell.Replaced(moved, h.now)
 	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
 }
+
+// A start whose lease counts from an earlier time than that of a poll which was sent meanwhile must not make the worker's lease count from
+// then: its tasks would be started elsewhere too early.
+func TestStartDoesNotShortenLeaseOfLaterPoll(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	h.add(shortJob("running", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+	h.add(shortJob("second", 1))
+	o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
+	decidedAt := h.now
+	h.now = h.now.Add(4 * time.Second)
+	polledAt := h.now
+	h.cell.PollSent(o.Worker.ID, order.Poll{LeaseUntil: time.Minute}, h.now)
+	h.cell.StartLease(o, decidedAt)
+	for h.now.Sub(polledAt) < 6*time.Second {
+		h.cell.PollMissed(o.Worker.ID, &order.UnansweredError{Worker: o.Worker.ID}, h.now)
+		h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+		h.now = h.now.Add(250 * time.Millisecond)
+	}
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -122,7 +122,7 @@
 	}
 	w.pollInFlight = sentPoll{at: now, renews: o.LeaseUntil > 0, acks: o.Acked > 0}
 	if o.LeaseUntil > 0 {
-		w.renewedAt = now
+		w.noteRenewal(now)
 	}
 }
 
