--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"removed-route":    removedRoute,
 	"late-acceptance":  lateAcceptance,
 	"moved-route":      movedRoute,
+	"frozen-holder":    frozenHolder,
 	"large-job":        largeJob,
 }
 
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -27,9 +27,11 @@
 	hosts   []*hostProcess
 	dir     string
 	root    string
-	ports   map[int]bool
-	addr    string
-	client  *http.Client
+	// zones are the zones in which hosts and workers lie in turn.
+	zones  []string
+	ports  map[int]bool
+	addr   string
+	client *http.Client
 }
 
 func newRig(rec *recorder) (*rig, error) {
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{rec: rec, store: newStore(rec), advisor: newAdvisor(), dir: dir, root: root, ports: map[int]bool{}}
+	r := &rig{rec: rec, store: newStore(rec), advisor: newAdvisor(), dir: dir, root: root, zones: []string{"manta"}, ports: map[int]bool{}}
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	mux := http.NewServeMux()
 	mux.Handle("/", r.store.handler())
@@ -100,11 +102,14 @@
 		return nil, err
 	}
 	r.workers = append(r.workers, w)
-	r.store.put("servers", id, object{
-		"service": service, "address": addr, "zone": "manta", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": object{"cpu": cpu, "mem_mb": mem, "gpus": gpus}, "labels": []string{"a", fmt.Sprintf("r1-%d", number/4)},
-		"clock_ms": w.clock().Milliseconds(), "sequence": 1, "born": w.born.UnixMilli(), "machine": fmt.Sprintf("m-%05x", number),
-	})
+	w.register = func() {
+		r.store.put("servers", id, object{
+			"service": service, "address": addr, "zone": r.zones[number%len(r.zones)], "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+			"capacity": object{"cpu": cpu, "mem_mb": mem, "gpus": gpus}, "labels": []string{"a", fmt.Sprintf("r1-%d", number/4)},
+			"clock_ms": w.clock().Milliseconds(), "sequence": 1, "born": w.born.UnixMilli(), "machine": fmt.Sprintf("m-%05x", number),
+		})
+	}
+	w.register()
 	return w, nil
 }
 
@@ -128,8 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
+	zone := r.zones[(n-1)%len(r.zones)]
 	h := &hostProcess{
-		name: fmt.Sprintf("front-manta-%d", n), front: fmt.Sprintf("127.0.0.1:%d", front), ready: fmt.Sprintf("127.0.0.1:%d", front+1),
+		name: fmt.Sprintf("front-%s-%d", zone, n), front: fmt.Sprintf("127.0.0.1:%d", front), ready: fmt.Sprintf("127.0.0.1:%d", front+1),
 	}
 	h.settings = filepath.Join(r.dir, h.name+".yaml")
 	h.log = filepath.Join(r.dir, h.name+".log")
@@ -138,9 +144,9 @@
 machine_class: "front"
 serves: ["front"]
 ip: "127.0.0.1"
-zone: "manta"
+zone: %q
 region: "manabi"
-zones: {manta: "manabi"}
+zones: {manta: "manabi", jaramijo: "manabi", sanmateo: "manabi", crucita: "manabi"}
 listen_addrs: {front: %q, ready: %q}
 internal_ports: [%d, %d]
 seeds: []
@@ -163,7 +169,7 @@
 platform: {address: %q, form: "table", writes_per_s: 800, reads_per_s: 2000, tx_ms: 6.0, partition_writes_s: 200, row_bytes: 65536,
   across: false, retention_s: 20, blob_bytes: 8388608, blob_ms: 25.0, blob_mb_s: 80.0}
 cloud_api: {address: %q, rate_per_s: 60.0, duties: [], duty_per_s: 60.0}
-`, h.name, h.front, h.ready, internal, internal+15, r.addr, r.addr, r.addr)
+`, h.name, zone, h.front, h.ready, internal, internal+15, r.addr, r.addr, r.addr)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -70,6 +70,56 @@
 	ends    []end
 	lastEnd uint64
 	changed chan struct{}
+	// life numbers the lives of the worker under its id; a crashed one is silent until darkUntil.
+	life      int
+	darkUntil time.Time
+	// delay is how long an answer takes on its way.
+	delay time.Duration
+	// register writes the worker's entry to the store.
+	register func()
+}
+
+// name names a life of the worker.
+func (w *worker) name() string { return fmt.Sprintf("%s/%d", w.id, w.life) }
+
+// crash ends a life of the worker. The next one begins after a time in which the worker is silent; it knows nothing of this one.
+func (w *worker) crash(dark time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rec.log("worker %s crashes with %d runs, and starts again under its id after %v", w.name(), len(w.running), dark)
+	for _, r := range w.running {
+		r.timer.Stop()
+		w.rec.add(event{kind: evEnd, task: r.Task, run: r.Run, worker: w.name(), how: "crashed"})
+	}
+	if w.expiry != nil {
+		w.expiry.Stop()
+	}
+	w.token, w.deadline, w.lastEnd = 0, 0, 0
+	w.running, w.highest, w.ends = map[runKey]*run{}, map[string]int{}, nil
+	w.life++
+	w.darkUntil = time.Now().Add(dark)
+	w.born = w.darkUntil
+	time.AfterFunc(dark, w.register)
+}
+
+// silent holds a request to a crashed worker until its caller gives up.
+func (w *worker) silent(r *http.Request) bool {
+	life, dark := w.lifeNow()
+	if !dark {
+		time.Sleep(w.delay)
+	}
+	if later, darkNow := w.lifeNow(); dark || darkNow || later != life {
+		<-r.Context().Done()
+		return true
+	}
+	return false
+}
+
+// lifeNow returns the number of the worker's present life, and whether it is silent.
+func (w *worker) lifeNow() (life int, dark bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.life, time.Now().Before(w.darkUntil)
 }
 
 func newWorker(id, service string, rec *recorder) *worker {
@@ -120,6 +170,9 @@
 		if !ok {
 			return
 		}
+		if w.silent(r) {
+			return
+		}
 		w.mu.Lock()
 		status, reason := http.StatusConflict, "fence"
 		if w.accept(o.Token) {
@@ -162,7 +215,7 @@
 	if w.clock() < w.deadline {
 		return
 	}
-	w.rec.add(event{kind: evLapse, worker: w.id, n: uint64(len(w.running))})
+	w.rec.add(event{kind: evLapse, worker: w.name(), n: uint64(len(w.running))})
 	for _, r := range w.running {
 		w.finish(r, "lapsed")
 	}
@@ -182,7 +235,7 @@
 		return http.StatusConflict, "late"
 	}
 	if w.checkTicket != nil && !w.checkTicket(o.Task, w.id, o.Ticket) {
-		w.rec.add(event{kind: evRejected, task: o.Task, run: o.Run, worker: w.id, how: "ticket"})
+		w.rec.add(event{kind: evRejected, task: o.Task, run: o.Run, worker: w.name(), how: "ticket"})
 		return http.StatusConflict, "ticket"
 	}
 	w.prolong(o.Deadline)
@@ -197,7 +250,7 @@
 	r.resumed = time.Duration(saved) * time.Millisecond
 	takes := time.Duration(r.work.MS[min(step, len(r.work.MS)-1)])*time.Millisecond - r.resumed
 	w.running[k] = r
-	w.rec.add(event{kind: evStart, task: o.Task, run: o.Run, worker: w.id, n: o.Token})
+	w.rec.add(event{kind: evStart, task: o.Task, run: o.Run, worker: w.name(), n: o.Token})
 	r.timer = time.AfterFunc(max(0, takes), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -246,7 +299,7 @@
 	}
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, r.runKey, how, saved})
-	w.rec.add(event{kind: evEnd, task: r.Task, run: r.Run, worker: w.id, n: w.lastEnd, how: how})
+	w.rec.add(event{kind: evEnd, task: r.Task, run: r.Run, worker: w.name(), n: w.lastEnd, how: how})
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -256,6 +309,9 @@
 	if !ok {
 		return
 	}
+	if w.silent(r) {
+		return
+	}
 	w.mu.Lock()
 	if !w.accept(o.Token) {
 		body := object{"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "reason": "fence"}
@@ -269,11 +325,11 @@
 	for len(w.ends) > 0 && w.ends[0].n <= o.Ack {
 		e := w.ends[0]
 		w.ends = w.ends[1:]
-		w.rec.add(event{kind: evAck, task: e.key.Task, run: e.key.Run, worker: w.id, n: e.n, how: e.how})
+		w.rec.add(event{kind: evAck, task: e.key.Task, run: e.key.Run, worker: w.name(), n: e.n, how: e.how})
 	}
 	if o.Wait > 0 && len(w.ends) == 0 {
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(o.Wait, 2000))*time.Millisecond)
-		changed := w.changed
+		changed, life := w.changed, w.life
 		w.mu.Unlock()
 		select {
 		case <-changed:
@@ -281,6 +337,11 @@
 		}
 		cancel()
 		w.mu.Lock()
+		if w.life != life {
+			w.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 	}
 	running, ended := [][]any{}, [][]any{}
 	for k, r := range w.running {
