--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")" || exit 2
 REVIEW_ROOT=$(cd ../.. && pwd) || exit 2
 export REVIEW_ROOT
+[ -x "$REVIEW_ROOT/target/review-standin" ] || exit 2
 exec "$REVIEW_ROOT/target/review-standin" moved-route .
