--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -51,17 +51,17 @@
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, object{"machines": []object{}, "next_token": nil})
 	})
-	r.addr, err = serveOn(mux)
+	r.addr, err = serveOn(mux, nil)
 	return r, err
 }
 
-// serveOn serves on a free loopback port and returns the address.
-func serveOn(h http.Handler) (string, error) {
+// serveOn serves on a free loopback port and returns the address; track, if set, is told of each connection.
+func serveOn(h http.Handler, track func(net.Conn, http.ConnState)) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
+	go func() { _ = (&http.Server{Handler: h, ConnState: track}).Serve(l) }()
 	return l.Addr().String(), nil
 }
 
@@ -97,7 +97,7 @@
 func (r *rig) addWorker(service string, cpu, mem, gpus, number int) (*worker, error) {
 	id := fmt.Sprintf("i-%08x", 0x7f3a0000+number)
 	w := newWorker(id, service, r.rec)
-	addr, err := serveOn(w.handler())
+	addr, err := serveOn(w.handler(), w.track)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -77,6 +78,8 @@
 	delay time.Duration
 	// register writes the worker's entry to the store.
 	register func()
+	// conns holds the connections of the present life.
+	conns map[net.Conn]bool
 }
 
 // name names a life of the worker.
@@ -99,7 +102,27 @@
 	w.life++
 	w.darkUntil = time.Now().Add(dark)
 	w.born = w.darkUntil
-	time.AfterFunc(dark, w.register)
+	old := w.conns
+	w.conns = map[net.Conn]bool{}
+	time.AfterFunc(dark, func() {
+		// The next life doesn't know the connections of this one.
+		for c := range old {
+			_ = c.Close()
+		}
+		w.register()
+	})
+}
+
+// track notes the connections of the present life.
+func (w *worker) track(c net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		w.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(w.conns, c)
+	}
 }
 
 // silent holds a request to a crashed worker until its caller gives up.
@@ -125,6 +148,7 @@
 func newWorker(id, service string, rec *recorder) *worker {
 	return &worker{
 		id: id, service: service, rec: rec, born: time.Now(), running: map[runKey]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
+		conns: map[net.Conn]bool{},
 	}
 }
 
