Send starts of a possibly replaced holder over connections that it had before

The next holder placed the same tasks, a worker restarted, and the first host woke and sent the starts that it had left: the worker had seen no token and ran them beside the next holder's.

Cause: a holder may send orders for 6 s after its last renewal, though another may hold the group after 2.3 s; the token that the next one shows to every worker protects until a worker restarts. A start names the worker's id, which both incarnations share.

Change: from elect.FreshTimeout after the last renewal a start goes only over a connection that was opened before that (order.Start.MinConnAge, looked at once the connection is there); without one it counts as not sent.

Why it works: a connection ends with the incarnation that accepted it. One that was opened while nobody else could hold the group leads to an incarnation that the next holder polls before it starts the task elsewhere, or to none.

--- a/order/order.go
+++ b/order/order.go
@@ -55,6 +55,9 @@
 	Token uint64
 	// LeaseUntil is when the task's lease ends, on the worker's clock.
 	LeaseUntil time.Duration
+	// MinConnAge returns how long the connection has to have been open; nil and 0 permit a new one. It is called once there is a
+	// connection, so that a pause before that counts.
+	MinConnAge func() time.Duration
 }
 
 // Stop is an order to stop a run; if its start has not arrived yet, the worker will reject it.
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -32,7 +32,10 @@
 	stopLimit         = 3 * time.Second
 )
 
-var errHostDead = errors.New("host is dead")
+var (
+	errHostDead     = errors.New("host is dead")
+	errConnTooYoung = errors.New("connection is too young")
+)
 
 // network is a set of hosts that compete for the lease of one group.
 type network struct {
@@ -148,7 +151,9 @@
 	// isolated says that other hosts can't reach this one.
 	isolated bool
 	// pathFaults holds the faults of the paths to workers.
-	pathFaults  map[string]fakes.OrderFaultKind
+	pathFaults map[string]fakes.OrderFaultKind
+	// conns holds the oldest open connection to each worker.
+	conns       map[string]workerConn
 	stopping    bool
 	stopRunner  context.CancelFunc
 	runner      *runner.Runner
@@ -162,7 +167,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{
 		n: n, rank: rank, name: fmt.Sprintf("host%d", rank), process: process, view: elect.NewView(), ctx: ctx, cancel: cancel,
-		pathFaults: map[string]fakes.OrderFaultKind{}, handovers: map[uint64]cell.Handover{},
+		pathFaults: map[string]fakes.OrderFaultKind{}, conns: map[string]workerConn{}, handovers: map[uint64]cell.Handover{},
 	}
 	n.mu.Lock()
 	for len(n.hosts) <= rank {
@@ -560,9 +565,33 @@
 	h *host
 }
 
+// workerConn is a connection to an incarnation of a worker, which closes it as it ends.
+type workerConn struct {
+	incarnation order.Incarnation
+	openedAt    time.Time
+}
+
+// connect opens a connection to a worker, unless there is one that has been open for minAge; nil permits any.
+func (h *host) connect(worker string, minAge func() time.Duration) error {
+	w := h.n.workers.Worker(worker)
+	h.mu.Lock()
+	conn := h.conns[worker]
+	if conn.incarnation != w.Incarnation() {
+		conn = workerConn{w.Incarnation(), time.Now()}
+	}
+	h.conns[worker] = conn
+	h.mu.Unlock()
+	if minAge != nil && time.Since(conn.openedAt) < minAge() {
+		return &order.NotSentError{Worker: worker, Err: errConnTooYoung}
+	}
+	return nil
+}
+
 // sendOrder sends an order over the path to a worker. An order that is about to be sent when the host freezes is sent when it
 // runs again.
-func sendOrder[T any](ctx context.Context, h *host, call fakes.OrderCall, do func(ctx context.Context) (T, error)) (T, error) {
+func sendOrder[T any](
+	ctx context.Context, h *host, call fakes.OrderCall, minConnAge func() time.Duration, do func(ctx context.Context) (T, error),
+) (T, error) {
 	var none T
 	worker := call.Worker
 	if call.Op == fakes.OpStart {
@@ -580,6 +609,9 @@
 	if err := fault.ConnError(worker); err != nil {
 		return none, err
 	}
+	if err := h.connect(worker, minConnAge); err != nil {
+		return none, err
+	}
 	reply, err := do(ctx)
 	if call.Op == fakes.OpStart {
 		h.freezeOnce(&h.freezeAfterStart)
@@ -599,25 +631,27 @@
 // Start implements order.Workers.
 func (s *hostWorkers) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpStart, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Start(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, o.MinConnAge, func(ctx context.Context) (time.Duration, error) {
+		return s.h.n.workers.Start(ctx, w, o)
+	})
 }
 
 // Stop implements order.Workers.
 func (s *hostWorkers) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpStop, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
 }
 
 // Throttle implements order.Workers.
 func (s *hostWorkers) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
 }
 
 // Poll implements order.Workers.
 func (s *hostWorkers) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
 	call := fakes.OrderCall{Op: fakes.OpPoll, Worker: w.ID}
-	return sendOrder(ctx, s.h, call, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
 }
 
 // Forget implements order.Workers.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -258,6 +258,11 @@
 	return now, r.holds()
 }
 
+// minConnAge returns how long a connection to a worker must have been open for a start to be sent over it: from a time when no other host
+// could hold the lease. The next holder polls the incarnation of that time, which then refuses the start, before it starts the task
+// elsewhere; a later incarnation may not know its token yet, but has no such connection.
+func (r *Runner) minConnAge() time.Duration { return max(0, r.LeaseAge()-elect.FreshTimeout) }
+
 // addRenewal adds a renewal of the lease to a commit if one is due soon, and reports whether it did.
 func (r *Runner) addRenewal(tx *table.Tx) bool {
 	if r.cfg.SinceBoot()-time.Duration(r.renewedAt.Load()) < elect.RenewInterval/2 {
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -229,7 +229,7 @@
 		if !reported || ctx.Err() != nil || !allowed || r.cell.Abandoned(o) {
 			break
 		}
-		o.Order.LeaseUntil = r.cell.StartLease(o, now)
+		o.Order.LeaseUntil, o.Order.MinConnAge = r.cell.StartLease(o, now), r.minConnAge
 		res.Sent = time.Now()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
