Wait for all ends of a worker after a take-over

Cause: a worker lists at most 500 ends in a report. Any answer counted as the report of all its runs and ends, so tasks whose ends were still to be listed counted as never started.

Its last case fails without the second part of the change. The fake workers limit their lists now (MaxListedEnds).

Change: a worker has reported once a report lists all its ends; the wait after a take-over and the unconfirmed workers of a released lease go by that. A worker that answers but hasn't listed all of them is waited for as long as its lease is renewed.

Why it works: a task of an earlier job is started only if no worker runs it and no worker may still list its end.

--- a/cell/ends_test.go
+++ b/cell/ends_test.go
@@ -147,3 +147,31 @@
 	}
 	h.c.Assert(acked > 0, qt.IsTrue)
 }
+
+// A worker whose report lists only some of its ends must not count as reported, however long that takes: the tasks of the others would be run
+// again. The next scheduler, too, has to wait for it.
+func TestWorkerIsUnreportedUntilAllItsEndsAreListed(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.restart("w0")
+	h.cell.ExpectWorkers([]string{"w0"}, func(string) time.Time { return h.now })
+	report := order.Report{Clock: time.Second, StartedAt: h.workers["w0"].StartedAt}
+	for _, test := range []struct {
+		name       string
+		more       bool
+		unreported int
+	}{
+		{"some ends", true, 1},
+		{"some ends again, after longer than a lease", true, 1},
+		{"all ends", false, 0},
+		{"more ends than are listed, later", true, 0},
+	} {
+		h.now = h.now.Add(10 * time.Second)
+		h.cell.PollSent("w0", order.Poll{LeaseUntil: time.Minute}, h.now)
+		report.Clock += 10 * time.Second
+		report.MoreEnds = test.more
+		h.cell.Polled("w0", report, 0, h.now, h.now)
+		later := h.now.Add(5 * time.Second)
+		h.c.Check(h.cell.UnreportedWorkers(later), qt.HasLen, test.unreported, qt.Commentf(test.name))
+		h.c.Check(h.cell.Unconfirmed(later)["w0"] > time.Second, qt.Equals, test.unreported > 0, qt.Commentf(test.name))
+	}
+}
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -55,7 +55,8 @@
 		}
 	}
 	w.info.StartedAt = startedAt
-	w.lastEndSeen, w.lastEndDurable, w.lastAckSent, w.polled = 0, 0, 0, false
+	w.lastEndSeen, w.lastEndDurable, w.lastAckSent = 0, 0, 0
+	w.polled, w.reported = false, false
 	w.pendingEnds = nil
 	w.clock, w.clockAt, w.mayHaveRestarted = 0, time.Time{}, false
 	w.restartedAt = now
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -164,7 +164,7 @@
 	c.loseRuns(w, "another worker has its address", now, leaseAge, func(*placement) bool { return false })
 	w.forgetOrders()
 	clear(w.unknownRuns)
-	w.polled = false
+	w.polled, w.reported = false, false
 }
 
 // Polled handles a worker's report; sent is when the poll was sent and acked the number of the last end that it acknowledged.
@@ -198,6 +198,7 @@
 		w.lastAckSent = 0
 	}
 	w.polled = true
+	w.reported = w.reported || !report.MoreEnds
 	running := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
 		running[runKey{report.Running[i].Task, report.Running[i].Run}] = true
--- a/cell/record.go
+++ b/cell/record.go
@@ -24,16 +24,23 @@
 	}
 }
 
-// UnpolledWorkers returns the workers that an earlier scheduler used, that have not been polled under this scheduler's token
-// and that may still have its runs, or those of a later one. Nothing was started on workers that are not in the record.
-func (c *Cell) UnpolledWorkers(now time.Time) []string {
+// UnreportedWorkers returns the workers that an earlier scheduler used, that have not reported all their runs and ends under this
+// scheduler's token and that may still have its runs, or those of a later one. Nothing was started on workers that are not in the record.
+func (c *Cell) UnreportedWorkers(now time.Time) []string {
 	exclusive := c.isExclusive(c.leaseAge())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []string
 	for id, until := range c.expectedWorkers {
 		w, ok := c.workers[id]
-		if (!ok || !w.polled) && (now.Before(until) || !exclusive) {
+		if ok && w.reported {
+			continue
+		}
+		if ok && w.polled && c.runsUntil(w).After(until) {
+			// It lists its other ends once those that it has listed are acknowledged.
+			until = c.runsUntil(w)
+		}
+		if now.Before(until) || !exclusive {
 			ids = append(ids, id)
 		}
 	}
@@ -48,12 +55,12 @@
 	defer c.mu.Unlock()
 	unconfirmed := map[string]time.Duration{}
 	for id, until := range c.expectedWorkers {
-		if w, ok := c.workers[id]; !ok || !w.polled {
+		if w, ok := c.workers[id]; !ok || !w.reported {
 			unconfirmed[id] = max(0, until.Sub(now))
 		}
 	}
 	for id, w := range c.workers {
-		unreported := !w.polled && len(w.placements) > 0
+		unreported := !w.reported && (w.polled || len(w.placements) > 0)
 		if unreported || (w.polled && (c.isSuspect(w) || now.Before(w.lateRenewalUntil))) {
 			unconfirmed[id] = max(unconfirmed[id], c.runsUntil(w).Sub(now))
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -128,7 +128,9 @@
 	// mayHaveRestarted says that an answer may have come from another incarnation; the next report settles it.
 	mayHaveRestarted bool
 	// polled says that this incarnation has answered a poll under this scheduler's token.
-	polled      bool
+	polled bool
+	// reported says that it has also listed all its runs and ends.
+	reported    bool
 	renewedAt   time.Time
 	restartedAt time.Time
 	// lastReportAt is when the worker last answered a poll, and reportAwaited is closed at its next answer.
@@ -231,7 +233,7 @@
 	if !info.StartedAt.Equal(w.info.StartedAt) {
 		if info.StartedAt.Before(w.info.StartedAt) {
 			// The entry is old, or of an incarnation that started after the time of day was set back: a report will tell.
-			w.listed, w.polled = true, false
+			w.listed, w.polled, w.reported = true, false, false
 			w.wakeUp()
 			return false
 		}
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -20,6 +20,8 @@
 	MaxLease time.Duration
 	// StopGrace is how long a run takes to stop; until then it uses its resources.
 	StopGrace time.Duration
+	// MaxListedEnds limits the ended runs in a report; 0 means no limit.
+	MaxListedEnds int
 	// EnforceCapacity makes the workers reject runs that exceed their capacity.
 	EnforceCapacity bool
 
@@ -409,7 +411,14 @@
 			ws.unackedEnds = ws.unackedEnds[1:]
 		}
 	}
-	rep := order.Report{Clock: ws.clock(), StartedAt: ws.worker.StartedAt, Ended: append([]order.End(nil), ws.unackedEnds...)}
+	ends := ws.unackedEnds
+	if s.MaxListedEnds > 0 {
+		ends = ends[:min(len(ends), s.MaxListedEnds)]
+	}
+	rep := order.Report{
+		Clock: ws.clock(), StartedAt: ws.worker.StartedAt, Ended: append([]order.End(nil), ends...),
+		MoreEnds: s.MaxListedEnds > 0 && len(ends) == s.MaxListedEnds,
+	}
 	for key, r := range ws.runs {
 		rep.Running = append(rep.Running, order.Run{
 			Task: key.task, Run: key.run, Checkpoint: r.checkpoint, CPUPercent: 100, Gauge: float64(s.rulesOf(key.task.StepID).size.CPUMilli),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -231,18 +231,18 @@
 		if !listed {
 			continue
 		}
-		unpolled := r.cell.UnpolledWorkers(time.Now())
-		if len(unpolled) == 0 {
+		unreported := r.cell.UnreportedWorkers(time.Now())
+		if len(unreported) == 0 {
 			r.cell.AllRunsKnown()
 			r.log.WithFields(logrus.Fields{
-				"expired": len(r.cell.UnpolledWorkers(time.Time{})), "lease-age": r.LeaseAge().Round(time.Millisecond).String(),
+				"expired": len(r.cell.UnreportedWorkers(time.Time{})), "lease-age": r.LeaseAge().Round(time.Millisecond).String(),
 			}).Info("all workers have reported their runs")
 			r.wakePlan()
 			return
 		}
 		if !logged && time.Since(start) > logAfter {
 			logged = true
-			r.log.WithFields(logrus.Fields{"workers": len(unpolled), "some": unpolled[:min(maxLogged, len(unpolled))]}).
+			r.log.WithFields(logrus.Fields{"workers": len(unreported), "some": unreported[:min(maxLogged, len(unreported))]}).
 				Warn("jobs are blocked by workers that may still run their tasks")
 		}
 	}
--- a/runner/takeover_test.go
+++ b/runner/takeover_test.go
@@ -73,3 +73,39 @@
 		c.Assert(violations, qt.HasLen, 0)
 	})
 }
+
+// A worker whose report lists only some of its ends has not told yet which tasks are done: the others would be run again after a takeover.
+func TestTakeoverWaitsForEndsBeyondReportLimit(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		maxEnds int
+		// latency is that of the table, in which ends are recorded before they are acknowledged.
+		latency time.Duration
+	}{
+		{"two reports", 10, 4 * time.Millisecond},
+		{"many reports", 3, 4 * time.Millisecond},
+		{"exactly one report", 16, 4 * time.Millisecond},
+		{"reports take longer than a lease", 1, 500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const numTasks = 32
+				s := newCluster(t, 2, bigWorker)
+				s.workers.MaxListedEnds = test.maxEnds
+				s.workers.Outcome = fixedDuration(2 * time.Second)
+				_, kill := s.runner()
+				s.submit("00000000000000aa", graph.Step{Count: numTasks, Size: cores(1)}, graph.Step{Count: 1, Size: cores(1), After: []int{0}})
+				time.Sleep(time.Second)
+				s.c.Assert(s.workers.NumStarts(), qt.Equals, numTasks)
+				kill()
+				time.Sleep(1500 * time.Millisecond)
+				s.store.SetLatency(test.latency)
+				r, stop := s.runner()
+				defer stop()
+				s.awaitState(r, "00000000000000aa", graph.Completed, time.Minute)
+				s.assertNoFaults()
+				s.c.Assert(s.workers.NumStarts(), qt.Equals, numTasks+1)
+			})
+		})
+	}
+}
