Let jobs keep their identity when their queue moves

Cause: a job's row was looked up under the service, and compared with the name of the queue, that the present configuration gives for the caller's prefix.

Set-ups of two tests of intake store a job first, so that the endpoint's row isn't part of what they count; their checks are the same.

Change: an endpoint (host and prefix) has a row that names the queues and services that it has had; the first service is its home. Each job has a row in the home's table, which names another service if that runs it. Hosts accept, find, cancel and count jobs by that.

Why it works: whether an ID is taken, and by which service, is settled by one row whose place doesn't depend on the version of the configuration that a host has.

--- a/graph/job.go
+++ b/graph/job.go
@@ -144,6 +144,27 @@
 	return &j, nil
 }
 
+// Owner is the queue in which a job was accepted and the service that runs it. In the table of another service it stands in place of the job.
+type Owner struct {
+	Queue   string `json:"queue"`
+	Service string `json:"service"`
+}
+
+// Encode returns the stored form of an owner.
+func (o Owner) Encode() ([]byte, error) { return json.Marshal(o) }
+
+// DecodeOwner returns the owner of a job from the stored form of either.
+func DecodeOwner(raw []byte) (Owner, error) {
+	var o Owner
+	if err := json.Unmarshal(raw, &o); err != nil {
+		return Owner{}, fmt.Errorf("owner of a job: %w", err)
+	}
+	return o, nil
+}
+
+// Owner returns the job's queue and service.
+func (j *Job) Owner() Owner { return Owner{j.Queue, j.Service} }
+
 // StepID identifies a step of an occurrence of a job.
 type StepID struct {
 	Job        string
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -83,28 +83,102 @@
 	Health *table.Health
 	Groups Groups
 	Log    logrus.FieldLogger
+
+	endpoints endpoints
 }
 
 func jobKey(service, id string) table.Key {
 	return table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
 }
 
-// Submit stores a job; submitting the same ID again refers to the same job.
-func (i *Intake) Submit(ctx context.Context, job *graph.Job) error {
-	raw, err := job.Encode()
+// Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
+func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	err := i.accept(ctx, q, job)
+	i.logResult("submit", job.Queue, job.ID, err)
+	return err
+}
+
+// accept stores a job. One row in the table of the endpoint's home settles which service runs it; another service gets it in its own table after
+// that.
+func (i *Intake) accept(ctx context.Context, q *queues.Queue, job *graph.Job) error {
+	if err := i.checkWritable(ctx); err != nil {
+		return err
+	}
+	e, err := i.registerEndpoint(ctx, q)
 	if err != nil {
 		return err
 	}
-	key := jobKey(job.Service, job.ID)
-	created, err := i.createRow(ctx, table.Tx{
-		Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: raw}},
-	})
-	if created {
+	o, err := i.storeIn(ctx, q, job, e.home())
+	if err != nil || o.Service == e.home() {
+		return err
+	}
+	job.Queue, job.Service = o.Queue, o.Service
+	_, err = i.storeIn(ctx, q, job, o.Service)
+	return err
+}
+
+// storeIn stores a job, or its owner if that is another service, in the table of a service, and returns the owner that the row names: an earlier
+// request may have stored the job with another one.
+func (i *Intake) storeIn(ctx context.Context, q *queues.Queue, job *graph.Job, service string) (graph.Owner, error) {
+	encode := job.Encode
+	if job.Service != service {
+		encode = job.Owner().Encode
+	}
+	raw, err := encode()
+	if err != nil {
+		return graph.Owner{}, err
+	}
+	o, created, err := i.createOnce(ctx, q, jobKey(service, job.ID), raw)
+	if created && job.Service == service {
 		// The job of a repeated request is not passed on, since it may have run already.
 		i.Groups.Accepted(job)
 	}
-	i.logResult("submit", job.Queue, job.ID, err)
-	return err
+	return o, err
+}
+
+// createOnce creates the row of a job, unless it exists, and returns the owner that the row names.
+func (i *Intake) createOnce(ctx context.Context, q *queues.Queue, key table.Key, raw []byte) (o graph.Owner, created bool, err error) {
+	created, err = i.createRow(ctx, table.Tx{Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: raw}}})
+	if err != nil {
+		return graph.Owner{}, false, err
+	}
+	if created {
+		o, err = graph.DecodeOwner(raw)
+		return o, true, err
+	}
+	rows, err := i.readRows(ctx, key)
+	if err != nil {
+		return graph.Owner{}, false, &UnknownError{err}
+	}
+	if rows.job == nil {
+		return graph.Owner{}, false, &UnknownError{errRowRemoved}
+	}
+	if o, err = graph.DecodeOwner(rows.job.Value); err != nil {
+		return graph.Owner{}, false, err
+	}
+	belongs, err := i.belongs(ctx, q, o)
+	if err == nil && !belongs {
+		err = &RefusedError{"id-in-use", 0, errIDInUse}
+	}
+	return o, false, err
+}
+
+var (
+	errRowRemoved = errors.New("the job's row has just been removed")
+	errIDInUse    = errors.New("a job of another queue has this ID")
+)
+
+// belongs reports whether a job with an owner is one of a queue's endpoint.
+func (i *Intake) belongs(ctx context.Context, q *queues.Queue, o graph.Owner) (bool, error) {
+	e, err := i.endpoint(ctx, q)
+	if err != nil || e.has(o) {
+		return err == nil, err
+	}
+	// Another host may have registered the owner since the record was read.
+	e, err = i.readEndpoint(ctx, q)
+	return err == nil && e.has(o), err
 }
 
 // logResult logs the outcome of a request.
@@ -120,13 +194,8 @@
 // createRow commits a transaction that creates one row, and reports whether this call is known to have created it; if the row
 // exists already, there is no error.
 func (i *Intake) createRow(ctx context.Context, tx table.Tx) (created bool, err error) {
-	if !i.Health.Reachable(time.Now()) {
-		return false, i.unreachableError(&table.RefusedError{Op: "commit"})
-	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	if refusal := i.slowTableError(ctx); refusal != nil {
-		return false, refusal
+	if err := i.checkWritable(ctx); err != nil {
+		return false, err
 	}
 	mayExist := false
 	for {
@@ -151,6 +220,14 @@
 	}
 }
 
+// checkWritable returns the refusal of a call that is known not to be able to change the table in time, or nil.
+func (i *Intake) checkWritable(ctx context.Context) error {
+	if !i.Health.Reachable(time.Now()) {
+		return i.unreachableError(&table.RefusedError{Op: "commit"})
+	}
+	return i.slowTableError(ctx)
+}
+
 // slowTableError returns the refusal of a call whose deadline ends before a slow table can reply, or nil.
 func (i *Intake) slowTableError(ctx context.Context) error {
 	latency := i.Health.Latency(time.Now())
@@ -169,62 +246,111 @@
 
 // State returns the state of a job.
 func (i *Intake) State(ctx context.Context, q *queues.Queue, id string) (graph.State, error) {
-	call, cancel := context.WithTimeout(ctx, groupTimeout)
-	state, known := i.Groups.State(call, q.Service, q.Name, id)
-	cancel()
-	if known {
+	if state, known := i.groupState(ctx, owner(q), id); known {
 		return state, nil
 	}
-	stored, err := i.readStored(ctx, q, id)
+	stored, err := i.findJob(ctx, q, id)
 	if err != nil {
 		return "", err
 	}
+	if stored.owner != owner(q) {
+		if state, known := i.groupState(ctx, stored.owner, id); known {
+			return state, nil
+		}
+	}
 	if stored.cancelled {
 		return graph.Cancelled, nil
 	}
 	return stored.state, nil
 }
 
-// storedState is the state of a job according to its rows, and whether it is marked as cancelled but not finished.
-type storedState struct {
-	state     graph.State
+func (i *Intake) groupState(ctx context.Context, o graph.Owner, id string) (state graph.State, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
+	return i.Groups.State(ctx, o.Service, o.Queue, id)
+}
+
+// storedJob is a job according to its rows.
+type storedJob struct {
+	key   table.Key
+	owner graph.Owner
+	state graph.State
+	// cancelled says that the job is marked as cancelled but not finished.
+	cancelled bool
+}
+
+// jobRows are the rows of a job in the table of one service; job is nil if there is none.
+type jobRows struct {
+	job       *table.Row
 	cancelled bool
 }
 
-// readStored reads the state of a job from its rows.
-func (i *Intake) readStored(ctx context.Context, q *queues.Queue, id string) (storedState, error) {
+// readRows reads the rows of a job, whose key is given, as of one moment.
+func (i *Intake) readRows(ctx context.Context, key table.Key) (jobRows, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := i.Store.Read(ctx, table.Range{
-		Table: runner.TableJobs(q.Service), Partition: runner.JobPartition(q.Service, id), From: id, To: id + runner.CancelSuffix + "\x00", Limit: 2,
+		Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + runner.CancelSuffix + "\x00", Limit: 2,
 	})
 	if err != nil {
-		return storedState{}, i.unreachableError(err)
+		return jobRows{}, i.unreachableError(err)
 	}
-	s := storedState{state: graph.Queued}
-	exists := false
+	var rows jobRows
 	for _, row := range page.Rows {
-		if row.Name != id {
-			s.cancelled = row.Name == id+runner.CancelSuffix
-			continue
-		}
-		job, err := graph.DecodeJob(row.Value)
-		if err != nil {
-			return storedState{}, err
+		switch row.Name {
+		case key.Name:
+			rows.job = &row
+		case key.Name + runner.CancelSuffix:
+			rows.cancelled = true
 		}
-		exists = job.Queue == q.Name
 	}
-	if !exists {
-		return storedState{}, &NotFoundError{id}
+	return rows, nil
+}
+
+// findJob reads a job from its rows, in the table of the endpoint's home and, if that names another service, in the table of that one.
+func (i *Intake) findJob(ctx context.Context, q *queues.Queue, id string) (storedJob, error) {
+	e, err := i.endpoint(ctx, q)
+	if err != nil {
+		return storedJob{}, err
+	}
+	stored, err := i.readJob(ctx, e.home(), id)
+	if err == nil && stored.owner.Service != e.home() {
+		stored, err = i.readJob(ctx, stored.owner.Service, id)
+	}
+	if err != nil {
+		return storedJob{}, err
+	}
+	belongs, err := i.belongs(ctx, q, stored.owner)
+	if err == nil && !belongs {
+		err = &NotFoundError{id}
 	}
-	err = i.readProgress(ctx, q, id, &s)
-	return s, err
+	if err != nil {
+		return storedJob{}, err
+	}
+	err = i.readProgress(ctx, id, &stored)
+	return stored, err
+}
+
+// readJob reads a job from its rows in the table of a service, which may name another owner.
+func (i *Intake) readJob(ctx context.Context, service, id string) (storedJob, error) {
+	key := jobKey(service, id)
+	rows, err := i.readRows(ctx, key)
+	if err != nil {
+		return storedJob{}, err
+	}
+	if rows.job == nil {
+		return storedJob{}, &NotFoundError{id}
+	}
+	o, err := graph.DecodeOwner(rows.job.Value)
+	return storedJob{key: key, owner: o, state: graph.Queued, cancelled: rows.cancelled}, err
 }
 
 // readProgress sets the state of a job that has stored progress.
-func (i *Intake) readProgress(ctx context.Context, q *queues.Queue, id string, s *storedState) error {
+func (i *Intake) readProgress(ctx context.Context, id string, s *storedJob) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	page, err := i.Store.Read(ctx, table.Range{
-		Table: runner.TableRuns, Partition: q.Service, From: id, To: id + "\x00", Limit: 1,
+		Table: runner.TableRuns, Partition: s.owner.Service, From: id, To: id + "\x00", Limit: 1,
 	})
 	if err != nil {
 		return i.unreachableError(err)
@@ -242,10 +368,12 @@
 
 // Cancel stores that a job is cancelled.
 func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
-	stored, err := i.readStored(ctx, q, id)
+	stored, err := i.findJob(ctx, q, id)
 	if err == nil && !stored.cancelled && !stored.state.Terminal() {
-		key := jobKey(q.Service, id)
+		key := stored.key
 		key.Name += runner.CancelSuffix
+		ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+		defer cancel()
 		_, err = i.createRow(ctx, table.Tx{
 			Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: []byte("1")}},
 		})
@@ -254,13 +382,25 @@
 	return err
 }
 
-// Pending returns the number of a queue's jobs of which no task has started.
+// Pending returns the number of jobs of a queue's endpoint of which no task has started.
 func (i *Intake) Pending(ctx context.Context, q *queues.Queue) (int, error) {
+	e, err := i.endpoint(ctx, q)
+	if err != nil {
+		return 0, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
 	defer cancel()
-	n, known := i.Groups.Pending(ctx, q.Service, q.Name)
+	total, known := i.Groups.Pending(ctx, q.Service, q.Name)
 	if !known {
 		return 0, &RefusedError{"no-runner", minRetryAfter, nil}
 	}
-	return n, nil
+	for _, o := range e.Owners {
+		if o == owner(q) {
+			continue
+		}
+		// A service that the configuration doesn't name any more has no runner, so its jobs can't be counted.
+		n, _ := i.Groups.Pending(ctx, o.Service, o.Queue)
+		total += n
+	}
+	return total, nil
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -47,7 +48,7 @@
 	return &graph.Job{ID: id, Queue: "checks", Service: "desk", Steps: []graph.Step{{Count: 1}}, MaxAttempts: 1}
 }
 
-var queue = &queues.Queue{Name: "checks", Service: "desk"}
+var queue = &queues.Queue{Name: "checks", Host: "desk.example", Prefix: "/checks/", Service: "desk"}
 
 // A repeated request may arrive at a host that has just acquired the group's lease and has not loaded the job's progress; it
 // must not pass the job on again.
@@ -55,8 +56,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		in, _, groups := newIntake()
-		c.Assert(in.Submit(context.Background(), newJob()), qt.IsNil)
-		c.Assert(in.Submit(context.Background(), newJob()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
 		c.Assert(groups.accepted, qt.Equals, 1)
 	})
 }
@@ -90,9 +91,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				in, store, _ := newIntake()
+				earlier := newJob()
+				earlier.ID = "00000000000000bb"
+				c.Assert(in.Submit(context.Background(), queue, earlier), qt.IsNil)
 				n := 0
 				store.SetFault(func(op string) fakes.TableFault { n++; return test.fault(n, op) })
-				err := in.Submit(context.Background(), newJob())
+				err := in.Submit(context.Background(), queue, newJob())
 				var refused *intake.RefusedError
 				var unknown *intake.UnknownError
 				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
@@ -115,7 +119,7 @@
 		_, err := in.State(context.Background(), queue, id)
 		c.Assert(err, qt.IsNotNil)
 		start := time.Now()
-		err = in.Submit(context.Background(), newJob())
+		err = in.Submit(context.Background(), queue, newJob())
 		var refused *intake.RefusedError
 		c.Assert(errors.As(err, &refused), qt.IsTrue)
 		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
@@ -139,14 +143,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				in, store, _ := newIntake()
-				store.Latency = test.latency
-				earlier := newJob()
-				earlier.ID = "00000000000000bb"
-				c.Assert(in.Submit(context.Background(), earlier), qt.IsNil)
+				for i, latency := range []time.Duration{store.Latency, test.latency} {
+					// The answers of the first request, which records the endpoint, must not count as recent.
+					time.Sleep(time.Minute)
+					store.Latency = latency
+					earlier := newJob()
+					earlier.ID = fmt.Sprintf("00000000000000b%d", i)
+					c.Assert(in.Submit(context.Background(), queue, earlier), qt.IsNil)
+				}
 				ctx, cancel := context.WithTimeout(context.Background(), test.timeout)
 				defer cancel()
 				commits := store.NumCommits()
-				err := in.Submit(ctx, newJob())
+				err := in.Submit(ctx, queue, newJob())
 				var refused *intake.RefusedError
 				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
 				if test.refused {
@@ -165,7 +173,7 @@
 		in, _, _ := newIntake()
 		var notFound *intake.NotFoundError
 		c.Assert(errors.As(in.Cancel(context.Background(), queue, id), &notFound), qt.IsTrue)
-		c.Assert(in.Submit(context.Background(), newJob()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
 		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
 		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
 		state, err := in.State(context.Background(), queue, id)
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -24,6 +24,10 @@
 	Advice *Advice
 }
 
+// Endpoint returns the host and the path prefix at which clients reach the queue. It identifies the queue's jobs for them, whatever queue
+// and service the configuration names for it.
+func (q *Queue) Endpoint() string { return strings.ToLower(q.Host) + q.Prefix }
+
 // Advice describes the duration of calls to the advisor and the validity of its tickets.
 type Advice struct {
 	Base      time.Duration
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -141,6 +141,10 @@
 				continue
 			}
 			doc, err := graph.DecodeJob(row.Value)
+			if err != nil && isReference(row, r.cfg.Epoch.Group) {
+				r.references.add(row, now)
+				continue
+			}
 			if err != nil {
 				r.log.WithError(err).WithField("job", row.Name).Error("stored job can't be decoded")
 				continue
@@ -284,6 +288,7 @@
 	for clock.Pause(ctx, sweepInterval) {
 		for ctx.Err() == nil && r.sweep(ctx) {
 		}
+		r.sweepReferences(ctx)
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -61,6 +61,8 @@
 	renewalFails atomic.Bool
 	// recordVersion is the version of the durable record of workers; only loadRecord and then recordLoop use it.
 	recordVersion uint64
+	// references holds the rows of jobs that other services run.
+	references agedRows
 	// loaded is set once all jobs accepted before have been read.
 	loaded     atomic.Bool
 	planWake   chan struct{}
