Record the cancelling of unknown jobs, so that they can't be stored later

DELETE was answered 410; then the table performed the write, and the job ran.

Cause: a cancelling left its mark only if the job's row was there, and the acceptance's only condition was that its own row didn't exist. That there is no row was taken for proof that there will be none.

Change: the mark is written for an unknown ID too, on condition that the job's row is as it was read, and a job's row is written on condition that there is no mark.

Why it works: each of the two writes names the other's row in its condition, so the table performs only one of them, however late. Nothing is acknowledged before the mark is stored.

--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -201,17 +201,22 @@
 	c.finishIfDone(j, now)
 }
 
-// Cancel cancels a job and requests a stop of its runs.
-func (c *Cell) Cancel(id string, now time.Time) {
+// Cancel cancels a job and requests a stop of its runs; known is false if the group has no such job.
+func (c *Cell) Cancel(id string, now time.Time) (known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j, ok := c.jobs[id]
-	if !ok || j.cancelled || j.state.Terminal() {
-		return
+	if !ok {
+		_, finished := c.finished[id]
+		return finished
+	}
+	if j.cancelled || j.state.Terminal() {
+		return true
 	}
 	c.log.WithFields(logrus.Fields{fieldJob: id, fieldPlaced: j.numPlaced}).Info("job cancelled")
 	j.cancelled = true
 	c.finish(j, graph.Cancelled, "cancelled by its caller", now)
+	return true
 }
 
 func (c *Cell) buildSteps(j *job) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -91,6 +91,12 @@
 	return table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
 }
 
+// cancelKey returns the key of the row that marks a job as cancelled.
+func cancelKey(job table.Key) table.Key {
+	job.Name += runner.CancelSuffix
+	return job
+}
+
 // Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
 func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -138,9 +144,11 @@
 	return o, err
 }
 
-// createOnce creates the row of a job, unless it exists, and returns the owner that the row names.
+// createOnce creates the row of a job, unless it exists or the job was cancelled before it, and returns the owner that the row names.
 func (i *Intake) createOnce(ctx context.Context, q *queues.Queue, key table.Key, raw []byte) (o graph.Owner, created bool, err error) {
-	created, err = i.createRow(ctx, table.Tx{Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: raw}}})
+	created, err = i.createRow(ctx, table.Tx{
+		Checks: []table.Check{{Key: key}, {Key: cancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
+	})
 	if err != nil {
 		return graph.Owner{}, false, err
 	}
@@ -152,7 +160,10 @@
 	if err != nil {
 		return graph.Owner{}, false, &UnknownError{err}
 	}
-	if rows.job == nil {
+	switch {
+	case rows.job == nil && rows.cancelled:
+		return graph.Owner{}, false, &RefusedError{"cancelled", 0, errCancelled}
+	case rows.job == nil:
 		return graph.Owner{}, false, &UnknownError{errRowRemoved}
 	}
 	if o, err = graph.DecodeOwner(rows.job.Value); err != nil {
@@ -166,6 +177,7 @@
 }
 
 var (
+	errCancelled  = errors.New("the job was cancelled before it was stored")
 	errRowRemoved = errors.New("the job's row has just been removed")
 	errIDInUse    = errors.New("a job of another queue has this ID")
 )
@@ -250,8 +262,11 @@
 		return state, nil
 	}
 	stored, err := i.findJob(ctx, q, id)
-	if err != nil {
+	switch {
+	case err != nil:
 		return "", err
+	case stored.version == 0:
+		return "", &NotFoundError{id}
 	}
 	if stored.owner != owner(q) {
 		if state, known := i.groupState(ctx, stored.owner, id); known {
@@ -272,9 +287,11 @@
 
 // storedJob is a job according to its rows.
 type storedJob struct {
-	key   table.Key
-	owner graph.Owner
-	state graph.State
+	key table.Key
+	// version is that of the job's row, which never changes; 0 if there is none.
+	version uint64
+	owner   graph.Owner
+	state   graph.State
 	// cancelled says that the job is marked as cancelled but not finished.
 	cancelled bool
 }
@@ -314,11 +331,11 @@
 		return storedJob{}, err
 	}
 	stored, err := i.readJob(ctx, e.home(), id)
-	if err == nil && stored.owner.Service != e.home() {
+	if err == nil && stored.version > 0 && stored.owner.Service != e.home() {
 		stored, err = i.readJob(ctx, stored.owner.Service, id)
 	}
-	if err != nil {
-		return storedJob{}, err
+	if err != nil || stored.version == 0 {
+		return stored, err
 	}
 	belongs, err := i.belongs(ctx, q, stored.owner)
 	if err == nil && !belongs {
@@ -338,11 +355,13 @@
 	if err != nil {
 		return storedJob{}, err
 	}
+	stored := storedJob{key: key, state: graph.Queued, cancelled: rows.cancelled}
 	if rows.job == nil {
-		return storedJob{}, &NotFoundError{id}
+		return stored, nil
 	}
-	o, err := graph.DecodeOwner(rows.job.Value)
-	return storedJob{key: key, owner: o, state: graph.Queued, cancelled: rows.cancelled}, err
+	stored.version = rows.job.Version
+	stored.owner, err = graph.DecodeOwner(rows.job.Value)
+	return stored, err
 }
 
 // readProgress sets the state of a job that has stored progress.
@@ -366,22 +385,46 @@
 	return nil
 }
 
-// Cancel stores that a job is cancelled.
+// Cancel stores that a job is cancelled. It does so for an unknown ID too, since a request that stores the job may still be performed by the table;
+// the result then is *NotFoundError.
 func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
-	stored, err := i.findJob(ctx, q, id)
-	if err == nil && !stored.cancelled && !stored.state.Terminal() {
-		key := stored.key
-		key.Name += runner.CancelSuffix
-		ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-		defer cancel()
-		_, err = i.createRow(ctx, table.Tx{
-			Checks: []table.Check{{Key: key}}, Writes: []table.Write{{Key: key, Value: []byte("1")}},
-		})
-	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	err := i.cancel(ctx, q, id)
 	i.logResult("cancel", q.Name, id, err)
 	return err
 }
 
+func (i *Intake) cancel(ctx context.Context, q *queues.Queue, id string) error {
+	if _, err := i.registerEndpoint(ctx, q); err != nil {
+		return err
+	}
+	for {
+		stored, err := i.findJob(ctx, q, id)
+		if err != nil {
+			return err
+		}
+		if !stored.cancelled && !stored.state.Terminal() {
+			// The job's row must be as it was read: either this mark or the acceptance comes first.
+			mark := cancelKey(stored.key)
+			created, err := i.createRow(ctx, table.Tx{
+				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark}},
+				Writes: []table.Write{{Key: mark, Value: []byte("1")}},
+			})
+			if err != nil {
+				return err
+			}
+			if !created {
+				continue
+			}
+		}
+		if stored.version == 0 {
+			return &NotFoundError{id}
+		}
+		return nil
+	}
+}
+
 // Pending returns the number of jobs of a queue's endpoint of which no task has started.
 func (i *Intake) Pending(ctx context.Context, q *queues.Queue) (int, error) {
 	e, err := i.endpoint(ctx, q)
--- a/runner/aged.go
+++ b/runner/aged.go
@@ -45,6 +45,13 @@
 	return due
 }
 
+func (s *agedRows) has(key table.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.byKey[key]
+	return ok
+}
+
 func (s *agedRows) forget(key table.Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -122,12 +122,13 @@
 	first := true
 	addRows := func(rows []table.Row) {
 		now := time.Now()
+		var marks []table.Row
 		for _, row := range rows {
 			if !strings.HasPrefix(row.Partition, r.cfg.Epoch.Group+"/") || row.Deleted {
 				continue
 			}
-			if id, ok := strings.CutSuffix(row.Name, CancelSuffix); ok {
-				defer r.cell.Cancel(id, now)
+			if strings.HasSuffix(row.Name, CancelSuffix) {
+				marks = append(marks, row)
 				continue
 			}
 			stored, hasProgress := progressByJob[row.Name]
@@ -150,7 +151,12 @@
 				continue
 			}
 			r.cell.Add(doc, stored.progress, stored.version, now)
+			if mark := cancelMark(row.Key); r.orphanMarks.has(mark) {
+				// A host of an earlier version stores jobs regardless of marks.
+				marks = append(marks, table.Row{Key: mark})
+			}
 		}
+		r.cancelMarked(marks, now)
 		r.wakePlan()
 		r.wakeCommit()
 	}
@@ -289,6 +295,7 @@
 		for ctx.Err() == nil && r.sweep(ctx) {
 		}
 		r.sweepReferences(ctx)
+		r.sweepMarks(ctx)
 	}
 }
 
@@ -301,9 +308,7 @@
 	for _, id := range ids {
 		partition := JobPartition(service, id)
 		job := table.Key{Table: TableJobs(service), Partition: partition, Name: id}
-		cancelMark := job
-		cancelMark.Name += CancelSuffix
-		byPartition[partition] = append(byPartition[partition], job, cancelMark)
+		byPartition[partition] = append(byPartition[partition], job, cancelMark(job))
 	}
 	for _, partition := range slices.Sorted(maps.Keys(byPartition)) {
 		for keys := range slices.Chunk(byPartition[partition], maxSweepKeys) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -63,6 +63,8 @@
 	recordVersion uint64
 	// references holds the rows of jobs that other services run.
 	references agedRows
+	// orphanMarks holds the cancel marks of unknown jobs.
+	orphanMarks agedRows
 	// loaded is set once all jobs accepted before have been read.
 	loaded     atomic.Bool
 	planWake   chan struct{}
