Name the rows of a job in one place

The key of a job's row and of its cancel mark were put together in intake and in runner. The tests of intake share their set-up; no check is changed.

--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -15,14 +15,6 @@
 	"github.com/corianderdrift/corianderdrift/queues"
 )
 
-// submitEarlier stores another job, so that the queue's endpoint has a record.
-func submitEarlier(c *qt.C, in *intake.Intake, q *queues.Queue) {
-	c.Helper()
-	earlier := jobFor(q)
-	earlier.ID = "00000000000000bb"
-	c.Assert(in.Submit(context.Background(), q, earlier), qt.IsNil)
-}
-
 // A job whose acceptance the table performs late must not run once its cancelling has been answered.
 func TestLateAcceptanceDoesNotFollowCancel(t *testing.T) {
 	for _, test := range []struct {
--- a/intake/endpoint_test.go
+++ b/intake/endpoint_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
@@ -23,26 +21,11 @@
 // movedQueue is at the endpoint of queue, in a later version of the configuration.
 var movedQueue = &queues.Queue{Name: "checks-2", Host: "DESK.example", Prefix: "/checks/", Service: "eyes"}
 
-// newHost returns the intake of another host.
-func newHost(store *fakes.Table) (*intake.Intake, *noGroups) {
-	groups := &noGroups{}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	health := table.NewHealth(store)
-	return &intake.Intake{Store: health, Health: health, Groups: groups, Log: log}, groups
-}
-
-func jobFor(q *queues.Queue) *graph.Job {
-	job := newJob()
-	job.Queue, job.Service = q.Name, q.Service
-	return job
-}
-
 // numStored returns how many services have the job in their tables, to be run.
 func numStored(store *fakes.Table, services ...string) int {
 	n := 0
 	for _, service := range services {
-		row, _ := store.Get(table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id})
+		row, _ := store.Get(runner.JobKey(service, id))
 		if job, err := graph.DecodeJob(row.Value); err == nil && job.Service == service {
 			n++
 		}
@@ -70,9 +53,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, ctx := qt.New(t), context.Background()
 				first, store, groups := newIntake()
-				earlier := jobFor(test.earlier)
-				earlier.ID = "00000000000000bb"
-				c.Assert(first.Submit(ctx, test.earlier, earlier), qt.IsNil)
+				submitEarlier(c, first, test.earlier)
 				c.Assert(first.Submit(ctx, test.accepted, jobFor(test.accepted)), qt.IsNil)
 				c.Assert(groups.accepted, qt.Equals, 2)
 				for _, q := range test.later {
@@ -109,9 +90,7 @@
 				old, store, groups := newIntake()
 				next, nextGroups := newHost(store)
 				if registered {
-					earlier := newJob()
-					earlier.ID = "00000000000000bb"
-					c.Assert(old.Submit(ctx, queue, earlier), qt.IsNil)
+					submitEarlier(c, old, queue)
 					groups.accepted = 0
 				}
 				var wg sync.WaitGroup
@@ -138,9 +117,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, ctx := qt.New(t), context.Background()
 				in, store, _ := newIntake()
-				earlier := newJob()
-				earlier.ID = "00000000000000bb"
-				c.Assert(in.Submit(ctx, queue, earlier), qt.IsNil)
+				submitEarlier(c, in, queue)
 				commits := 0
 				store.SetFault(func(op string) fakes.TableFault {
 					if op == "commit" {
@@ -223,7 +200,7 @@
 		in, store, groups := newIntake()
 		raw, err := newJob().Encode()
 		c.Assert(err, qt.IsNil)
-		key := table.Key{Table: runner.TableJobs("desk"), Partition: runner.JobPartition("desk", id), Name: id}
+		key := runner.JobKey("desk", id)
 		_, err = store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
 		c.Assert(err, qt.IsNil)
 		state, err := in.State(ctx, queue, id)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -87,16 +87,6 @@
 	endpoints endpoints
 }
 
-func jobKey(service, id string) table.Key {
-	return table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
-}
-
-// cancelKey returns the key of the row that marks a job as cancelled.
-func cancelKey(job table.Key) table.Key {
-	job.Name += runner.CancelSuffix
-	return job
-}
-
 // Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
 func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -136,7 +126,7 @@
 	if err != nil {
 		return graph.Owner{}, err
 	}
-	o, created, err := i.createOnce(ctx, q, jobKey(service, job.ID), raw)
+	o, created, err := i.createOnce(ctx, q, runner.JobKey(service, job.ID), raw)
 	if created && job.Service == service {
 		// The job of a repeated request is not passed on, since it may have run already.
 		i.Groups.Accepted(job)
@@ -147,7 +137,7 @@
 // createOnce creates the row of a job, unless it exists or the job was cancelled before it, and returns the owner that the row names.
 func (i *Intake) createOnce(ctx context.Context, q *queues.Queue, key table.Key, raw []byte) (o graph.Owner, created bool, err error) {
 	created, err = i.createRow(ctx, table.Tx{
-		Checks: []table.Check{{Key: key}, {Key: cancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
+		Checks: []table.Check{{Key: key}, {Key: runner.CancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
 	})
 	if err != nil {
 		return graph.Owner{}, false, err
@@ -306,8 +296,9 @@
 func (i *Intake) readRows(ctx context.Context, key table.Key) (jobRows, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	mark := runner.CancelKey(key)
 	page, err := i.Store.Read(ctx, table.Range{
-		Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + runner.CancelSuffix + "\x00", Limit: 2,
+		Table: key.Table, Partition: key.Partition, From: key.Name, To: mark.Name + "\x00", Limit: 2,
 	})
 	if err != nil {
 		return jobRows{}, i.unreachableError(err)
@@ -317,7 +308,7 @@
 		switch row.Name {
 		case key.Name:
 			rows.job = &row
-		case key.Name + runner.CancelSuffix:
+		case mark.Name:
 			rows.cancelled = true
 		}
 	}
@@ -350,7 +341,7 @@
 
 // readJob reads a job from its rows in the table of a service, which may name another owner.
 func (i *Intake) readJob(ctx context.Context, service, id string) (storedJob, error) {
-	key := jobKey(service, id)
+	key := runner.JobKey(service, id)
 	rows, err := i.readRows(ctx, key)
 	if err != nil {
 		return storedJob{}, err
@@ -406,7 +397,7 @@
 		}
 		if !stored.cancelled && !stored.state.Terminal() {
 			// The job's row must be as it was read: either this mark or the acceptance comes first.
-			mark := cancelKey(stored.key)
+			mark := runner.CancelKey(stored.key)
 			created, err := i.createRow(ctx, table.Tx{
 				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark}},
 				Writes: []table.Write{{Key: mark, Value: []byte("1")}},
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -36,12 +36,33 @@
 func (n *noGroups) Accepted(*graph.Job) { n.accepted++ }
 
 func newIntake() (*intake.Intake, *fakes.Table, *noGroups) {
-	store, groups := fakes.NewTable(), &noGroups{}
+	store := fakes.NewTable()
 	store.Latency = 4 * time.Millisecond
+	in, groups := newHost(store)
+	return in, store, groups
+}
+
+// newHost returns the intake of another host.
+func newHost(store *fakes.Table) (*intake.Intake, *noGroups) {
+	groups := &noGroups{}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	health := table.NewHealth(store)
-	return &intake.Intake{Store: health, Health: health, Groups: groups, Log: log}, store, groups
+	return &intake.Intake{Store: health, Health: health, Groups: groups, Log: log}, groups
+}
+
+// submitEarlier stores another job, so that the queue's endpoint has a record.
+func submitEarlier(c *qt.C, in *intake.Intake, q *queues.Queue) {
+	c.Helper()
+	earlier := jobFor(q)
+	earlier.ID = "00000000000000bb"
+	c.Assert(in.Submit(context.Background(), q, earlier), qt.IsNil)
+}
+
+func jobFor(q *queues.Queue) *graph.Job {
+	job := newJob()
+	job.Queue, job.Service = q.Name, q.Service
+	return job
 }
 
 func newJob() *graph.Job {
@@ -91,9 +112,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				in, store, _ := newIntake()
-				earlier := newJob()
-				earlier.ID = "00000000000000bb"
-				c.Assert(in.Submit(context.Background(), queue, earlier), qt.IsNil)
+				submitEarlier(c, in, queue)
 				n := 0
 				store.SetFault(func(op string) fakes.TableFault { n++; return test.fault(n, op) })
 				err := in.Submit(context.Background(), queue, newJob())
--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -605,7 +605,7 @@
 
 func (d *disruptions) cancel(job *jobRef) {
 	job.cancelled = true
-	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, job.id), Name: job.id + runner.CancelSuffix}
+	key := runner.CancelKey(runner.JobKey(service, job.id))
 	_, err := d.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: []byte("1")}}})
 	d.c.Assert(err, qt.IsNil)
 }
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -23,8 +23,8 @@
 const (
 	// TableRuns is the table of job progress, with a partition for each group; only the runner of a group writes to it.
 	TableRuns = "runs"
-	// CancelSuffix is appended to a job's id to get the name of the row that marks it as cancelled.
-	CancelSuffix = "/cancel"
+	// cancelSuffix is appended to a job's id to get the name of the row that marks it as cancelled.
+	cancelSuffix = "/cancel"
 )
 
 // numJobTables limits the number of tables of accepted jobs, since the platform limits the total number of tables.
@@ -45,6 +45,17 @@
 	return partitionName(service, int(xxhash.Sum64String(id)%numJobPartitions))
 }
 
+// JobKey returns the key of an accepted job's row in the table of a service.
+func JobKey(service, id string) table.Key {
+	return table.Key{Table: TableJobs(service), Partition: JobPartition(service, id), Name: id}
+}
+
+// CancelKey returns the key of the row that marks a job as cancelled, given that of the job's row.
+func CancelKey(job table.Key) table.Key {
+	job.Name += cancelSuffix
+	return job
+}
+
 func partitionName(service string, n int) string { return service + "/" + strconv.Itoa(n) }
 
 // partitionNames returns the partitions of all accepted jobs of a service.
@@ -127,7 +138,7 @@
 			if !strings.HasPrefix(row.Partition, r.cfg.Epoch.Group+"/") || row.Deleted {
 				continue
 			}
-			if strings.HasSuffix(row.Name, CancelSuffix) {
+			if strings.HasSuffix(row.Name, cancelSuffix) {
 				marks = append(marks, row)
 				continue
 			}
@@ -151,7 +162,7 @@
 				continue
 			}
 			r.cell.Add(doc, stored.progress, stored.version, now)
-			if mark := cancelMark(row.Key); r.orphanMarks.has(mark) {
+			if mark := CancelKey(row.Key); r.orphanMarks.has(mark) {
 				// A host of an earlier version stores jobs regardless of marks.
 				marks = append(marks, table.Row{Key: mark})
 			}
@@ -306,9 +317,8 @@
 	service := r.cfg.Epoch.Group
 	byPartition := map[string][]table.Key{}
 	for _, id := range ids {
-		partition := JobPartition(service, id)
-		job := table.Key{Table: TableJobs(service), Partition: partition, Name: id}
-		byPartition[partition] = append(byPartition[partition], job, cancelMark(job))
+		job := JobKey(service, id)
+		byPartition[job.Partition] = append(byPartition[job.Partition], job, CancelKey(job))
 	}
 	for _, partition := range slices.Sorted(maps.Keys(byPartition)) {
 		for keys := range slices.Chunk(byPartition[partition], maxSweepKeys) {
--- a/runner/marks.go
+++ b/runner/marks.go
@@ -19,16 +19,10 @@
 	maxSweepMarks = 30
 )
 
-// cancelMark returns the key of the mark that cancels a job.
-func cancelMark(job table.Key) table.Key {
-	job.Name += CancelSuffix
-	return job
-}
-
 // cancelMarked cancels the jobs that have marks. A mark without a job keeps the job from being stored, and is removed later.
 func (r *Runner) cancelMarked(marks []table.Row, now time.Time) {
 	for _, mark := range marks {
-		if !r.cell.Cancel(strings.TrimSuffix(mark.Name, CancelSuffix), now) {
+		if !r.cell.Cancel(strings.TrimSuffix(mark.Name, cancelSuffix), now) {
 			r.orphanMarks.add(mark, now)
 		}
 	}
@@ -52,7 +46,7 @@
 	var tx table.Tx
 	for _, mark := range marks {
 		job := mark.Key
-		job.Name = strings.TrimSuffix(job.Name, CancelSuffix)
+		job.Name = strings.TrimSuffix(job.Name, cancelSuffix)
 		tx.Checks = append(tx.Checks, table.Check{Key: job}, table.Check{Key: mark.Key, Version: mark.Version})
 		tx.Removes = append(tx.Removes, mark.Key)
 	}
--- a/runner/marks_test.go
+++ b/runner/marks_test.go
@@ -14,7 +14,7 @@
 
 // markKey returns the key of the mark that cancels a job.
 func markKey(id string) table.Key {
-	return table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id + runner.CancelSuffix}
+	return runner.CancelKey(runner.JobKey(service, id))
 }
 
 // Marks of unknown jobs must not fill the table, nor go before a late acceptance is out of the question; those of jobs stay with them.
--- a/runner/references.go
+++ b/runner/references.go
@@ -34,8 +34,9 @@
 	if err != nil {
 		return err
 	}
+	job := JobKey(o.Service, ref.Name)
 	page, err := r.cfg.Store.Read(ctx, table.Range{
-		Table: TableJobs(o.Service), Partition: JobPartition(o.Service, ref.Name), From: ref.Name, To: ref.Name + "\x00", Limit: 1,
+		Table: job.Table, Partition: job.Partition, From: job.Name, To: job.Name + "\x00", Limit: 1,
 	})
 	if err != nil || len(page.Rows) > 0 {
 		return err
--- a/runner/references_test.go
+++ b/runner/references_test.go
@@ -19,8 +19,8 @@
 		s := newCluster(t, 1, bigWorker)
 		raw, err := graph.Owner{Queue: queue, Service: other}.Encode()
 		s.c.Assert(err, qt.IsNil)
-		reference := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
-		job := table.Key{Table: runner.TableJobs(other), Partition: runner.JobPartition(other, id), Name: id}
+		reference := runner.JobKey(service, id)
+		job := runner.JobKey(other, id)
 		_, err = s.store.Apply(table.Tx{Writes: []table.Write{{Key: reference, Value: raw}, {Key: job, Value: raw}}})
 		s.c.Assert(err, qt.IsNil)
 		r, stop := s.runner()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -202,7 +202,7 @@
 }
 
 func (s *cluster) cancel(id string) {
-	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id + runner.CancelSuffix}
+	key := runner.CancelKey(runner.JobKey(service, id))
 	_, err := s.store.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: key, Value: []byte("1")}}})
 	s.c.Assert(err, qt.IsNil)
 }
