Log what a caller was answered, and what the answer rests on

"call failed" had the text of an error, which may name both an unknown outcome and a refusal.

The lines "call done" and "call failed" of a submission or a cancelling now say what was answered, how many commits were sent, how many of them had no usable answer, what is known of the job's row, and how long it took. The order in which errors are looked at is unchanged.

--- /dev/null
+++ b/intake/attempt.go
@@ -0,0 +1,69 @@
+package intake
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Outcome is what the answer to a request tells its caller.
+type Outcome string
+
+// The outcomes of requests.
+const (
+	Done Outcome = "done"
+	// Refused means that the request had no effect and will have none.
+	Refused  Outcome = "refused"
+	NotFound Outcome = "not-found"
+	// Unknown means that the request may have had an effect, or may still have one.
+	Unknown Outcome = "unknown"
+)
+
+// OutcomeOf returns the outcome that the error of a request stands for.
+func OutcomeOf(err error) Outcome {
+	var refused *RefusedError
+	var notFound *NotFoundError
+	switch {
+	case err == nil:
+		return Done
+	case errors.As(err, &refused):
+		return Refused
+	case errors.As(err, &notFound):
+		return NotFound
+	default:
+		return Unknown
+	}
+}
+
+// rowState is what a request to submit a job knows of the job's row.
+type rowState string
+
+const (
+	rowUnread  rowState = "unread"
+	rowCreated rowState = "created"
+	// rowConflict means that the row, or the mark of a cancelled job, was there when the request tried to create it.
+	rowConflict rowState = "conflict"
+	rowFound    rowState = "found"
+	rowMissing  rowState = "missing"
+	// rowOther means that the row is that of another queue's job.
+	rowOther rowState = "other-queue"
+)
+
+// attempt records what a request to submit or cancel a job has sent to the table, and learned from it.
+type attempt struct {
+	startedAt time.Time
+	// commits counts the transactions about the job, unanswered those without a usable answer: they may have taken effect, or may still do so.
+	commits, unanswered int
+	row                 rowState
+}
+
+func newAttempt() *attempt { return &attempt{startedAt: time.Now(), row: rowUnread} }
+
+// fields returns the attempt as fields of a log line.
+func (a *attempt) fields() logrus.Fields {
+	return logrus.Fields{
+		"commits": a.commits, "unanswered": a.unanswered, "row": string(a.row),
+		"took": time.Since(a.startedAt).Round(time.Millisecond).String(),
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -91,14 +91,15 @@
 func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	err := i.accept(ctx, q, job)
-	i.logResult("submit", job.Queue, job.ID, err)
+	a := newAttempt()
+	err := i.accept(ctx, a, q, job)
+	i.logResult("submit", job.Queue, job.ID, a, err)
 	return err
 }
 
 // accept stores a job. One row in the table of the endpoint's home settles which service runs it; another service gets it in its own table after
 // that.
-func (i *Intake) accept(ctx context.Context, q *queues.Queue, job *graph.Job) error {
+func (i *Intake) accept(ctx context.Context, a *attempt, q *queues.Queue, job *graph.Job) error {
 	if err := i.checkWritable(ctx); err != nil {
 		return err
 	}
@@ -106,18 +107,18 @@
 	if err != nil {
 		return err
 	}
-	o, err := i.storeIn(ctx, q, job, e.home())
+	o, err := i.storeIn(ctx, a, q, job, e.home())
 	if err != nil || o.Service == e.home() {
 		return err
 	}
 	job.Queue, job.Service = o.Queue, o.Service
-	_, err = i.storeIn(ctx, q, job, o.Service)
+	_, err = i.storeIn(ctx, a, q, job, o.Service)
 	return err
 }
 
 // storeIn stores a job, or its owner if that is another service, in the table of a service, and returns the owner that the row names: an earlier
 // request may have stored the job with another one.
-func (i *Intake) storeIn(ctx context.Context, q *queues.Queue, job *graph.Job, service string) (graph.Owner, error) {
+func (i *Intake) storeIn(ctx context.Context, a *attempt, q *queues.Queue, job *graph.Job, service string) (graph.Owner, error) {
 	encode := job.Encode
 	if job.Service != service {
 		encode = job.Owner().Encode
@@ -126,7 +127,7 @@
 	if err != nil {
 		return graph.Owner{}, err
 	}
-	o, created, err := i.createOnce(ctx, q, runner.JobKey(service, job.ID), raw)
+	o, created, err := i.createOnce(ctx, a, q, runner.JobKey(service, job.ID), raw)
 	if created && job.Service == service {
 		// The job of a repeated request is not passed on, since it may have run already.
 		i.Groups.Accepted(job)
@@ -135,21 +136,29 @@
 }
 
 // createOnce creates the row of a job, unless it exists or the job was cancelled before it, and returns the owner that the row names.
-func (i *Intake) createOnce(ctx context.Context, q *queues.Queue, key table.Key, raw []byte) (o graph.Owner, created bool, err error) {
-	created, err = i.createRow(ctx, table.Tx{
+func (i *Intake) createOnce(
+	ctx context.Context, a *attempt, q *queues.Queue, key table.Key, raw []byte,
+) (o graph.Owner, created bool, err error) {
+	created, err = i.createRow(ctx, a, table.Tx{
 		Checks: []table.Check{{Key: key}, {Key: runner.CancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
 	})
 	if err != nil {
 		return graph.Owner{}, false, err
 	}
 	if created {
+		a.row = rowCreated
 		o, err = graph.DecodeOwner(raw)
 		return o, true, err
 	}
+	a.row = rowConflict
 	rows, err := i.readRows(ctx, key)
 	if err != nil {
 		return graph.Owner{}, false, &UnknownError{err}
 	}
+	a.row = rowFound
+	if rows.job == nil {
+		a.row = rowMissing
+	}
 	switch {
 	case rows.job == nil && rows.cancelled:
 		return graph.Owner{}, false, &RefusedError{"cancelled", 0, errCancelled}
@@ -161,6 +170,7 @@
 	}
 	belongs, err := i.belongs(ctx, q, o)
 	if err == nil && !belongs {
+		a.row = rowOther
 		err = &RefusedError{"id-in-use", 0, errIDInUse}
 	}
 	return o, false, err
@@ -183,9 +193,9 @@
 	return err == nil && e.has(o), err
 }
 
-// logResult logs the outcome of a request.
-func (i *Intake) logResult(op, queue, id string, err error) {
-	log := i.Log.WithFields(logrus.Fields{"op": op, "queue": queue, "job": id})
+// logResult logs the outcome of a request, and what it rests on.
+func (i *Intake) logResult(op, queue, id string, a *attempt, err error) {
+	log := i.Log.WithFields(logrus.Fields{"op": op, "queue": queue, "job": id, "answer": string(OutcomeOf(err))}).WithFields(a.fields())
 	if err != nil {
 		log.WithError(err).Warn("call failed")
 		return
@@ -195,13 +205,14 @@
 
 // createRow commits a transaction that creates one row, and reports whether this call is known to have created it; if the row
 // exists already, there is no error.
-func (i *Intake) createRow(ctx context.Context, tx table.Tx) (created bool, err error) {
+func (i *Intake) createRow(ctx context.Context, a *attempt, tx table.Tx) (created bool, err error) {
 	if err := i.checkWritable(ctx); err != nil {
 		return false, err
 	}
 	mayExist := false
 	for {
 		call, stop := context.WithTimeout(ctx, i.Health.Timeout(writeTimeout, time.Now()))
+		a.commits++
 		_, err := i.Store.Commit(call, tx)
 		stop()
 		var conflict *table.ConflictError
@@ -214,6 +225,7 @@
 		case errors.As(err, &refused) && !mayExist:
 			return false, i.unreachableError(err)
 		case !errors.As(err, &refused):
+			a.unanswered++
 			mayExist = true
 		}
 		if !clock.Pause(ctx, retryDelay) || ctx.Err() != nil {
@@ -381,12 +393,13 @@
 func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	err := i.cancel(ctx, q, id)
-	i.logResult("cancel", q.Name, id, err)
+	a := newAttempt()
+	err := i.cancel(ctx, a, q, id)
+	i.logResult("cancel", q.Name, id, a, err)
 	return err
 }
 
-func (i *Intake) cancel(ctx context.Context, q *queues.Queue, id string) error {
+func (i *Intake) cancel(ctx context.Context, a *attempt, q *queues.Queue, id string) error {
 	if _, err := i.registerEndpoint(ctx, q); err != nil {
 		return err
 	}
@@ -398,7 +411,7 @@
 		if !stored.cancelled && !stored.state.Terminal() {
 			// The job's row must be as it was read: either this mark or the acceptance comes first.
 			mark := runner.CancelKey(stored.key)
-			created, err := i.createRow(ctx, table.Tx{
+			created, err := i.createRow(ctx, a, table.Tx{
 				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark}},
 				Writes: []table.Write{{Key: mark, Value: []byte("1")}},
 			})
