Don't answer that a job never runs because a read after its acceptance was refused

Callers: a request is answered 503, which says that the job was not accepted and never runs. Then the job runs (rule REFUSED).

Cause: a commit that stores the job takes effect without an answer; its repetition finds the row; the read that tells whose row it is fails. The result is an UnknownError around the RefusedError of the read, and whoever sorts errors with errors.As finds the refusal inside. Class: an error that wraps one of the opposite meaning, sorted by whichever case stands first.

TestOutcomeIsNotThatOfTheCause failed before in two: "outcome unknown: refused: store-away" gave "refused", an unknown outcome around *NotFoundError gave "not-found".

Change: errors that stand for an outcome hide their cause from errors.As, so that a chain has one outcome, whatever the order of the cases. Nothing relied on unwrapping them.

--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 
@@ -10,6 +11,8 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/intake"
+	"github.com/corianderdrift/corianderdrift/table"
 )
 
 // The log must tell what a caller was answered, and what the host knew then of the commits that it had sent and of the job's row.
@@ -68,3 +71,25 @@
 		})
 	}
 }
+
+// An error must stand for one outcome, whatever outcome its cause stands for.
+func TestOutcomeIsNotThatOfTheCause(t *testing.T) {
+	c := qt.New(t)
+	refused := &intake.RefusedError{Reason: "store-away", Err: &table.RefusedError{Op: "read"}}
+	unknown := &intake.UnknownError{Err: refused}
+	for _, test := range []struct {
+		err  error
+		want intake.Outcome
+	}{
+		{nil, intake.Done},
+		{refused, intake.Refused},
+		{unknown, intake.Unknown},
+		{&intake.RefusedError{Reason: "store-away", Err: unknown}, intake.Refused},
+		{&intake.UnknownError{Err: &intake.NotFoundError{Job: id}}, intake.Unknown},
+		{&intake.NotFoundError{Job: id}, intake.NotFound},
+		{fmt.Errorf("submit: %w", unknown), intake.Unknown},
+		{context.DeadlineExceeded, intake.Unknown},
+	} {
+		c.Check(intake.OutcomeOf(test.err), qt.Equals, test.want, qt.Commentf("%v", test.err))
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -45,7 +45,7 @@
 	Accepted(job *graph.Job)
 }
 
-// RefusedError says that a request was refused; a refused job was not accepted and never runs.
+// RefusedError says that a request was refused; a refused job was not accepted and never runs. It hides its cause, like UnknownError.
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
@@ -55,10 +55,8 @@
 // Error names the reason.
 func (e *RefusedError) Error() string { return fmt.Sprintf("refused: %s: %v", e.Reason, e.Err) }
 
-// Unwrap returns the cause.
-func (e *RefusedError) Unwrap() error { return e.Err }
-
-// UnknownError says that a change may have taken effect.
+// UnknownError says that a change may have taken effect. It hides its cause from errors.As: that may be the refusal of one call, which is not the
+// outcome of the request.
 type UnknownError struct {
 	Err error
 }
@@ -66,9 +64,6 @@
 // Error names the cause.
 func (e *UnknownError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Err) }
 
-// Unwrap returns the cause.
-func (e *UnknownError) Unwrap() error { return e.Err }
-
 // NotFoundError says that no such job was accepted.
 type NotFoundError struct {
 	Job string
