Decide the outcome of a request from everything that it has sent, not from its last step

Callers: a request is answered 503 ("not accepted, never runs") though its job, or that of an earlier request for the ID, is stored or may still be.

Cause: each step returned a refusal of its own, which became the answer. True of the step, not of the request, where - the row was found, and the endpoint's record can't be read, - the reference to another service was found, or its commit had no answer, and the second row is refused, - a commit had no answer, and its repetition finds the mark of a cancelled job, which may be removed before the commit is carried out, - a commit that marks a job as cancelled had no answer, and the job can't be read again.

Evidence: TestRefusalRestsOnTheWholeRequest failed before in four cases (got "refused", want "unknown"), TestUnansweredCancelIsNotRefused failed before in the same way. The cases in which nothing was sent but refused commits are refused, before and after.

Change: the attempt counts unanswered commits and knows whether a row was met; Submit and Cancel turn a refusal into an unknown outcome where it may have had an effect. Steps need not know of each other.

--- a/intake/attempt.go
+++ b/intake/attempt.go
@@ -60,6 +60,20 @@
 
 func newAttempt() *attempt { return &attempt{startedAt: time.Now(), row: rowUnread} }
 
+// mayHaveEffect reports whether the job, or the mark of its cancelling, may be in the table or still get there, through this request or, where
+// a row was met, through an earlier one.
+func (a *attempt) mayHaveEffect() bool {
+	return a.unanswered > 0 || a.row == rowConflict || a.row == rowFound
+}
+
+// settle returns the error of the request, given that of its last step: the refusal of a step says nothing about the steps before.
+func (a *attempt) settle(err error) error {
+	if OutcomeOf(err) == Refused && a.mayHaveEffect() {
+		return &UnknownError{err}
+	}
+	return err
+}
+
 // fields returns the attempt as fields of a log line.
 func (a *attempt) fields() logrus.Fields {
 	return logrus.Fields{
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -11,7 +11,9 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/intake"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
@@ -93,3 +95,99 @@
 		c.Check(intake.OutcomeOf(test.err), qt.Equals, test.want, qt.Commentf("%v", test.err))
 	}
 }
+
+// A refusal must not follow from the last step of a request if an earlier step may have stored the job, or met a job that is stored.
+func TestRefusalRestsOnTheWholeRequest(t *testing.T) {
+	const (
+		ok      = fakes.TableOK
+		refused = fakes.TableUnavailable
+		late    = fakes.TableLate
+	)
+	for _, test := range []struct {
+		name  string
+		queue *queues.Queue
+		// before prepares the table, through another host.
+		before func(c *qt.C, host *intake.Intake)
+		// faults are those of the calls to the table, in order; the last one repeats.
+		faults []fakes.TableFault
+		want   intake.Outcome
+	}{
+		{"nothing sent but refused commits", movedQueue, nil, []fakes.TableFault{refused}, intake.Refused},
+		{"reference stored, job refused", movedQueue, nil, []fakes.TableFault{ok, refused}, intake.Refused},
+		{
+			"reference of an earlier request found, job refused", movedQueue, func(c *qt.C, host *intake.Intake) {
+				c.Assert(host.Submit(context.Background(), movedQueue, jobFor(movedQueue)), qt.IsNil)
+			},
+			[]fakes.TableFault{ok, ok, refused},
+			intake.Unknown,
+		},
+		{"reference unanswered, job refused", movedQueue, nil, []fakes.TableFault{late, ok, refused}, intake.Unknown},
+		{
+			"job of a later queue found, record of the endpoint refused", queue, func(c *qt.C, host *intake.Intake) {
+				c.Assert(host.Submit(context.Background(), laterQueue, jobFor(laterQueue)), qt.IsNil)
+			},
+			[]fakes.TableFault{ok, ok, refused},
+			intake.Unknown,
+		},
+		{"cancelled before", queue, cancelUnknown, []fakes.TableFault{ok}, intake.Refused},
+		{"cancelled before, commit unanswered", queue, cancelUnknown, []fakes.TableFault{late, ok}, intake.Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				in, store, _ := newIntake()
+				submitEarlier(c, in, queue)
+				if test.queue == movedQueue {
+					submitEarlier(c, in, movedQueue)
+				}
+				if test.before != nil {
+					host, _ := newHost(store)
+					test.before(c, host)
+				}
+				n := 0
+				store.SetFault(func(string) fakes.TableFault {
+					n++
+					return test.faults[min(n, len(test.faults))-1]
+				})
+				err := in.Submit(context.Background(), test.queue, jobFor(test.queue))
+				c.Assert(intake.OutcomeOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			})
+		})
+	}
+}
+
+// laterQueue is queue in a later version of the configuration, under another name.
+var laterQueue = &queues.Queue{Name: "checks-3", Host: queue.Host, Prefix: queue.Prefix, Service: queue.Service}
+
+// cancelUnknown cancels a job that was never stored.
+func cancelUnknown(c *qt.C, host *intake.Intake) {
+	c.Assert(intake.OutcomeOf(host.Cancel(context.Background(), queue, id)), qt.Equals, intake.NotFound)
+}
+
+// A cancelling must not be answered as refused if a commit that marks the job may have taken effect.
+func TestUnansweredCancelIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		in, store, _ := newIntake()
+		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
+		n := 0
+		store.SetFault(func(op string) fakes.TableFault {
+			if op == "commit" {
+				n++
+			}
+			switch {
+			case op == "commit" && n == 1:
+				return fakes.TableReplyLost
+			case op == "read" && n == 2:
+				return fakes.TableUnavailable
+			}
+			return fakes.TableOK
+		})
+		err := in.Cancel(context.Background(), queue, id)
+		c.Assert(intake.OutcomeOf(err), qt.Equals, intake.Unknown, qt.Commentf("%v", err))
+		store.SetFault(nil)
+		state, err := in.State(context.Background(), queue, id)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, graph.Cancelled)
+	})
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	a := newAttempt()
-	err := i.accept(ctx, a, q, job)
+	err := a.settle(i.accept(ctx, a, q, job))
 	i.logResult("submit", job.Queue, job.ID, a, err)
 	return err
 }
@@ -148,7 +148,7 @@
 	a.row = rowConflict
 	rows, err := i.readRows(ctx, key)
 	if err != nil {
-		return graph.Owner{}, false, &UnknownError{err}
+		return graph.Owner{}, false, err
 	}
 	a.row = rowFound
 	if rows.job == nil {
@@ -389,7 +389,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	a := newAttempt()
-	err := i.cancel(ctx, a, q, id)
+	err := a.settle(i.cancel(ctx, a, q, id))
 	i.logResult("cancel", q.Name, id, a, err)
 	return err
 }
