Take the row of a repeated acceptance from the conflict instead of reading it

Cause: the conflict already lists the rows that were checked, as of the moment of the commit, but the rows were read again.

Evidence: the cases "reply lost, row exists, read refused", "... read silent" and the same for the second row of a moved queue in TestRefusedJobIsNotStored gave 504 before and are accepted now. With conflicts that don't tell the values of rows the read is still needed and may fail: these cases stay, with 504 (fakes.Table.BareConflicts), also for TestRefusalRestsOnTheWholeRequest.

Change: createRow returns the conflict; the rows are read only if it doesn't list them.

--- a/fakes/table.go
+++ b/fakes/table.go
@@ -15,6 +15,8 @@
 type Table struct {
 	// Latency is how long a call takes.
 	Latency time.Duration
+	// BareConflicts leaves out the values of the rows that a conflict lists.
+	BareConflicts bool
 
 	mu      sync.Mutex
 	version uint64
@@ -167,6 +169,9 @@
 	for i, check := range tx.Checks {
 		row := t.rows[check.Key]
 		row.Key = check.Key
+		if t.BareConflicts {
+			row.Value = nil
+		}
 		current[i] = row
 		conflict = conflict || row.Version != check.Version
 	}
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -136,6 +136,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				in, store, _ := newIntake()
+				store.BareConflicts = true
 				submitEarlier(c, in, queue)
 				if test.queue == movedQueue {
 					submitEarlier(c, in, movedQueue)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -134,21 +134,23 @@
 func (i *Intake) createOnce(
 	ctx context.Context, a *attempt, q *queues.Queue, key table.Key, raw []byte,
 ) (o graph.Owner, created bool, err error) {
-	created, err = i.createRow(ctx, a, table.Tx{
+	conflict, err := i.createRow(ctx, a, table.Tx{
 		Checks: []table.Check{{Key: key}, {Key: runner.CancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
 	})
 	if err != nil {
 		return graph.Owner{}, false, err
 	}
-	if created {
+	if conflict == nil {
 		a.row = rowCreated
 		o, err = graph.DecodeOwner(raw)
 		return o, true, err
 	}
 	a.row = rowConflict
-	rows, err := i.readRows(ctx, key)
-	if err != nil {
-		return graph.Owner{}, false, err
+	rows, ok := rowsInConflict(key, conflict)
+	if !ok {
+		if rows, err = i.readRows(ctx, key); err != nil {
+			return graph.Owner{}, false, err
+		}
 	}
 	a.row = rowFound
 	if rows.job == nil {
@@ -198,11 +200,11 @@
 	log.Info("call done")
 }
 
-// createRow commits a transaction that creates one row, and reports whether this call is known to have created it; if the row
-// exists already, there is no error.
-func (i *Intake) createRow(ctx context.Context, a *attempt, tx table.Tx) (created bool, err error) {
+// createRow commits a transaction that creates one row, and returns the conflict with what is there instead, or nil if this call is known to
+// have created the row.
+func (i *Intake) createRow(ctx context.Context, a *attempt, tx table.Tx) (*table.ConflictError, error) {
 	if err := i.checkWritable(ctx); err != nil {
-		return false, err
+		return nil, err
 	}
 	mayExist := false
 	for {
@@ -214,17 +216,17 @@
 		var refused *table.RefusedError
 		switch {
 		case err == nil:
-			return true, nil
+			return nil, nil
 		case errors.As(err, &conflict):
-			return false, nil
+			return conflict, nil
 		case errors.As(err, &refused) && !mayExist:
-			return false, i.unreachableError(err)
+			return nil, i.unreachableError(err)
 		case !errors.As(err, &refused):
 			a.unanswered++
 			mayExist = true
 		}
 		if !clock.Pause(ctx, retryDelay) || ctx.Err() != nil {
-			return false, &UnknownError{err}
+			return nil, &UnknownError{err}
 		}
 	}
 }
@@ -299,6 +301,23 @@
 	cancelled bool
 }
 
+// rowsInConflict returns the rows of a job, whose key is given, as a conflict over their creation lists them; ok is false if it doesn't.
+func rowsInConflict(key table.Key, conflict *table.ConflictError) (rows jobRows, ok bool) {
+	mark := runner.CancelKey(key)
+	for _, row := range conflict.Rows {
+		switch {
+		case row.Version == 0 || row.Deleted:
+		case row.Key == mark:
+			rows.cancelled = true
+		case row.Key == key && len(row.Value) > 0:
+			rows.job = &row
+		default:
+			return jobRows{}, false
+		}
+	}
+	return rows, rows.job != nil || rows.cancelled
+}
+
 // readRows reads the rows of a job, whose key is given, as of one moment.
 func (i *Intake) readRows(ctx context.Context, key table.Key) (jobRows, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -406,14 +425,14 @@
 		if !stored.cancelled && !stored.state.Terminal() {
 			// The job's row must be as it was read: either this mark or the acceptance comes first.
 			mark := runner.CancelKey(stored.key)
-			created, err := i.createRow(ctx, a, table.Tx{
+			conflict, err := i.createRow(ctx, a, table.Tx{
 				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark}},
 				Writes: []table.Write{{Key: mark, Value: []byte("1")}},
 			})
 			if err != nil {
 				return err
 			}
-			if !created {
+			if conflict != nil {
 				continue
 			}
 		}
