Don't take a rejected stop for one that was carried out

What callers saw: nothing yet; the fault was found by reading. A task could run twice: a run whose start had no answer is given up once its worker has answered a stop, and any rejection counted as such an answer. A worker that rejected the stop as invalid (400) had done nothing, so it still carried out the start when that arrived late, beside the run that had replaced it. The same held for the stops that fence a new incarnation of a worker. No worker is known to reject a valid stop in this way.

Cause: Cell.Stopped and Runner.fenceRuns asked for order.RejectedError, whatever its reason. The error means that the order was not carried out; of its reasons only RejectStale says that the run was stopped there, or has ended there, before.

Change: cell.FencesRun says what the answer to a stop proves, and both ask it. A stop that was rejected for another reason is sent again, as one without an answer is; one that was rejected for its token still stops the runner.

--- a/cell/errors.go
+++ b/cell/errors.go
@@ -16,6 +16,10 @@
 	return errors.As(err, &rejected) || errors.As(err, &busy) || errors.As(err, &gone) || errors.As(err, &notSent)
 }
 
+// FencesRun reports whether the answer to a stop proves that its worker no longer starts the run, which a rejection does only if the
+// run was stopped there, or has ended there, before.
+func FencesRun(err error) bool { return err == nil || isRejection(err, order.RejectStale) }
+
 func isRejection(err error, reason order.RejectReason) bool {
 	var rejected *order.RejectedError
 	return errors.As(err, &rejected) && rejected.Reason == reason
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -80,8 +79,7 @@
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
-	var rejected *order.RejectedError
-	if !p.isCurrent() || (err != nil && !errors.As(err, &rejected)) {
+	if !p.isCurrent() || !FencesRun(err) {
 		return
 	}
 	w.updateClock(clock, p.stopSentAt, now)
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -178,8 +178,7 @@
 		_, err := r.cfg.Workers.Stop(call, w, s)
 		cancel()
 		r.checkFenced(err)
-		var rejected *order.RejectedError
-		if err == nil || errors.As(err, &rejected) {
+		if cell.FencesRun(err) {
 			r.cell.RunFenced(*w, s)
 			continue
 		}
