Hide refusals and conflicts below an unanswered commit

What callers saw: nothing. table.UnansweredError unwraps to its cause, and whoever asks errors.As for a RefusedError or ConflictError first (table.Relay, the messages between hosts, leases, runners, the intake) would take a commit of unknown outcome for one without effect, if the cause held the answer to another call. No code of this state wraps one so; the error of the intake that does is of another type.

Evidence: with such a cause, TestUnansweredCommitHidesOutcomeOfAnotherCall (relay_test.go:117, :119) and the cases "unanswered after a refusal" and "unanswered after a conflict" of TestRelayedFailureProvesNoMoreThanItsCall (relay_test.go:110, :111) failed before the change. The other cases of the latter, one of them a failure of an unknown kind, passed before too.

Change: UnansweredError.Unwrap returns no cause that holds a refusal or a conflict. The cause stays in the error's text.

Result: both tests pass.

--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -88,6 +88,31 @@
 	c.Assert(store.NumCommits(), qt.Equals, 0)
 }
 
+// Only what a failure says of its own call may reach the calling host; what it says in a way that is not known leaves the outcome unknown.
+func TestRelayedFailureProvesNoMoreThanItsCall(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		failure *cellpb.Failure
+		refused bool
+	}{
+		{"refused", failureToProto(&table.RefusedError{Status: 503}), true},
+		{"unanswered", failureToProto(&table.UnansweredError{Err: context.DeadlineExceeded}), false},
+		{"unanswered after a refusal", failureToProto(&table.UnansweredError{Err: &table.RefusedError{Status: 503}}), false},
+		{"unanswered after a conflict", failureToProto(&table.UnansweredError{Err: &table.ConflictError{}}), false},
+		{"error of another kind", failureToProto(context.DeadlineExceeded), false},
+		{"unknown kind", &cellpb.Failure{Kind: 99}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			err := failureFromProto("commit", test.failure)
+			var refused *table.RefusedError
+			var unanswered *table.UnansweredError
+			c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
+			c.Assert(errors.As(err, &unanswered), qt.Equals, !test.refused)
+		})
+	}
+}
+
 // A call to a host that does not respond has an unknown outcome, and the host is not used again for a while.
 func TestUnreachableRelayHostLeavesOutcomeUnknown(t *testing.T) {
 	c := qt.New(t)
--- a/table/relay_test.go
+++ b/table/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -97,6 +98,41 @@
 	}
 }
 
+// An unanswered commit whose cause was the refusal of another call would be taken for one without effect, and sent through another host.
+func TestUnansweredCommitHidesOutcomeOfAnotherCall(t *testing.T) {
+	for _, cause := range []error{
+		&table.RefusedError{Op: "commit", Status: 503},
+		&table.ConflictError{},
+		fmt.Errorf("second call: %w", &table.RefusedError{Op: "read", Status: 503}),
+	} {
+		t.Run(fmt.Sprintf("%T", cause), func(t *testing.T) {
+			c := qt.New(t)
+			store := fakes.NewTable()
+			relay := newRelay(newPath(store, fakes.TableOK), newPath(store, fakes.TableOK))
+			relay.Direct = table.NewHealth(failingStore{store, &table.UnansweredError{Op: "commit", Err: cause}})
+			_, err := relay.Commit(context.Background(), create("job"))
+			var refused *table.RefusedError
+			var conflict *table.ConflictError
+			var unanswered *table.UnansweredError
+			c.Assert(errors.As(err, &unanswered), qt.IsTrue)
+			c.Assert(errors.As(err, &refused), qt.IsFalse)
+			c.Assert(errors.As(err, &conflict), qt.IsFalse)
+			c.Assert(store.NumCommits(), qt.Equals, 0)
+		})
+	}
+	c := qt.New(t)
+	c.Assert(&table.UnansweredError{Err: context.DeadlineExceeded}, qt.ErrorIs, context.DeadlineExceeded)
+}
+
+// failingStore fails all commits with an error.
+type failingStore struct {
+	*fakes.Table
+	err error
+}
+
+// Commit implements table.Store.
+func (s failingStore) Commit(context.Context, table.Tx) (uint64, error) { return 0, s.err }
+
 // A failing direct path receives only probes, and is used again once it answers.
 func TestDirectPathIsUsedAgainAfterRecovery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/table/table.go
+++ b/table/table.go
@@ -110,8 +110,15 @@
 // Error implements error.
 func (e *UnansweredError) Error() string { return fmt.Sprintf("table: %s: %v", e.Op, e.Err) }
 
-// Unwrap returns the cause.
-func (e *UnansweredError) Unwrap() error { return e.Err }
+// Unwrap returns the cause, unless that is the outcome of another call, which says nothing about this one.
+func (e *UnansweredError) Unwrap() error {
+	var refused *RefusedError
+	var conflict *ConflictError
+	if errors.As(e.Err, &refused) || errors.As(e.Err, &conflict) {
+		return nil
+	}
+	return e.Err
+}
 
 // HistoryLostError means that the table no longer keeps the changes after a version.
 type HistoryLostError struct {
