Hide the outcome of other attempts below an unanswered order

What callers saw: nothing.

Change: UnansweredError.Unwrap returns no cause that holds the outcome of an attempt. The cause stays in the error's text.

--- a/order/order.go
+++ b/order/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -221,8 +222,17 @@
 // Error names the worker and the cause.
 func (e *UnansweredError) Error() string { return fmt.Sprintf("worker %s: %v", e.Worker, e.Err) }
 
-// Unwrap returns the cause.
-func (e *UnansweredError) Unwrap() error { return e.Err }
+// Unwrap returns the cause, unless that is the outcome of another attempt, which says nothing about this one.
+func (e *UnansweredError) Unwrap() error {
+	var rejected *RejectedError
+	var busy *BusyError
+	var gone *GoneError
+	var notSent *NotSentError
+	if errors.As(e.Err, &rejected) || errors.As(e.Err, &busy) || errors.As(e.Err, &gone) || errors.As(e.Err, &notSent) {
+		return nil
+	}
+	return e.Err
+}
 
 // Permit is the advisor's permission to run a step on a worker.
 type Permit struct {
