Count calls to the table that were not sent as refused

Callers: a job for which nothing was sent is answered 504 after up to 2.4 s. That leaves open whether it runs, and when to come back.

Cause: the client of the table knows that there was no connection, or that the deadline had passed before the request was written, but Store.Commit and reads reported the call as unanswered, which isn't sent through other hosts either. Orders to workers tell the two apart.

Evidence: TestCommitThatWasNotSentIsRelayed failed before: "table: commit: not sent: dial tcp ...: connect: connection refused" instead of a commit through the other host.

--- a/table/table.go
+++ b/table/table.go
@@ -94,10 +94,15 @@
 type RefusedError struct {
 	Op     string
 	Status int
+	// Err says why the call was not sent, if it failed before that.
+	Err error
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("table: %s: %v", e.Op, e.Err)
+	}
 	return fmt.Sprintf("table: %s refused with status %d", e.Op, e.Status)
 }
 
