Ask the host that runs the group before a job is refused

Callers: a request for a job that an earlier request has stored, whose caller had no answer, is answered 503 ("not accepted, never runs") by a host that can't reach the table, or 504 by one whose commits have no answer, while the job runs.

Cause: a host concludes from what it can read itself; the host that runs the group may have taken the job from the table long ago.

Change: before a submission is refused or answered as unknown, the group's holder is asked for the job, for 50 ms at most. A job that it knows is accepted. createRow goes on while any commit of the request has had no answer.

Evidence: TestJobThatItsHolderKnowsIsNotRefused failed before in two cases ("refused, known" gave "refused", "unanswered, known" gave "unknown").

--- a/intake/attempt.go
+++ b/intake/attempt.go
@@ -46,6 +46,8 @@
 	rowConflict rowState = "conflict"
 	rowFound    rowState = "found"
 	rowMissing  rowState = "missing"
+	// rowReported means that the host that runs the group knows the job.
+	rowReported rowState = "reported"
 	// rowOther means that the row is that of another queue's job.
 	rowOther rowState = "other-queue"
 )
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
@@ -192,3 +194,53 @@
 		c.Assert(state, qt.Equals, graph.Cancelled)
 	})
 }
+
+// holderGroups is an intake.Groups whose holder knows some jobs, or doesn't answer.
+type holderGroups struct {
+	noGroups
+	jobs   []string
+	silent bool
+}
+
+// State implements intake.Groups.
+func (h *holderGroups) State(ctx context.Context, _, _, job string) (graph.State, bool) {
+	if h.silent {
+		<-ctx.Done()
+		return "", false
+	}
+	return graph.Running, slices.Contains(h.jobs, job)
+}
+
+// A request must not be answered as refused or unknown if the host that runs the group can tell that the job is stored, as it may be by an earlier
+// request whose caller had no answer.
+func TestJobThatItsHolderKnowsIsNotRefused(t *testing.T) {
+	const maxDelay = 50 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		groups *holderGroups
+		fault  fakes.TableFault
+		want   intake.Outcome
+	}{
+		{"refused, known", &holderGroups{jobs: []string{id}}, fakes.TableUnavailable, intake.Done},
+		{"unanswered, known", &holderGroups{jobs: []string{id}}, fakes.TableReplyLost, intake.Done},
+		{"refused, not known", &holderGroups{}, fakes.TableUnavailable, intake.Refused},
+		{"refused, no answer from the holder", &holderGroups{silent: true}, fakes.TableUnavailable, intake.Refused},
+		{"unanswered, not known", &holderGroups{}, fakes.TableNoReply, intake.Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				in, store, _ := newIntake()
+				in.Groups = test.groups
+				submitEarlier(c, in, queue)
+				store.SetFault(func(op string) fakes.TableFault { return test.fault })
+				start := time.Now()
+				err := in.Submit(context.Background(), queue, newJob())
+				c.Assert(intake.OutcomeOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
+				if test.want == intake.Refused {
+					c.Assert(time.Since(start) <= store.Latency+maxDelay, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,6 +27,8 @@
 	retryDelay = 60 * time.Millisecond
 	// groupTimeout limits a query to the host that runs a group.
 	groupTimeout = 400 * time.Millisecond
+	// reportedTimeout limits a query to the host that runs a group before a job is refused, which callers should learn at once.
+	reportedTimeout = 50 * time.Millisecond
 	// readTimeout limits reading a job's rows.
 	readTimeout = 900 * time.Millisecond
 	// minRetryAfter and maxRetryAfter limit the time after which a refused caller may retry while the table is unreachable.
@@ -84,17 +86,29 @@
 
 // Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
 func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
 	a := newAttempt()
 	err := a.settle(i.accept(ctx, a, q, job))
+	if err != nil && i.reported(ctx, q, job.ID) {
+		a.row, err = rowReported, nil
+	}
 	i.logResult("submit", job.Queue, job.ID, a, err)
 	return err
 }
 
+// reported reports whether the host that runs the group knows a job, so that this or an earlier request has stored it, though this host can't
+// tell from the table.
+func (i *Intake) reported(ctx context.Context, q *queues.Queue, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportedTimeout)
+	defer cancel()
+	_, known := i.Groups.State(ctx, q.Service, q.Name, id)
+	return known
+}
+
 // accept stores a job. One row in the table of the endpoint's home settles which service runs it; another service gets it in its own table after
 // that.
 func (i *Intake) accept(ctx context.Context, a *attempt, q *queues.Queue, job *graph.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	if err := i.checkWritable(ctx); err != nil {
 		return err
 	}
@@ -206,7 +220,6 @@
 	if err := i.checkWritable(ctx); err != nil {
 		return nil, err
 	}
-	mayExist := false
 	for {
 		call, stop := context.WithTimeout(ctx, i.Health.Timeout(writeTimeout, time.Now()))
 		a.commits++
@@ -219,11 +232,10 @@
 			return nil, nil
 		case errors.As(err, &conflict):
 			return conflict, nil
-		case errors.As(err, &refused) && !mayExist:
-			return nil, i.unreachableError(err)
 		case !errors.As(err, &refused):
 			a.unanswered++
-			mayExist = true
+		case a.unanswered == 0:
+			return nil, i.unreachableError(err)
 		}
 		if !clock.Pause(ctx, retryDelay) || ctx.Err() != nil {
 			return nil, &UnknownError{err}
