Keep the body of a job when another submission under its key is refused

What callers saw: a job submitted with a body of more than 16 KiB and an idempotency key, then another one with the same key and another body. The second was refused as not-run (422, key-reused-for-other-work), and yet its body was what the first job's tasks were given.

Cause: a large body is stored before the job's row, as an object that was named by the job's id alone. The id comes from the key, so the refused submission replaced the object that the accepted job's row refers to.

Evidence: TestRefusedSubmissionLeavesBodyOfFirstJob, before the change:

--- FAIL: TestRefusedSubmissionLeavesBodyOfFirstJob/in_the_object_store manager_test.go:41: value is not true; the job's body is "2"...

Change: the object's name holds the job's digest as well, by which repeated submissions are recognised. Rows keep the name of their object, so jobs of the version before are read as they were stored.

Result: the test passes, and go test -race ./jobs.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	if len(job.Body) > maxInlineBody {
-		job.BodyObject = "body/" + job.ID
+		job.BodyObject = bodyKey(job)
 		if err := m.table.PutObject(ctx, job.BodyObject, job.Body); err != nil {
 			return Job{}, reason.Refuse(reason.StoreUnavailable, "the job's body could not be stored")
 		}
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -85,6 +85,9 @@
 
 func finishedKey(id string) string { return "done/" + id }
 
+// bodyKey names a job's body by the job's digest too, so that another submission under the same id doesn't replace the body.
+func bodyKey(job Job) string { return fmt.Sprintf("body/%s/%016x", job.ID, job.Digest) }
+
 func shardPrefix(shard int) string { return fmt.Sprintf("job/%02d/", shard) }
 
 // TaskID returns the id under which an attempt of a task is started; it is never used on a second worker.
