Answer a cancellation as uncertain once its mark may have been written

What callers saw: DELETE of a job was answered 503 with the outcome not-run, and the job was cancelled all the same.

Cause: Cancel read the job again after a conflict and reported that read's refusal. A conflict may mean that the mark was written without an answer and was overwritten since by the job's leader, which has taken it over; the refusal of the last step stood for the whole request.

Evidence: TestCancelIsUncertainOnceMarkMayBeWritten, before the change:

--- FAIL: TestCancelIsUncertainOnceMarkMayBeWritten/written_and_unanswered manager_test.go:114: not-run: store-unavailable: platform: read: platform unreachable; got "not-run", want "unknown"

Its second case, a conflict before which no mark was written, was not-run before and is still.

Change: the loop reports whether an attempt to write the mark may have taken effect, and Cancel decides by that in one place.

Result: the test passes, and go test -race ./jobs.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -148,32 +148,41 @@
 func (m *Manager) Cancel(ctx context.Context, id string) (Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
+	job, maybeMarked, err := m.markCancelled(ctx, id)
+	if err != nil && maybeMarked {
+		return job, reason.Uncertain(reason.StoreUnavailable, "the cancel mark may or may not have been written")
+	}
+	return job, err
+}
+
+// markCancelled writes the cancel mark to a job's row; maybeMarked says that an attempt to write it may have taken effect.
+func (m *Manager) markCancelled(ctx context.Context, id string) (job Job, maybeMarked bool, err error) {
 	for {
 		job, row, err := m.Get(ctx, id)
 		if err != nil || job.State.Terminal() || job.Cancel {
-			return job, err
+			return job, maybeMarked, err
 		}
 		if row.Key == "" {
-			return job, reason.Refuse(reason.StoreUnavailable, "the cancel mark can't be written now")
+			return job, maybeMarked, reason.Refuse(reason.StoreUnavailable, "the cancel mark can't be written now")
 		}
 		job.Cancel, job.WriteID = true, uuid.NewString()
 		value, err := json.Marshal(job)
 		if err != nil {
-			return job, err
+			return job, maybeMarked, err
 		}
 		_, err = m.writer.Do(ctx, store.Op{
 			Checks: []store.Check{{Key: row.Key, Version: row.Version}},
 			Writes: []store.Write{{Key: row.Key, Value: value}},
 		})
 		var conflict *store.ConflictError
-		if errors.As(err, &conflict) {
-			continue
+		switch {
+		case err == nil:
+			m.stats.Job("cancel-asked")
+			return job, true, nil
+		case !errors.As(err, &conflict):
+			return job, true, err
 		}
-		if err != nil {
-			return job, reason.Uncertain(reason.StoreUnavailable, "the cancel mark may or may not have been written")
-		}
-		m.stats.Job("cancel-asked")
-		return job, nil
+		maybeMarked = maybeMarked || conflict.Overwritten
 	}
 }
 
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -10,6 +12,7 @@
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/jobs"
 	"github.com/corianderdrift/corianderdrift/reason"
+	"github.com/corianderdrift/corianderdrift/store"
 )
 
 // newAcceptingManager returns a manager that accepts and cancels jobs and runs none.
@@ -42,3 +45,75 @@
 		})
 	}
 }
+
+// scriptedTable commits as the steps say, one after another, and then normally.
+type scriptedTable struct {
+	*fakes.PlatformClient
+	steps []func(tx store.Tx) (uint64, error)
+}
+
+func (t *scriptedTable) Commit(ctx context.Context, tx store.Tx) (uint64, error) {
+	if len(t.steps) == 0 {
+		return t.Do(ctx, store.Op(tx))
+	}
+	step := t.steps[0]
+	t.steps = t.steps[1:]
+	return step(tx)
+}
+
+// Guards against reporting as not done a cancellation whose mark was written, because the job can't be read after the mark was overwritten.
+func TestCancelIsUncertainOnceMarkMayBeWritten(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// marked says that the mark is written before the row is overwritten.
+		marked  bool
+		outcome reason.Outcome
+	}{
+		{"written and unanswered", true, reason.Unknown},
+		{"not written", false, reason.NotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, c *qt.C) {
+				platform := newPlatform()
+				client, leader := platform.NewClient(), platform.NewClient()
+				table := &scriptedTable{PlatformClient: client}
+				writer := store.NewBatcher(table)
+				go func() { _ = writer.Run(ctx) }()
+				manager := newAcceptingManager(client, writer)
+				submitted, err := manager.Submit(ctx, jobs.Job{ID: "job"})
+				c.Assert(err, qt.IsNil)
+				overwrite := func() {
+					job, row, err := newAcceptingManager(leader, leader).Get(ctx, "job")
+					c.Assert(err, qt.IsNil)
+					c.Assert(job.Cancel, qt.Equals, test.marked)
+					job.State, job.WriteID = jobs.Running, "leader"
+					value, err := json.Marshal(job)
+					c.Assert(err, qt.IsNil)
+					_, err = leader.Do(ctx, store.Op{
+						Checks: []store.Check{{Key: row.Key, Version: row.Version}},
+						Writes: []store.Write{{Key: row.Key, Value: value}},
+					})
+					c.Assert(err, qt.IsNil)
+				}
+				if test.marked {
+					table.steps = append(table.steps, func(tx store.Tx) (uint64, error) {
+						_, err := client.Do(ctx, store.Op(tx))
+						c.Assert(err, qt.IsNil)
+						return 0, &store.UnavailableError{Op: "commit", Err: errors.New("answer lost")}
+					})
+				}
+				table.steps = append(table.steps, func(tx store.Tx) (uint64, error) {
+					overwrite()
+					version, err := client.Do(ctx, store.Op(tx))
+					client.SetFault(fakes.PlatformDown)
+					return version, err
+				})
+				_, err = manager.Cancel(ctx, submitted.ID)
+				c.Assert(err, qt.IsNotNil)
+				refusal := reason.From(err)
+				c.Check(refusal.Outcome, qt.Equals, test.outcome, qt.Commentf("%v", err))
+				c.Check(refusal.Reason, qt.Equals, reason.StoreUnavailable)
+			})
+		})
+	}
+}
