Count a job's task as run once its worker has answered the start

What callers saw: a task of work that may not be repeated ran twice, when its worker restarted shortly after it had answered the start.

Cause: a worker that has restarted answers "absent", and "never-started" to the stop that follows. The driver took that for proof that the attempt had not run unless the row said that the task was running, which it says only after the first inspection. The answer to the start itself was dropped, so the last answer alone decided.

Evidence: TestAnsweredStartCountsAsRun, before the change:

--- FAIL: TestAnsweredStartCountsAsRun/running driver_test.go:263: [job.0.1 job.0.2]; got true, want false (starts after the first) --- FAIL: TestAnsweredStartCountsAsRun/finished

with the fake worker's replies after a restart: start "running", then inspection "absent" and stop "never-started". Its cases "never started" and "repeatable" passed before and still do.

Change: the driver keeps for each attempt that its start was answered. It is not in the row and costs no write. A start whose answer was lost, or a leader that changes before the first inspection, is as before: the row doesn't say whether the start was sent.

Result: the test passes, and go test -race ./jobs ./fleet.

--- a/jobs/driver_test.go
+++ b/jobs/driver_test.go
@@ -201,3 +201,67 @@
 		})
 	}
 }
+
+// restartingFleet has a worker that restarts once it has answered the first start.
+type restartingFleet struct {
+	cutOffFleet
+	state worker.TaskState
+}
+
+func (f *restartingFleet) Start(ctx context.Context, task string, work entry.Work, at jobs.Placement, job *jobs.Job) (worker.TaskState, error) {
+	_, err := f.cutOffFleet.Start(ctx, task, work, at, job)
+	return f.state, err
+}
+
+func (f *restartingFleet) Inspect(ctx context.Context, task string, at jobs.Placement) (worker.Answer, error) {
+	f.mu.Lock()
+	first := task == f.starts[0]
+	f.mu.Unlock()
+	if first {
+		return worker.Answer{State: worker.Absent}, nil
+	}
+	return f.cutOffFleet.Inspect(ctx, task, at)
+}
+
+// Guards against a second run of a task that may not be repeated, whose worker has answered the start and has restarted before the first inspection.
+func TestAnsweredStartCountsAsRun(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		state      worker.TaskState
+		runsAgain  bool
+		want       jobs.State
+	}{
+		{"running", false, worker.Running, false, jobs.Failed},
+		{"finished", false, worker.Finished, false, jobs.Failed},
+		{"never started", false, worker.NeverStarted, true, jobs.Running},
+		{"repeatable", true, worker.Running, true, jobs.Running},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, c *qt.C) {
+				client := newPlatform().NewClient()
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
+				work := entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3}
+				f := &restartingFleet{state: test.state}
+				manager := jobs.NewManager(jobs.Config{
+					Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
+					LookupWork: func(string) (entry.Work, bool) { return work, true },
+					Estimate:   func(entry.Work) time.Duration { return time.Second },
+				})
+				go func() { _ = leaders.Run(ctx) }()
+				go func() { _ = manager.Run(ctx) }()
+				_, err := manager.Submit(ctx, jobs.Job{ID: "job", Owner: "o", Work: "survey", Tasks: []jobs.Task{{State: jobs.TaskWaiting, Attempt: 1}}})
+				c.Assert(err, qt.IsNil)
+				time.Sleep(20 * time.Second)
+				job, _, err := manager.Get(ctx, "job")
+				c.Assert(err, qt.IsNil)
+				c.Check(job.State, qt.Equals, test.want)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				c.Check(len(f.starts) > 1, qt.Equals, test.runsAgain, qt.Commentf("%v", f.starts))
+			})
+		})
+	}
+}
--- a/jobs/steps.go
+++ b/jobs/steps.go
@@ -62,7 +62,7 @@
 	case worker.TaskFailed, worker.Stopped:
 		d.recordFailure(t, result)
 	case worker.NeverStarted, worker.Absent:
-		if before == TaskRunning {
+		if before == TaskRunning || t.startAnswered {
 			// The task has run; its worker has restarted or has kept the result for too short a time.
 			d.recordFailure(t, result)
 			break
@@ -78,6 +78,7 @@
 		return
 	}
 	t.State, t.Worker, t.DataCenter, t.Rack = TaskWaiting, "", "", ""
+	t.startAnswered = false
 	t.Attempt++
 }
 
@@ -240,6 +241,8 @@
 	changed := false
 	for _, result := range results {
 		if result.err == nil {
+			t := &d.job.Tasks[result.index]
+			t.startAnswered = t.startAnswered || (result.state != "" && result.state != worker.NeverStarted)
 			continue
 		}
 		refusal := reason.From(result.err)
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -55,6 +55,8 @@
 	Result     string   `json:"result,omitempty"`
 	// Detail is the final state and message that the worker reported for a failed or stopped attempt.
 	Detail string `json:"detail,omitempty"`
+	// startAnswered says that the worker has answered the attempt's start; the row doesn't hold it.
+	startAnswered bool
 }
 
 // Job is the row of a job in the table.
