Give work that may have run no status of a refusal

What callers could see: 503, 429 or 404, which say that the work has not run, beside an outcome that doesn't say so.

Cause: the status followed the reason first, whatever the outcome, and an outcome that isn't one of the three counted as not-run. Outcomes come from other hosts as text, also from hosts of a later version. No path of this version is known to send such a refusal to a caller; it was found by reading.

Evidence: TestStatusOfWorkThatMayHaveRun and TestRelayedOutcome, before the change:

--- FAIL: TestStatusOfWorkThatMayHaveRun/unknown no-such-job: 404, queue-full: 429, bad-request: 400, ... --- FAIL: TestStatusOfWorkThatMayHaveRun/not_set store-unavailable: 503, ... --- FAIL: TestRelayedOutcome/half-run refusal_test.go:27: got "half-run", want "unknown"

Change: Status decides by the outcome first, and the codes of reasons are for not-run only. A relayed outcome that is neither not-run nor failed is unknown.

Result: the tests pass, and go test -race of ./reason ./peers ./route ./claim ./front ./holder ./jobs ./fleet. TestStatus holds the codes that stay.

--- a/peers/refusal.go
+++ b/peers/refusal.go
@@ -28,8 +28,12 @@
 	if m == nil {
 		return nil
 	}
+	outcome := reason.Outcome(m.GetOutcome())
+	if outcome != reason.NotRun && outcome != reason.Failed {
+		outcome = reason.Unknown
+	}
 	return &reason.Refusal{
-		Outcome: reason.Outcome(m.GetOutcome()), Reason: reason.Reason(m.GetReason()), Detail: m.GetDetail(),
+		Outcome: outcome, Reason: reason.Reason(m.GetReason()), Detail: m.GetDetail(),
 		RetryAfter: time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
 	}
 }
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -117,35 +117,37 @@
 	return errors.As(err, &refusal) && refusal.Reason == reason
 }
 
-// Status returns the HTTP status code for the refusal.
+// Status returns the HTTP status code for the refusal; the codes of reasons are only for work that has not run.
 func (r *Refusal) Status() int {
-	if status, ok := statusByReason[r.Reason]; ok {
-		return status
-	}
 	switch r.Outcome {
+	case NotRun:
+		if status, ok := statusByReason[r.Reason]; ok {
+			return status
+		}
+		return http.StatusServiceUnavailable
 	case Failed:
 		return http.StatusBadGateway
-	case Unknown:
-		return http.StatusGatewayTimeout
 	default:
-		return http.StatusServiceUnavailable
+		if r.Reason == KeyInUse || r.Reason == FirstRunUnknown {
+			return http.StatusConflict
+		}
+		return http.StatusGatewayTimeout
 	}
 }
 
 var statusByReason = map[Reason]int{
-	BadRequest:      http.StatusBadRequest,
-	BodyTooLarge:    http.StatusRequestEntityTooLarge,
-	NoSuchEntry:     http.StatusNotFound,
-	NoSuchJob:       http.StatusNotFound,
-	NoSuchWorker:    http.StatusNotFound,
-	NotAllowed:      http.StatusForbidden,
-	NeedsKey:        http.StatusBadRequest,
-	WrongClass:      http.StatusBadRequest,
-	TooLarge:        http.StatusUnprocessableEntity,
-	QueueFull:       http.StatusTooManyRequests,
-	OverLimit:       http.StatusTooManyRequests,
-	KeyInUse:        http.StatusConflict,
-	KeyReused:       http.StatusUnprocessableEntity,
-	FirstRunUnknown: http.StatusConflict,
-	EditConflict:    http.StatusConflict,
+	BadRequest:   http.StatusBadRequest,
+	BodyTooLarge: http.StatusRequestEntityTooLarge,
+	NoSuchEntry:  http.StatusNotFound,
+	NoSuchJob:    http.StatusNotFound,
+	NoSuchWorker: http.StatusNotFound,
+	NotAllowed:   http.StatusForbidden,
+	NeedsKey:     http.StatusBadRequest,
+	WrongClass:   http.StatusBadRequest,
+	TooLarge:     http.StatusUnprocessableEntity,
+	QueueFull:    http.StatusTooManyRequests,
+	OverLimit:    http.StatusTooManyRequests,
+	KeyInUse:     http.StatusConflict,
+	KeyReused:    http.StatusUnprocessableEntity,
+	EditConflict: http.StatusConflict,
 }
