--- a/jobs/types.go
+++ b/jobs/types.go
@@ -55,6 +55,8 @@
 	Result     string   `json:"result,omitempty"`
 	// Detail is the final state and message that the worker reported for a failed or stopped attempt.
 	Detail string `json:"detail,omitempty"`
+	// startAnswered says that the worker has answered the attempt's start; the row doesn't hold it.
+	startAnswered bool
 }
 
 // Job is the row of a job in the table.
@@ -85,6 +87,9 @@
 
 func finishedKey(id string) string { return "done/" + id }
 
+// bodyKey names a job's body by the job's digest too, so that another submission under the same id doesn't replace the body.
+func bodyKey(job Job) string { return fmt.Sprintf("body/%s/%016x", job.ID, job.Digest) }
+
 func shardPrefix(shard int) string { return fmt.Sprintf("job/%02d/", shard) }
 
 // TaskID returns the id under which an attempt of a task is started; it is never used on a second worker.
