Keep track of a cancel mark that is written again while it is removed

The mark of a job that was never stored stays in the table, until another host takes the group over, if it is written again while its removal is on its way.

Cause: the removal conflicts with the newer mark, and the runner then forgets the row's key, that is the newer mark, which it has just seen.

Evidence: TestMarkOfRepeatedCancelIsKeptAsLong failed before: the mark is still there 44 s after it was written again (marks_test.go:102, got true, want false).

Change: forgetting a row leaves a newer version of it alone.

--- a/runner/aged.go
+++ b/runner/aged.go
@@ -52,8 +52,11 @@
 	return ok
 }
 
-func (s *agedRows) forget(key table.Key) {
+// forget removes a row, unless it is known in another version by now.
+func (s *agedRows) forget(row table.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.byKey, key)
+	if s.byKey[row.Key].Version == row.Version {
+		delete(s.byKey, row.Key)
+	}
 }
--- a/runner/marks.go
+++ b/runner/marks.go
@@ -61,7 +61,7 @@
 		}
 	case err == nil || errors.As(err, &conflict):
 		for _, mark := range marks {
-			r.orphanMarks.forget(mark.Key)
+			r.orphanMarks.forget(mark)
 		}
 	default:
 		r.log.WithError(err).Warn("cancel marks without jobs can't be removed")
--- a/runner/marks_test.go
+++ b/runner/marks_test.go
@@ -67,3 +67,38 @@
 		s.c.Assert(kept, qt.IsTrue)
 	})
 }
+
+// The mark of an unknown job that is cancelled again must be kept as long as a new one, and must be removed then, though the removal of the earlier
+// mark was on its way.
+func TestMarkOfRepeatedCancelIsKeptAsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			id = "00000000000000aa"
+			// removedAt is when the mark would be removed if it weren't written again, and removalTime is how long that takes.
+			removedAt   = 35 * time.Second
+			removalTime = 200 * time.Millisecond
+		)
+		s := newCluster(t, 1, bigWorker)
+		_, stop := s.runner()
+		defer stop()
+		start := time.Now()
+		time.Sleep(time.Second)
+		s.cancel(id)
+		time.Sleep(time.Until(start.Add(removedAt - removalTime/2)))
+		_, kept := s.store.Get(markKey(id))
+		s.c.Assert(kept, qt.IsTrue)
+		s.store.SetLatency(removalTime)
+		time.Sleep(removalTime)
+		renewed, err := s.store.Apply(table.Tx{Writes: []table.Write{{Key: markKey(id), Value: []byte("1")}}})
+		s.c.Assert(err, qt.IsNil)
+		time.Sleep(removalTime)
+		s.store.SetLatency(time.Millisecond)
+		time.Sleep(time.Until(start.Add(removedAt + 25*time.Second)))
+		row, kept := s.store.Get(markKey(id))
+		s.c.Assert(kept, qt.IsTrue)
+		s.c.Assert(row.Version, qt.Equals, renewed)
+		time.Sleep(20 * time.Second)
+		_, kept = s.store.Get(markKey(id))
+		s.c.Assert(kept, qt.IsFalse)
+	})
+}
--- a/runner/references.go
+++ b/runner/references.go
@@ -46,7 +46,7 @@
 	})
 	var conflict *table.ConflictError
 	if err == nil || errors.As(err, &conflict) {
-		r.references.forget(ref.Key)
+		r.references.forget(ref)
 		return nil
 	}
 	return err
