Write the mark of an unknown job again when it is cancelled again

Callers: a cancelling is acknowledged (410), and then the job is stored and runs. It takes a job that was cancelled before it was ever stored, a submission some 25 s later whose commit the table performs late, and another cancelling.

Cause: the cancelling found the mark of the earlier one and left it at that. The mark is removed 30 s after it was written, which is long enough for commits that were sent before it, not for those sent since.

Evidence: TestRepeatedCancelIsAsGoodAsTheFirst failed before in both cases (cancel_test.go:170: got 1 stored job, want 0).

Change: a request to cancel an unknown job writes the mark in any case, on condition that it is as it was read, so that its time starts anew. If that conflicts, a mark that is there then was written during the request. createRow, which may now replace a row, is called writeRow.

--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -13,6 +13,8 @@
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/intake"
 	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/runner"
+	"github.com/corianderdrift/corianderdrift/table"
 )
 
 // A job whose acceptance the table performs late must not run once its cancelling has been answered.
@@ -126,3 +128,61 @@
 		})
 	}
 }
+
+// A job must not be stored after a cancelling has been acknowledged that met the mark of an earlier one, which is about to be removed.
+func TestRepeatedCancelIsAsGoodAsTheFirst(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		queue *queues.Queue
+		// lateFrom is the number of the submission's commit from which commits are performed late.
+		lateFrom int
+	}{
+		{"first service", queue, 1},
+		{"another service", movedQueue, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, ctx := qt.New(t), context.Background()
+				in, store, _ := newIntake()
+				submitEarlier(c, in, queue)
+				submitEarlier(c, in, movedQueue)
+				host, _ := newHost(store)
+				if test.lateFrom > 1 {
+					// The mark is set beside the row that names the service.
+					store.SetFault(failCommits(test.lateFrom, fakes.TableUnavailable))
+					c.Assert(in.Submit(ctx, test.queue, jobFor(test.queue)), qt.IsNotNil)
+					store.SetFault(nil)
+				}
+				cancelUnknown(c, host)
+				job := runner.JobKey(test.queue.Service, id)
+				mark, ok := store.Get(runner.CancelKey(job))
+				c.Assert(ok, qt.IsTrue)
+				time.Sleep(28 * time.Second)
+				store.SetFault(failCommits(test.lateFrom, fakes.TableLate))
+				c.Assert(intake.OutcomeOf(in.Submit(ctx, test.queue, jobFor(test.queue))), qt.Equals, intake.Unknown)
+				store.SetFault(nil)
+				cancelUnknown(c, host)
+				// The group's runner removes the mark that it has seen 30 s before.
+				_, _ = store.Apply(table.Tx{
+					Checks: []table.Check{{Key: job}, {Key: mark.Key, Version: mark.Version}}, Removes: []table.Key{mark.Key},
+				})
+				time.Sleep(lateCommitsDone)
+				c.Assert(numStored(store, "desk", "eyes"), qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// failCommits returns a fault of all commits from the nth on.
+func failCommits(n int, fault fakes.TableFault) func(op string) fakes.TableFault {
+	commits := 0
+	return func(op string) fakes.TableFault {
+		if op == "commit" {
+			commits++
+		}
+		if op == "commit" && commits >= n {
+			return fault
+		}
+		return fakes.TableOK
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -148,7 +148,7 @@
 func (i *Intake) createOnce(
 	ctx context.Context, a *attempt, q *queues.Queue, key table.Key, raw []byte,
 ) (o graph.Owner, created bool, err error) {
-	conflict, err := i.createRow(ctx, a, table.Tx{
+	conflict, err := i.writeRow(ctx, a, table.Tx{
 		Checks: []table.Check{{Key: key}, {Key: runner.CancelKey(key)}}, Writes: []table.Write{{Key: key, Value: raw}},
 	})
 	if err != nil {
@@ -171,7 +171,7 @@
 		a.row = rowMissing
 	}
 	switch {
-	case rows.job == nil && rows.cancelled:
+	case rows.job == nil && rows.mark != nil:
 		return graph.Owner{}, false, &RefusedError{"cancelled", 0, errCancelled}
 	case rows.job == nil:
 		return graph.Owner{}, false, &UnknownError{errRowRemoved}
@@ -214,9 +214,9 @@
 	log.Info("call done")
 }
 
-// createRow commits a transaction that creates one row, and returns the conflict with what is there instead, or nil if this call is known to
-// have created the row.
-func (i *Intake) createRow(ctx context.Context, a *attempt, tx table.Tx) (*table.ConflictError, error) {
+// writeRow commits a transaction that writes one row, and returns the conflict with what is there instead, or nil if this call is known to
+// have written the row.
+func (i *Intake) writeRow(ctx context.Context, a *attempt, tx table.Tx) (*table.ConflictError, error) {
 	if err := i.checkWritable(ctx); err != nil {
 		return nil, err
 	}
@@ -301,16 +301,17 @@
 	key table.Key
 	// version is that of the job's row, which never changes; 0 if there is none.
 	version uint64
-	owner   graph.Owner
-	state   graph.State
+	// mark is the version of the mark of a cancelled job; 0 if there is none.
+	mark  uint64
+	owner graph.Owner
+	state graph.State
 	// cancelled says that the job is marked as cancelled but not finished.
 	cancelled bool
 }
 
-// jobRows are the rows of a job in the table of one service; job is nil if there is none.
+// jobRows are the rows of a job in the table of one service, and the mark of a cancelled job; each is nil if there is none.
 type jobRows struct {
-	job       *table.Row
-	cancelled bool
+	job, mark *table.Row
 }
 
 // rowsInConflict returns the rows of a job, whose key is given, as a conflict over their creation lists them; ok is false if it doesn't.
@@ -320,14 +321,14 @@
 		switch {
 		case row.Version == 0 || row.Deleted:
 		case row.Key == mark:
-			rows.cancelled = true
+			rows.mark = &row
 		case row.Key == key && len(row.Value) > 0:
 			rows.job = &row
 		default:
 			return jobRows{}, false
 		}
 	}
-	return rows, rows.job != nil || rows.cancelled
+	return rows, rows.job != nil || rows.mark != nil
 }
 
 // readRows reads the rows of a job, whose key is given, as of one moment.
@@ -347,7 +348,7 @@
 		case key.Name:
 			rows.job = &row
 		case mark.Name:
-			rows.cancelled = true
+			rows.mark = &row
 		}
 	}
 	return rows, nil
@@ -384,7 +385,10 @@
 	if err != nil {
 		return storedJob{}, err
 	}
-	stored := storedJob{key: key, state: graph.Queued, cancelled: rows.cancelled}
+	stored := storedJob{key: key, state: graph.Queued, cancelled: rows.mark != nil}
+	if rows.mark != nil {
+		stored.mark = rows.mark.Version
+	}
 	if rows.job == nil {
 		return stored, nil
 	}
@@ -429,16 +433,18 @@
 	if _, err := i.registerEndpoint(ctx, q); err != nil {
 		return err
 	}
-	for {
+	for first := true; ; first = false {
 		stored, err := i.findJob(ctx, q, id)
 		if err != nil {
 			return err
 		}
-		if !stored.cancelled && !stored.state.Terminal() {
+		// The mark of an unknown job is removed some time after it was written, so that one from before this request may be too old.
+		renew := stored.version == 0 && first
+		if renew || !stored.cancelled && !stored.state.Terminal() {
 			// The job's row must be as it was read: either this mark or the acceptance comes first.
 			mark := runner.CancelKey(stored.key)
-			conflict, err := i.createRow(ctx, a, table.Tx{
-				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark}},
+			conflict, err := i.writeRow(ctx, a, table.Tx{
+				Checks: []table.Check{{Key: stored.key, Version: stored.version}, {Key: mark, Version: stored.mark}},
 				Writes: []table.Write{{Key: mark, Value: []byte("1")}},
 			})
 			if err != nil {
