Look for an unknown outcome before others, and log no row for a cancelling

An error that joins a refusal and an unknown outcome stands for the unknown one; TestOutcomeIsNotThatOfTheCause failed before for it (got "refused"). Nothing joins such errors today. A cancelling logged row=unread, which it never sets.

--- a/intake/attempt.go
+++ b/intake/attempt.go
@@ -22,11 +22,14 @@
 
 // OutcomeOf returns the outcome that the error of a request stands for.
 func OutcomeOf(err error) Outcome {
+	var unknown *UnknownError
 	var refused *RefusedError
 	var notFound *NotFoundError
 	switch {
 	case err == nil:
 		return Done
+	case errors.As(err, &unknown):
+		return Unknown
 	case errors.As(err, &refused):
 		return Refused
 	case errors.As(err, &notFound):
@@ -57,11 +60,10 @@
 	startedAt time.Time
 	// commits counts the transactions about the job, unanswered those without a usable answer: they may have taken effect, or may still do so.
 	commits, unanswered int
-	row                 rowState
+	// row is empty for a cancelling.
+	row rowState
 }
 
-func newAttempt() *attempt { return &attempt{startedAt: time.Now(), row: rowUnread} }
-
 // mayHaveEffect reports whether the job, or the mark of its cancelling, may be in the table or still get there, through this request or, where
 // a row was met, through an earlier one.
 func (a *attempt) mayHaveEffect() bool {
@@ -78,8 +80,11 @@
 
 // fields returns the attempt as fields of a log line.
 func (a *attempt) fields() logrus.Fields {
-	return logrus.Fields{
-		"commits": a.commits, "unanswered": a.unanswered, "row": string(a.row),
-		"took": time.Since(a.startedAt).Round(time.Millisecond).String(),
+	fields := logrus.Fields{
+		"commits": a.commits, "unanswered": a.unanswered, "took": time.Since(a.startedAt).Round(time.Millisecond).String(),
+	}
+	if a.row != "" {
+		fields["row"] = string(a.row)
 	}
+	return fields
 }
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -93,6 +94,7 @@
 		{&intake.NotFoundError{Job: id}, intake.NotFound},
 		{fmt.Errorf("submit: %w", unknown), intake.Unknown},
 		{context.DeadlineExceeded, intake.Unknown},
+		{errors.Join(refused, unknown), intake.Unknown},
 	} {
 		c.Check(intake.OutcomeOf(test.err), qt.Equals, test.want, qt.Commentf("%v", test.err))
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -86,7 +86,7 @@
 
 // Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
 func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
-	a := newAttempt()
+	a := &attempt{startedAt: time.Now(), row: rowUnread}
 	err := a.settle(i.accept(ctx, a, q, job))
 	if err != nil && i.reported(ctx, q, job.ID) {
 		a.row, err = rowReported, nil
@@ -423,7 +423,7 @@
 func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	a := newAttempt()
+	a := &attempt{startedAt: time.Now()}
 	err := a.settle(i.cancel(ctx, a, q, id))
 	i.logResult("cancel", q.Name, id, a, err)
 	return err
