Log submissions and cancellings that are rejected before their job is looked up

Rule REFUSED counts 404 and 503 from a host without a configuration or with another version of it as refusals, but such an answer left only a counter: a job's lines in the log didn't show it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,7 +116,7 @@
 	a.front = &platform.Front{
 		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
 		Queues: a.queues, Ready: a.ready,
-		OnRefusal: func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() },
+		OnRefusal: func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() }, Log: log,
 	}
 	return a
 }
