Ask for a refused job under all queues that its endpoint has had

Callers: a repeated request for a job that runs is refused by a host without the table, if its queue has moved or was renamed since. The case "refused, known to the service before a move" of TestJobThatItsHolderKnowsIsNotRefused failed before (got "refused").

--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -200,17 +200,19 @@
 // holderGroups is an intake.Groups whose holder knows some jobs, or doesn't answer.
 type holderGroups struct {
 	noGroups
-	jobs   []string
-	silent bool
+	// service is the one whose group the holder runs.
+	service string
+	jobs    []string
+	silent  bool
 }
 
 // State implements intake.Groups.
-func (h *holderGroups) State(ctx context.Context, _, _, job string) (graph.State, bool) {
+func (h *holderGroups) State(ctx context.Context, service, _, job string) (graph.State, bool) {
 	if h.silent {
 		<-ctx.Done()
 		return "", false
 	}
-	return graph.Running, slices.Contains(h.jobs, job)
+	return graph.Running, service == h.service && slices.Contains(h.jobs, job)
 }
 
 // A request must not be answered as refused or unknown if the host that runs the group can tell that the job is stored, as it may be by an earlier
@@ -219,15 +221,17 @@
 	const maxDelay = 50 * time.Millisecond
 	for _, test := range []struct {
 		name   string
+		queue  *queues.Queue
 		groups *holderGroups
 		fault  fakes.TableFault
 		want   intake.Outcome
 	}{
-		{"refused, known", &holderGroups{jobs: []string{id}}, fakes.TableUnavailable, intake.Done},
-		{"unanswered, known", &holderGroups{jobs: []string{id}}, fakes.TableReplyLost, intake.Done},
-		{"refused, not known", &holderGroups{}, fakes.TableUnavailable, intake.Refused},
-		{"refused, no answer from the holder", &holderGroups{silent: true}, fakes.TableUnavailable, intake.Refused},
-		{"unanswered, not known", &holderGroups{}, fakes.TableNoReply, intake.Unknown},
+		{"refused, known", queue, &holderGroups{service: queue.Service, jobs: []string{id}}, fakes.TableUnavailable, intake.Done},
+		{"unanswered, known", queue, &holderGroups{service: queue.Service, jobs: []string{id}}, fakes.TableReplyLost, intake.Done},
+		{"refused, not known", queue, &holderGroups{}, fakes.TableUnavailable, intake.Refused},
+		{"refused, no answer from the holder", queue, &holderGroups{silent: true}, fakes.TableUnavailable, intake.Refused},
+		{"refused, known to the service before a move", movedQueue, &holderGroups{service: queue.Service, jobs: []string{id}}, fakes.TableUnavailable, intake.Done},
+		{"unanswered, not known", queue, &holderGroups{}, fakes.TableNoReply, intake.Unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -235,9 +239,10 @@
 				in, store, _ := newIntake()
 				in.Groups = test.groups
 				submitEarlier(c, in, queue)
+				submitEarlier(c, in, test.queue)
 				store.SetFault(func(op string) fakes.TableFault { return test.fault })
 				start := time.Now()
-				err := in.Submit(context.Background(), queue, newJob())
+				err := in.Submit(context.Background(), test.queue, jobFor(test.queue))
 				c.Assert(intake.OutcomeOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
 				if test.want == intake.Refused {
 					c.Assert(time.Since(start) <= store.Latency+maxDelay, qt.IsTrue)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,8 +101,15 @@
 func (i *Intake) reported(ctx context.Context, q *queues.Queue, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, reportedTimeout)
 	defer cancel()
-	_, known := i.Groups.State(ctx, q.Service, q.Name, id)
-	return known
+	e, _ := i.endpoints.get(endpointKey(q).Name)
+	owners := e.Owners
+	if !e.has(owner(q)) {
+		owners = append(slices.Clone(owners), owner(q))
+	}
+	return slices.ContainsFunc(owners, func(o graph.Owner) bool {
+		_, known := i.Groups.State(ctx, o.Service, o.Queue, id)
+		return known
+	})
 }
 
 // accept stores a job. One row in the table of the endpoint's home settles which service runs it; another service gets it in its own table after
