Own mode: record the cancelling of unknown jobs before it is answered

What callers saw: a POST ended without a known outcome, since the table left the write unanswered. DELETE was answered 404, not-run, no-such-job; then the table performed the write, and the job ran.

Cause: a job is stored on condition that there is no row of it, and a DELETE that found no row left none. That there is no job now was taken for proof that there will be none.

Change: cancelling an ID without a job writes a mark in place of the finished job's row, on condition that there is no job, and is answered (404 as before) only once the mark is stored; if that isn't known, as unknown. A POST that finds the mark is refused as cancelled (503). One of which an earlier write is still unanswered is answered as unknown, since the mark may expire before that write is performed (TestSubmissionWithPendingWriteIsUncertainAtMark). Each DELETE writes the mark again; the leader of the shard finds marks by index rows and removes them when it has seen them unchanged for 30 s (TestMarksOfUnknownJobsAreRemoved).

An ID can be computed from owner, work and key, so the mark names the digests of its callers' tokens, and a POST of an owner to whom none of them belongs removes it (TestMarkBindsOnlyOwnersOfItsCallers, TestUnknownJobsAreCancelledByTheirOwnersOnly). A DELETE of an unknown ID by somebody who may act for no owner is refused as not-allowed now (403; it was 404).

Why it works: mark and job are each stored on condition that the other's row doesn't exist, so the table performs only one of the two writes, however late.

--- a/front/jobs.go
+++ b/front/jobs.go
@@ -67,7 +67,13 @@
 }
 
 func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
-	if _, err := s.authorizedJob(r); err != nil {
+	_, err := s.authorizedJob(r)
+	if reason.Is(err, reason.NoSuchJob) {
+		if err = s.cancelUnknownJob(r); err == nil {
+			_, err = s.authorizedJob(r)
+		}
+	}
+	if err != nil {
 		s.writeProblem(w, classJob, err)
 		return
 	}
@@ -80,6 +86,28 @@
 	writeJSON(w, http.StatusAccepted, newJobStatus(job))
 }
 
+// cancelUnknownJob cancels an ID without a job for the owners on whose behalf the caller may act; the result is nil if there is a job now.
+func (s *Server) cancelUnknownJob(r *http.Request) error {
+	c := s.cfg.Keeper.Current()
+	if c == nil {
+		return reason.Refuse(reason.NoCatalogue, "no catalogue could be read yet")
+	}
+	caller, allowed := "", false
+	for _, owner := range c.Owners() {
+		if checkOwnerToken(owner, r) != nil {
+			continue
+		}
+		allowed = true
+		if owner.TokenSHA256 != "" {
+			caller = owner.TokenSHA256
+		}
+	}
+	if !allowed {
+		return reason.Refuse(reason.NotAllowed, "an owner's token is needed")
+	}
+	return s.cfg.Jobs.CancelUnknown(r.Context(), r.PathValue("id"), caller)
+}
+
 func (s *Server) getResult(w http.ResponseWriter, r *http.Request) {
 	job, err := s.authorizedJob(r)
 	if err != nil {
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -42,6 +42,8 @@
 	LookupWork func(name string) (entry.Work, bool)
 	// Estimate returns the learned run time of work.
 	Estimate func(work entry.Work) time.Duration
+	// MayCancel reports whether a caller of CancelUnknown may cancel jobs of an owner; nil allows all.
+	MayCancel func(owner, caller string) bool
 }
 
 // Manager accepts jobs and runs those of the shards that this host leads.
@@ -54,17 +56,22 @@
 	log        logrus.FieldLogger
 	lookupWork func(name string) (entry.Work, bool)
 	estimate   func(work entry.Work) time.Duration
+	mayCancel  func(owner, caller string) bool
 
 	mu      sync.Mutex
 	drivers map[string]*driver
 	wake    chan int
+
+	// marks holds the marks of cancelled IDs without jobs as last scanned; only Run uses it.
+	marks map[string]sightedMark
 }
 
 // NewManager returns a job manager that runs no jobs until Run is called.
 func NewManager(cfg Config) *Manager {
 	return &Manager{
 		table: cfg.Table, writer: cfg.Writer, fleet: cfg.Fleet, leaders: cfg.Leaders, stats: cfg.Stats, log: cfg.Log,
-		lookupWork: cfg.LookupWork, estimate: cfg.Estimate, drivers: map[string]*driver{}, wake: make(chan int, Shards*4),
+		lookupWork: cfg.LookupWork, estimate: cfg.Estimate, mayCancel: cfg.MayCancel,
+		drivers: map[string]*driver{}, wake: make(chan int, Shards*4), marks: map[string]sightedMark{},
 	}
 }
 
@@ -84,20 +91,40 @@
 	if err != nil {
 		return Job{}, err
 	}
+	return m.storeOnce(ctx, job, value)
+}
+
+// storeOnce stores the row of a job, or returns the job that is stored under its ID.
+func (m *Manager) storeOnce(ctx context.Context, job Job, value []byte) (Job, error) {
 	// Checking the row of the finished job as well keeps a repeated submission from running the job again.
-	_, err = m.writer.Do(ctx, store.Op{
+	op := store.Op{
 		Checks: []store.Check{{Key: rowKey(job.ID)}, {Key: finishedKey(job.ID)}},
 		Writes: []store.Write{{Key: rowKey(job.ID), Value: value}},
-	})
-	var conflict *store.ConflictError
-	switch {
-	case err == nil:
-		m.stats.Job("accepted")
-		return job, nil
-	case errors.As(err, &conflict):
-		return resolveDuplicate(job, conflict)
-	default:
-		return Job{}, reason.Uncertain(reason.StoreUnavailable, "the job may or may not have been accepted; ask for job %s", job.ID)
+	}
+	maybePending := false
+	for {
+		_, err := m.writer.Do(ctx, op)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			m.stats.Job("accepted")
+			return job, nil
+		case !errors.As(err, &conflict):
+			return Job{}, reason.Uncertain(reason.StoreUnavailable, "the job may or may not have been accepted; ask for job %s", job.ID)
+		}
+		maybePending = maybePending || conflict.Overwritten
+		mark, row, marked := findMark(job.ID, conflict.Rows)
+		switch {
+		case !marked:
+			return resolveDuplicate(job, conflict)
+		case !m.bindsOwner(mark, job.Owner):
+			m.removeMark(ctx, job.ID, row.Version)
+		case maybePending:
+			// The mark may be removed before the table performs a write of this submission that was not answered.
+			return Job{}, reason.Uncertain(reason.Cancelled, "the job was cancelled; its submission may still be stored")
+		default:
+			return Job{}, reason.Refuse(reason.Cancelled, "the job was cancelled before it was stored")
+		}
 	}
 }
 
@@ -126,14 +153,18 @@
 		}
 		return Job{}, store.Row{}, &reason.Refusal{Outcome: reason.NotRun, Reason: reason.StoreUnavailable, Err: err}
 	}
-	if len(rows) == 0 {
-		return Job{}, store.Row{}, reason.Refuse(reason.NoSuchJob, "there is no job %s", id)
+	if _, _, marked := findMark(id, rows); marked || len(rows) == 0 {
+		return Job{}, store.Row{}, noSuchJob(id)
 	}
 	var job Job
 	err = json.Unmarshal(rows[0].Value, &job)
 	return job, rows[0], err
 }
 
+func noSuchJob(id string) *reason.Refusal {
+	return reason.Refuse(reason.NoSuchJob, "there is no job %s", id)
+}
+
 func (m *Manager) snapshot(id string) (Job, bool) {
 	m.mu.Lock()
 	d, ok := m.drivers[id]
@@ -144,7 +175,8 @@
 	return *d.lastWritten.Load(), true
 }
 
-// Cancel requests the cancellation of a job; the leader of its shard stops the running tasks.
+// Cancel requests the cancellation of a job; the leader of its shard stops the running tasks. An ID without a job is cancelled as by
+// CancelUnknown with an empty caller.
 func (m *Manager) Cancel(ctx context.Context, id string) (Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -159,6 +191,11 @@
 func (m *Manager) markCancelled(ctx context.Context, id string) (job Job, maybeMarked bool, err error) {
 	for {
 		job, row, err := m.Get(ctx, id)
+		if reason.Is(err, reason.NoSuchJob) {
+			if err = m.CancelUnknown(ctx, id, ""); err == nil {
+				continue
+			}
+		}
 		if err != nil || job.State.Terminal() || job.Cancel {
 			return job, maybeMarked, err
 		}
@@ -272,13 +309,18 @@
 	}
 	var q store.Query
 	for _, shard := range shards {
-		q.Prefixes = append(q.Prefixes, shardPrefix(shard))
+		q.Prefixes = append(q.Prefixes, shardPrefix(shard), markShardPrefix(shard))
 	}
 	rows, err := m.table.Read(ctx, q)
 	if err != nil {
 		return
 	}
+	var marks []store.Row
 	for _, row := range rows {
+		if strings.HasPrefix(row.Key, markPrefix) {
+			marks = append(marks, row)
+			continue
+		}
 		id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
 		m.mu.Lock()
 		d, driven := m.drivers[id]
@@ -294,6 +336,7 @@
 		}
 		m.startDriver(ctx, wg, job, row.Version)
 	}
+	m.sweepMarks(ctx, wg, shards, marks)
 }
 
 func (m *Manager) startDriver(ctx context.Context, wg *sync.WaitGroup, job Job, version uint64) {
--- a/node/node.go
+++ b/node/node.go
@@ -119,7 +119,7 @@
 	)
 	n.jobs = jobs.NewManager(jobs.Config{
 		Table: n.store, Writer: n.writer, Fleet: n.fleet, Leaders: n.leaders, Stats: n.metrics, Log: log,
-		LookupWork: n.lookupWork, Estimate: n.estimateRunTime,
+		LookupWork: n.lookupWork, Estimate: n.estimateRunTime, MayCancel: n.mayCancel,
 	})
 	if err := n.openTrace(); err != nil {
 		return nil, err
@@ -170,6 +170,16 @@
 	return c.Work(name)
 }
 
+// mayCancel reports whether a caller, named by the digest of an owner's token, may cancel jobs of an owner.
+func (n *Node) mayCancel(owner, caller string) bool {
+	c := n.keeper.Current()
+	if c == nil {
+		return true
+	}
+	o, ok := c.Owner(owner)
+	return !ok || o.TokenSHA256 == "" || o.TokenSHA256 == caller
+}
+
 func (n *Node) estimateRunTime(work entry.Work) time.Duration {
 	return n.estimator.Estimate(work.Name, work.RunTime.D()).Mean
 }
