Own mode: refuse another job under a used key if only its digest is the same

What callers saw: a job with other parameters and another number of tasks was submitted under the key of an earlier job, was answered 202 with that job, and never ran.

Cause: a submission's digest joins parameters and number of tasks without a separator: "run=1" and 12 tasks have the digest of "run=11" and 2 tasks.

Evidence, before the change:

TestSubmissionRepeatsOnlyJobWithSameParamsAndTasks/other_parameters_and_tasks: manager_test.go:152: got nil value but want non-nil TestSubmissionOfOtherTasksUnderSameKeyIsRefused: jobs_test.go:139: {params:memory-mib=11 tasks:2 status:422}: got: int(202), want: int(422)

Both pass now.

Change: a submission repeats a stored job if the digest, the parameters and the number of tasks are the same; the row has always held all three. The digest keeps its form, since rows keep it and hosts of several versions compare it: repetitions of jobs that an earlier version stored are recognised, and the other way round. Bodies, which the digest names too, are unaffected: such digests differ in nothing but the border of parameters and number.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -135,7 +135,7 @@
 		if row.Version == 0 || json.Unmarshal(row.Value, &found) != nil {
 			continue
 		}
-		if found.Digest != job.Digest {
+		if !job.repeats(found) {
 			return Job{}, reason.Refuse(reason.KeyReused, "the idempotency key was used for another job")
 		}
 		return found, nil
@@ -143,6 +143,12 @@
 	return Job{}, reason.Uncertain(reason.Internal, "the job's row can't be read")
 }
 
+// repeats reports whether a submitted job is the same as a stored one. Digests alone don't show it: they join the parameters and the number of
+// tasks without a separator, and hosts of all versions must find the same digests.
+func (j *Job) repeats(stored Job) bool {
+	return stored.Digest == j.Digest && stored.Params == j.Params && len(stored.Tasks) == len(j.Tasks)
+}
+
 // Get reads a job from the table. If the table is unavailable, it returns the last written state of a job that this
 // host runs, with an empty row.
 func (m *Manager) Get(ctx context.Context, id string) (Job, store.Row, error) {
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/claim"
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/jobs"
 	"github.com/corianderdrift/corianderdrift/reason"
@@ -117,3 +119,37 @@
 		})
 	}
 }
+
+// Guards against accepting another job as the repetition of one whose parameters and number of tasks, written one after the other, are the same.
+func TestSubmissionRepeatsOnlyJobWithSameParamsAndTasks(t *testing.T) {
+	newJob := func(params string, tasks int) jobs.Job {
+		return jobs.Job{ID: "job", Digest: claim.Digest(params+fmt.Sprint(tasks), nil), Params: params, Tasks: make([]jobs.Task, tasks)}
+	}
+	for _, test := range []struct {
+		name     string
+		second   jobs.Job
+		accepted bool
+	}{
+		{"repeated", newJob("run=1", 12), true},
+		{"other parameters and tasks", newJob("run=11", 2), false},
+		{"other parameters", newJob("run=2", 12), false},
+		{"other tasks", newJob("run=1", 13), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			client := newPlatform().NewClient()
+			manager := newAcceptingManager(client, client)
+			_, err := manager.Submit(ctx, newJob("run=1", 12))
+			c.Assert(err, qt.IsNil)
+			job, err := manager.Submit(ctx, test.second)
+			if test.accepted {
+				c.Assert(err, qt.IsNil)
+				c.Check(job.Params, qt.Equals, test.second.Params)
+				c.Check(job.Tasks, qt.HasLen, len(test.second.Tasks))
+				return
+			}
+			assertRefused(c, err, reason.KeyReused)
+		})
+	}
+}
--- a/test/jobs_test.go
+++ b/test/jobs_test.go
@@ -120,6 +120,26 @@
 	cl.c.Check(starts, qt.Equals, 1)
 }
 
+// Guards against accepting a job as the repetition of another whose parameters and number of tasks, written one after the other, are the same.
+func TestSubmissionOfOtherTasksUnderSameKeyIsRefused(t *testing.T) {
+	cl := startCluster(t, clusterSpec{hosts: 2, workers: 1})
+	cl.putDocuments(testDocuments)
+	tests := []struct {
+		params, tasks string
+		status        int
+	}{
+		{"memory-mib=1", "12", http.StatusAccepted},
+		{"memory-mib=11", "2", http.StatusUnprocessableEntity},
+		{"memory-mib=1", "12", http.StatusAccepted},
+	}
+	for i, test := range tests {
+		header := http.Header{"Idempotency-Key": {"june"}, "Work-Params": {test.params}, "Work-Tasks": {test.tasks}}
+		status, _, body, err := cl.do(http.MethodPost, cl.hosts[i%2].url+"/v1/run/rolls", nil, header)
+		cl.c.Assert(err, qt.IsNil)
+		cl.c.Check(status, qt.Equals, test.status, qt.Commentf("%+v: %s", test, body))
+	}
+}
+
 func TestCancelledJobsStop(t *testing.T) {
 	cl := startCluster(t, clusterSpec{hosts: 2, workers: 2, slots: 4})
 	cl.putDocuments(testDocuments)
