Let a holder whose lease is old tell that a job is stored

Callers: while the table is away, a repeated request for a job that runs is refused (503) or left unknown (504), though the host that runs the group knows the job: it answers for the group only while its lease is younger than 1.7 s.

Cause: the question was for the job's state, which may be out of date then. That a job is stored can't be: its row stays as long as it matters.

Change: the reply tells both, and intake asks for the latter (Groups.Stored).

Evidence: TestHolderWithoutFreshLeaseTellsOfStoredJobs doesn't build before: there was no such question; State, which was asked, gives false in it.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -289,16 +289,31 @@
 	if r := g.localRunner(service); r != nil && r.Ready() {
 		return r.Cell().State(id, queue)
 	}
+	reply := g.remoteState(ctx, service, queue, id)
+	return graph.State(reply.GetState()), reply.GetKnown()
+}
+
+// Stored implements intake.Groups.
+func (g *groups) Stored(ctx context.Context, service, queue, id string) bool {
+	if r := g.localRunner(service); r != nil {
+		_, known := r.Cell().State(id, queue)
+		return known
+	}
+	return g.remoteState(ctx, service, queue, id).GetStored()
+}
+
+// remoteState returns the reply of the holder of a group's lease, which is nil if there is none.
+func (g *groups) remoteState(ctx context.Context, service, queue, id string) *cellpb.StateReply {
 	client, ok := g.remoteClient(service)
 	if !ok {
-		return "", false
+		return nil
 	}
 	reply, err := client.State(ctx, &cellpb.StateRequest{Service: service, Job: id, Queue: queue})
 	if err != nil {
 		g.a.log.WithError(err).WithField("job", id).Debug("query to the runner failed")
-		return "", false
+		return nil
 	}
-	return graph.State(reply.GetState()), reply.GetKnown()
+	return reply
 }
 
 // Pending implements intake.Groups.
--- a/agent/groups_test.go
+++ b/agent/groups_test.go
@@ -15,6 +15,7 @@
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/platform"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
@@ -81,3 +82,35 @@
 		})
 	}
 }
+
+// A holder whose lease is too old to tell a job's state must still tell other hosts that the job is stored, so that they don't refuse it.
+func TestHolderWithoutFreshLeaseTellsOfStoredJobs(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	const queue, id = "checks", "00000000000000aa"
+	holder, other := newTestAgent("holder"), newTestAgent("other")
+	c.Cleanup(other.hosts.close)
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := grpc.NewServer()
+	cellpb.RegisterCellsServer(server, &peerServer{a: holder})
+	go func() { _ = server.Serve(l) }()
+	c.Cleanup(server.Stop)
+	store := fakes.NewTable()
+	_, err = elect.Acquire(ctx, store, elect.Epoch{Group: testService}, elect.Candidate{
+		Name: "holder", Address: netip.MustParseAddrPort(l.Addr().String()),
+	})
+	c.Assert(err, qt.IsNil)
+	page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: testService})
+	c.Assert(err, qt.IsNil)
+	c.Assert(other.leases.Apply(page.Rows, time.Now()), qt.IsNil)
+	r := runner.New(runner.Config{Epoch: elect.Epoch{Group: testService, Token: 1}, Log: holder.log})
+	r.Cell().Add(&graph.Job{ID: id, Queue: queue, Service: testService, Steps: []graph.Step{{Count: 1}}, MaxAttempts: 1}, nil, 0, time.Now())
+	holder.groups.running[testService] = r
+	c.Assert(r.Ready(), qt.IsFalse)
+	for _, a := range []*Agent{holder, other} {
+		_, known := a.groups.State(ctx, testService, queue, id)
+		c.Check(known, qt.IsFalse, qt.Commentf("%s", a.settings.Name))
+		c.Check(a.groups.Stored(ctx, testService, queue, id), qt.IsTrue, qt.Commentf("%s", a.settings.Name))
+		c.Check(a.groups.Stored(ctx, testService, queue, "00000000000000bb"), qt.IsFalse, qt.Commentf("%s", a.settings.Name))
+	}
+}
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -19,11 +19,14 @@
 // State implements cellpb.CellsServer.
 func (p *peerServer) State(_ context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
 	groupRunner := p.a.groups.localRunner(r.GetService())
-	if groupRunner == nil || !groupRunner.Ready() {
+	if groupRunner == nil {
 		return &cellpb.StateReply{}, nil
 	}
-	state, known := groupRunner.Cell().State(r.GetJob(), r.GetQueue())
-	return &cellpb.StateReply{Known: known, State: string(state)}, nil
+	state, stored := groupRunner.Cell().State(r.GetJob(), r.GetQueue())
+	if !groupRunner.Ready() {
+		return &cellpb.StateReply{Stored: stored}, nil
+	}
+	return &cellpb.StateReply{Known: stored, State: string(state), Stored: stored}, nil
 }
 
 // Pending implements cellpb.CellsServer.
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -206,13 +206,13 @@
 	silent  bool
 }
 
-// State implements intake.Groups.
-func (h *holderGroups) State(ctx context.Context, service, _, job string) (graph.State, bool) {
+// Stored implements intake.Groups.
+func (h *holderGroups) Stored(ctx context.Context, service, _, job string) bool {
 	if h.silent {
 		<-ctx.Done()
-		return "", false
+		return false
 	}
-	return graph.Running, service == h.service && slices.Contains(h.jobs, job)
+	return service == h.service && slices.Contains(h.jobs, job)
 }
 
 // A request must not be answered as refused or unknown if the host that runs the group can tell that the job is stored, as it may be by an earlier
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -42,6 +42,9 @@
 type Groups interface {
 	// State returns a job's state as reported by the host that runs its group; known is false if no host reports it.
 	State(ctx context.Context, service, queue, id string) (state graph.State, known bool)
+	// Stored reports whether the host that runs a job's group, or was the last one that this host knows of, has seen the job in the table. Unlike a
+	// state, that can't be out of date.
+	Stored(ctx context.Context, service, queue, id string) bool
 	// Pending returns the number of a queue's jobs of which no task has started; known is false if no host reports it.
 	Pending(ctx context.Context, service, queue string) (n int, known bool)
 	// Accepted passes a newly accepted job to its group, if this host runs it.
@@ -106,10 +109,7 @@
 	if !e.has(owner(q)) {
 		owners = append(slices.Clone(owners), owner(q))
 	}
-	return slices.ContainsFunc(owners, func(o graph.Owner) bool {
-		_, known := i.Groups.State(ctx, o.Service, o.Queue, id)
-		return known
-	})
+	return slices.ContainsFunc(owners, func(o graph.Owner) bool { return i.Groups.Stored(ctx, o.Service, o.Queue, id) })
 }
 
 // accept stores a job. One row in the table of the endpoint's home settles which service runs it; another service gets it in its own table after
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -29,6 +29,9 @@
 // State implements intake.Groups.
 func (*noGroups) State(context.Context, string, string, string) (graph.State, bool) { return "", false }
 
+// Stored implements intake.Groups.
+func (*noGroups) Stored(context.Context, string, string, string) bool { return false }
+
 // Pending implements intake.Groups.
 func (*noGroups) Pending(context.Context, string, string) (int, bool) { return 0, false }
 
