Own mode: recognise repeated jobs whose parameters aren't valid UTF-8

Callers: a job with a Work-Params header in another encoding, such as Latin-1, is accepted and runs; the same request again, as after a lost answer, is refused with 422: "the idempotency key was used for another job", not run.

The row is JSON, which holds U+FFFD in place of each byte that isn't valid UTF-8, so the two differ.

Evidence: TestSubmissionWithInvalidUTF8IsRepeated failed before: "not-run: key-reused-for-other-work: the idempotency key was used for another job". The HTTP server passes such bytes on (read in its parser, not run).

Change: the parameters are compared as JSON holds them; the digests still tell the bytes apart.

Result: the tests of jobs pass with the race detector.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -146,7 +146,9 @@
 // repeats reports whether a submitted job is the same as a stored one. Digests alone don't show it: they join the parameters and the number of
 // tasks without a separator, and hosts of all versions must find the same digests.
 func (j *Job) repeats(stored Job) bool {
-	return stored.Digest == j.Digest && stored.Params == j.Params && len(stored.Tasks) == len(j.Tasks)
+	// JSON holds each byte that isn't valid UTF-8 as U+FFFD, like the conversion to runes.
+	params := string([]rune(j.Params))
+	return stored.Digest == j.Digest && stored.Params == params && len(stored.Tasks) == len(j.Tasks)
 }
 
 // Get reads a job from the table. If the table is unavailable, it returns the last written state of a job that this
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -153,3 +153,15 @@
 		})
 	}
 }
+
+// A repeated submission was refused as another job's if its parameters aren't valid UTF-8, which the job's row can't hold as they are.
+func TestSubmissionWithInvalidUTF8IsRepeated(t *testing.T) {
+	c := qt.New(t)
+	client := newPlatform().NewClient()
+	manager := newAcceptingManager(client, client)
+	job := jobs.Job{ID: "job", Digest: 1, Params: "name=caf\xe9\xff", Tasks: make([]jobs.Task, 1)}
+	for range 2 {
+		_, err := manager.Submit(c.Context(), job)
+		c.Assert(err, qt.IsNil)
+	}
+}
