Take a job whose state an earlier version's holder tells for stored

Callers: during a rolling upgrade, a repeated request for a job that runs is refused by a new host that can't reach the table, though the holder of the group, a host of an earlier version, tells the job's state.

Cause: Stored, which replaced the query for the state, reads only the new field of the reply.

Evidence: TestHolderOfEarlierVersionTellsOfStoredJobs failed before: "value is not true".

Change: a known job counts as stored too.

Result: the tests of holders in agent pass with the race detector.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -299,7 +299,9 @@
 		_, known := r.Cell().State(id, queue)
 		return known
 	}
-	return g.remoteState(ctx, service, queue, id).GetStored()
+	reply := g.remoteState(ctx, service, queue, id)
+	// Holders of earlier versions don't set stored.
+	return reply.GetStored() || reply.GetKnown()
 }
 
 // remoteState returns the reply of the holder of a group's lease, which is nil if there is none.
--- a/agent/groups_test.go
+++ b/agent/groups_test.go
@@ -83,26 +83,34 @@
 	}
 }
 
-// A holder whose lease is too old to tell a job's state must still tell other hosts that the job is stored, so that they don't refuse it.
-func TestHolderWithoutFreshLeaseTellsOfStoredJobs(t *testing.T) {
-	c, ctx := qt.New(t), context.Background()
-	const queue, id = "checks", "00000000000000aa"
-	holder, other := newTestAgent("holder"), newTestAgent("other")
-	c.Cleanup(other.hosts.close)
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+// newAgentBesideHolder returns a host that knows another one, which answers as holder, as the holder of the group's lease.
+func newAgentBesideHolder(c *qt.C, holder cellpb.CellsServer) *Agent {
+	c.Helper()
+	a := newTestAgent("other")
+	c.Cleanup(a.hosts.close)
+	l, err := (&net.ListenConfig{}).Listen(c.Context(), "tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	server := grpc.NewServer()
-	cellpb.RegisterCellsServer(server, &peerServer{a: holder})
+	cellpb.RegisterCellsServer(server, holder)
 	go func() { _ = server.Serve(l) }()
 	c.Cleanup(server.Stop)
 	store := fakes.NewTable()
-	_, err = elect.Acquire(ctx, store, elect.Epoch{Group: testService}, elect.Candidate{
+	_, err = elect.Acquire(c.Context(), store, elect.Epoch{Group: testService}, elect.Candidate{
 		Name: "holder", Address: netip.MustParseAddrPort(l.Addr().String()),
 	})
 	c.Assert(err, qt.IsNil)
-	page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: testService})
+	page, err := store.Read(c.Context(), table.Range{Table: elect.Table, Partition: testService})
 	c.Assert(err, qt.IsNil)
-	c.Assert(other.leases.Apply(page.Rows, time.Now()), qt.IsNil)
+	c.Assert(a.leases.Apply(page.Rows, time.Now()), qt.IsNil)
+	return a
+}
+
+// A holder whose lease is too old to tell a job's state must still tell other hosts that the job is stored, so that they don't refuse it.
+func TestHolderWithoutFreshLeaseTellsOfStoredJobs(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	const queue, id = "checks", "00000000000000aa"
+	holder := newTestAgent("holder")
+	other := newAgentBesideHolder(c, &peerServer{a: holder})
 	r := runner.New(runner.Config{Epoch: elect.Epoch{Group: testService, Token: 1}, Log: holder.log})
 	r.Cell().Add(&graph.Job{ID: id, Queue: queue, Service: testService, Steps: []graph.Step{{Count: 1}}, MaxAttempts: 1}, nil, 0, time.Now())
 	holder.groups.running[testService] = r
@@ -114,3 +122,20 @@
 		c.Check(a.groups.Stored(ctx, testService, queue, "00000000000000bb"), qt.IsFalse, qt.Commentf("%s", a.settings.Name))
 	}
 }
+
+// earlierHost answers for a group like a host of an earlier version, which doesn't set stored.
+type earlierHost struct {
+	cellpb.UnimplementedCellsServer
+}
+
+// State implements cellpb.CellsServer.
+func (earlierHost) State(context.Context, *cellpb.StateRequest) (*cellpb.StateReply, error) {
+	return &cellpb.StateReply{Known: true, State: string(graph.Running)}, nil
+}
+
+// During a rolling upgrade, a job whose state a holder of an earlier version tells must count as stored too.
+func TestHolderOfEarlierVersionTellsOfStoredJobs(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	other := newAgentBesideHolder(c, earlierHost{})
+	c.Assert(other.groups.Stored(ctx, testService, "checks", "00000000000000aa"), qt.IsTrue)
+}
