--- a/table/table.go
+++ b/table/table.go
@@ -90,9 +90,10 @@
 	return fmt.Sprintf("table: row %s/%s/%s has version %d", r.Table, r.Partition, r.Name, r.Version)
 }
 
-// RefusedError means that the table refused the call and the call had no effect.
+// RefusedError means that the call had no effect: the table refused it, or it was not sent.
 type RefusedError struct {
-	Op     string
+	Op string
+	// Status is the one that the table answered with, or 0 if the call was not sent.
 	Status int
 	// Err says why the call was not sent, if it failed before that.
 	Err error
