Keep the limit of the query for a job also while the group's runner is busy

Callers: a refusal may come later than 50 ms after it is known, on the host that runs the group, which asks its own runner.

Cause: the runner's lock is waited for without a deadline; only queries to other hosts have one.

Evidence: TestBusyRunnerDoesNotDelayRefusal failed before: the refusal came after 1.004s with groups that take a second. How long a real runner holds its lock was not measured.

Change: the wait for answers ends with the limit.

--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -282,3 +282,34 @@
 	}
 	return ctx.Err() == nil
 }
+
+// A refusal waited beyond its limit for a busy runner on this host, whose lock knows no deadline.
+func TestBusyRunnerDoesNotDelayRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const maxDelay = 50 * time.Millisecond
+		in, store, _ := newIntake()
+		submitEarlier(c, in, queue)
+		in.Groups = &busyGroups{}
+		store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
+		start := time.Now()
+		err := in.Submit(context.Background(), queue, jobFor(queue))
+		c.Assert(intake.OutcomeOf(err), qt.Equals, intake.Refused)
+		c.Assert(time.Since(start) <= store.Latency+maxDelay, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+		time.Sleep(busyTime)
+	})
+}
+
+// busyTime is how long busyGroups is busy.
+const busyTime = time.Second
+
+// busyGroups is an intake.Groups that answers late, whatever the deadline.
+type busyGroups struct {
+	noGroups
+}
+
+// Stored implements intake.Groups.
+func (*busyGroups) Stored(context.Context, string, string, string) bool {
+	time.Sleep(busyTime)
+	return false
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -114,8 +114,13 @@
 		go func() { answers <- i.Groups.Stored(ctx, o.Service, o.Queue, id) }()
 	}
 	for range owners {
-		if <-answers {
-			return true
+		select {
+		case known := <-answers:
+			if known {
+				return true
+			}
+		case <-ctx.Done():
+			return false
 		}
 	}
 	return false
