--- a/jobs/driver_test.go
+++ b/jobs/driver_test.go
@@ -176,18 +176,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, func(ctx context.Context, c *qt.C) {
 				client := newPlatform().NewClient()
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
-				work := entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3}
 				f := &forgetfulFleet{}
-				manager := jobs.NewManager(jobs.Config{
-					Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
-					LookupWork: func(string) (entry.Work, bool) { return work, true },
-					Estimate:   func(entry.Work) time.Duration { return time.Second },
-				})
-				go func() { _ = leaders.Run(ctx) }()
-				go func() { _ = manager.Run(ctx) }()
+				manager := runManager(ctx, client, f, entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3})
 				_, err := manager.Submit(ctx, jobs.Job{ID: "job", Owner: "o", Work: "survey", Tasks: []jobs.Task{{State: jobs.TaskWaiting, Attempt: 1}}})
 				c.Assert(err, qt.IsNil)
 				time.Sleep(20 * time.Second)
@@ -240,18 +230,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, func(ctx context.Context, c *qt.C) {
 				client := newPlatform().NewClient()
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
-				work := entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3}
 				f := &restartingFleet{state: test.state}
-				manager := jobs.NewManager(jobs.Config{
-					Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
-					LookupWork: func(string) (entry.Work, bool) { return work, true },
-					Estimate:   func(entry.Work) time.Duration { return time.Second },
-				})
-				go func() { _ = leaders.Run(ctx) }()
-				go func() { _ = manager.Run(ctx) }()
+				manager := runManager(ctx, client, f, entry.Work{Name: "survey", Class: entry.Batch, Repeatable: test.repeatable, Attempts: 3})
 				_, err := manager.Submit(ctx, jobs.Job{ID: "job", Owner: "o", Work: "survey", Tasks: []jobs.Task{{State: jobs.TaskWaiting, Attempt: 1}}})
 				c.Assert(err, qt.IsNil)
 				time.Sleep(20 * time.Second)
--- a/jobs/marks_test.go
+++ b/jobs/marks_test.go
@@ -21,6 +21,8 @@
 	"github.com/corianderdrift/corianderdrift/store"
 )
 
+var survey = entry.Work{Name: "survey", Class: entry.Batch, Attempts: 1}
+
 // lateWriter leaves changes unanswered; apply performs them.
 type lateWriter struct {
 	ops []store.Op
@@ -57,7 +59,7 @@
 	inBubble(t, func(ctx context.Context, c *qt.C) {
 		client := newPlatform().NewClient()
 		f := newFakeFleet(1, time.Second)
-		runManager(ctx, client, f)
+		runManager(ctx, client, f, survey)
 		late := &lateWriter{}
 		err := submitOne(ctx, newAcceptingManager(client, late))
 		c.Assert(reason.From(err).Outcome, qt.Equals, reason.Unknown)
@@ -92,7 +94,7 @@
 	inBubble(t, func(ctx context.Context, c *qt.C) {
 		const numUnknown = 200
 		client := newPlatform().NewClient()
-		manager := runManager(ctx, client, newFakeFleet(1, time.Second))
+		manager := runManager(ctx, client, newFakeFleet(1, time.Second), survey)
 		c.Assert(submitOne(ctx, manager), qt.IsNil)
 		for i := range numUnknown {
 			_, err := manager.Cancel(ctx, fmt.Sprint(i))
@@ -198,7 +200,7 @@
 			inBubble(t, func(ctx context.Context, c *qt.C) {
 				platform := newPlatform()
 				f := newFakeFleet(100, time.Second)
-				leader := runManager(ctx, platform.NewClient(), f)
+				leader := runManager(ctx, platform.NewClient(), f, survey)
 				client := platform.NewUnreliableClient(seed, 9*time.Second)
 				writer := store.NewBatcher(client)
 				go func() { _ = writer.Run(ctx) }()
@@ -237,17 +239,15 @@
 	}
 }
 
-// runManager starts a host that leads all shards.
-func runManager(ctx context.Context, client *fakes.PlatformClient, f jobs.Fleet) *jobs.Manager {
+// runManager starts a host that leads all shards, whose jobs are all of one work.
+func runManager(ctx context.Context, client *fakes.PlatformClient, f jobs.Fleet, work entry.Work) *jobs.Manager {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	leaders := jobs.NewLeaders("a@1", client, client, func() []string { return []string{"a@1"} }, sinceNow(), log)
 	manager := jobs.NewManager(jobs.Config{
 		Table: client, Writer: client, Fleet: f, Leaders: leaders, Stats: noStats{}, Log: log,
-		LookupWork: func(string) (entry.Work, bool) {
-			return entry.Work{Name: "survey", Class: entry.Batch, Attempts: 1}, true
-		},
-		Estimate: func(entry.Work) time.Duration { return time.Second },
+		LookupWork: func(string) (entry.Work, bool) { return work, true },
+		Estimate:   func(entry.Work) time.Duration { return time.Second },
 	})
 	go func() { _ = leaders.Run(ctx) }()
 	go func() { _ = manager.Run(ctx) }()
