Log how long a task was idle, why, and how long a take-over still waits

It now has 'idle', the time since the last run ended, and 'failed-requests' for advice; 'run lost' says how long the worker was 'silent'; the line about workers that block jobs says how long that can take, and the one that ends the wait how long it took.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -275,6 +275,7 @@
 	}
 	s.lastVictimSearchAt, s.retryAt = time.Time{}, time.Time{}
 	if err != nil {
+		s.numFailedRequests++
 		s.nextAdviceAt = now.Add(adviceRetryDelay)
 		var busy *order.AdvisorBusyError
 		if errors.As(err, &busy) {
--- a/cell/fields.go
+++ b/cell/fields.go
@@ -9,6 +9,8 @@
 	fieldReason = "why"
 	fieldPlaced = "placed"
 	fieldTook   = "took"
+	// fieldSilent is how long a worker has not answered a poll.
+	fieldSilent = "silent"
 	// fieldLeaseAge is how long ago the group's lease was renewed: beyond elect.TakeoverTimeout another host may run the group.
 	fieldLeaseAge = "lease-age"
 )
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -81,7 +81,7 @@
 		c.log.WithFields(logrus.Fields{
 			fieldJob: key.task.Job, fieldTask: key.task.String(), fieldRun: key.run, fieldWorker: w.info.ID, fieldReason: reason,
 			"since-renewal": now.Sub(w.lastRenewal()).Round(time.Millisecond).String(), "confirmed": !p.confirmedAt.IsZero(),
-			fieldLeaseAge: leaseAge.Round(time.Millisecond).String(),
+			fieldLeaseAge: leaseAge.Round(time.Millisecond).String(), fieldSilent: now.Sub(w.lastReportAt).Round(time.Millisecond).String(),
 		}).Warn("run lost")
 		c.stats.Lost++
 		c.release(p, order.EndExpired, p.checkpoint, now)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -73,6 +73,8 @@
 	adviceInFlight map[*worker]bool
 	numRequests    int
 	nextAdviceAt   time.Time
+	// numFailedRequests is the number of requests for advice that failed since a task of the step was last started.
+	numFailedRequests int
 	// nextReservationAt is when the reservation of a gang is computed next.
 	nextReservationAt time.Time
 	// retryAt is until when the step is left out of plans after an attempt that has placed nothing.
@@ -103,6 +105,8 @@
 	placements []*placement
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
+	// idleSince is when the last run that was known here ended.
+	idleSince time.Time
 }
 
 func (t *task) isWaiting() bool { return !t.done && len(t.placements) == 0 }
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -282,8 +282,20 @@
 		Worker: w.info, p: p,
 		Order: order.Start{Task: t.id, Run: run, Spec: t.step.job.doc.Spec, Checkpoint: t.checkpoint, Ticket: ticket, Token: c.token},
 	})
-	c.log.WithFields(logrus.Fields{
+	c.logPlaced(t, w, run, now)
+	t.step.numFailedRequests = 0
+}
+
+func (c *Cell) logPlaced(t *task, w *worker, run int, now time.Time) {
+	fields := logrus.Fields{
 		fieldJob: t.id.Job, fieldTask: t.id.String(), fieldRun: run, fieldWorker: w.info.ID, "free-cpu": w.info.Capacity.CPUMilli - w.used.CPUMilli,
 		"waited": now.Sub(t.step.readyAt).Round(time.Millisecond).String(), "saved": t.checkpoint != "",
-	}).Info("run placed")
+	}
+	if !t.idleSince.IsZero() {
+		fields["idle"] = now.Sub(t.idleSince).Round(time.Millisecond).String()
+	}
+	if t.step.numFailedRequests > 0 {
+		fields["failed-requests"] = t.step.numFailedRequests
+	}
+	c.log.WithFields(fields).Info("run placed")
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -312,6 +312,7 @@
 	}
 	if t.isWaiting() {
 		s.numWaiting++
+		t.idleSince = now
 	}
 	c.markDirty(j)
 	c.applyEnd(p, kind, now)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -240,18 +240,31 @@
 			r.cell.AllRunsKnown()
 			r.log.WithFields(logrus.Fields{
 				"expired": len(r.cell.UnreportedWorkers(time.Time{})), "lease-age": r.LeaseAge().Round(time.Millisecond).String(),
+				"took": time.Since(start).Round(time.Millisecond).String(),
 			}).Info("all workers have reported their runs")
 			r.wakePlan()
 			return
 		}
 		if !logged && time.Since(start) > logAfter {
 			logged = true
-			r.log.WithFields(logrus.Fields{"workers": len(unreported), "some": unreported[:min(maxLogged, len(unreported))]}).
-				Warn("jobs are blocked by workers that may still run their tasks")
+			r.log.WithFields(logrus.Fields{
+				"workers": len(unreported), "some": unreported[:min(maxLogged, len(unreported))],
+				"remaining": r.longestWait(unreported).Round(time.Millisecond).String(),
+			}).Warn("jobs are blocked by workers that may still run their tasks")
 		}
 	}
 }
 
+// longestWait returns how long runs may be active on the last of some unconfirmed workers.
+func (r *Runner) longestWait(workers []string) time.Duration {
+	unconfirmed := r.cell.Unconfirmed(time.Now())
+	longest := time.Duration(0)
+	for _, id := range workers {
+		longest = max(longest, unconfirmed[id])
+	}
+	return longest
+}
+
 // holds reports whether the lease still permits sending orders.
 func (r *Runner) holds() bool { return r.LeaseAge() < elect.HoldTimeout }
 
