Don't renew the leases of a worker that has left a poll unanswered

Cause: a run on a silent worker is given up when the lease of the last renewal must have expired, and the poll that follows a missed one renewed it again: up to 1.95 s after the worker's last answer, for a worker that may be dead. With the lease (6 s and a margin), the time until that is noticed, a request for advice of 0.65 s and one that a busy host refuses, 9 s were over.

Change: after a poll that may have been carried out and got no answer, polls only ask; the first answer resumes the renewals. A poll that is known not to have been carried out (refused as busy, or not sent) no longer counts as a renewal, and renewals go on after it.

--- a/cell/fence.go
+++ b/cell/fence.go
@@ -49,6 +49,14 @@
 	if w.pollInFlight.renews {
 		w.unansweredRenewalAt = w.pollInFlight.at
 	}
+	w.closePoll()
+}
+
+// closePoll records that the poll in flight, if there is one, may have been carried out.
+func (w *worker) closePoll() {
+	if w.pollInFlight.renews {
+		w.noteRenewal(w.pollInFlight.at)
+	}
 	w.pollInFlight = sentPoll{}
 }
 
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -60,7 +60,7 @@
 	w.pendingEnds = nil
 	w.clock, w.clockAt, w.mayHaveRestarted = 0, time.Time{}, false
 	w.restartedAt = now
-	w.missedPolls = 0
+	w.missedPolls, w.silent = 0, false
 	clear(w.unknownRuns)
 	w.expectLateOrders(now)
 }
@@ -114,6 +114,9 @@
 // earlier incarnation may arrive; that may be in the future.
 func (w *worker) lastRenewal() time.Time {
 	last := w.renewedAt
+	if w.pollInFlight.renews && w.pollInFlight.at.After(last) {
+		last = w.pollInFlight.at
+	}
 	if w.lateRenewalUntil.After(last) {
 		last = w.lateRenewalUntil
 	}
@@ -125,7 +128,7 @@
 	return last
 }
 
-// noteRenewal records an order that renews the leases on a worker from a time on, which may be earlier than that of the last one.
+// noteRenewal records an order that may have renewed the leases on a worker from a time on, which may be earlier than that of the last one.
 func (w *worker) noteRenewal(from time.Time) {
 	if from.After(w.renewedAt) {
 		w.renewedAt = from
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -71,7 +71,7 @@
 		// A worker that has left is only remembered for its return.
 		next.Needed = len(w.placements) > 0
 	}
-	if w.missedPolls < missedPollLimit {
+	if !w.silent {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
 	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now) {
@@ -121,9 +121,6 @@
 		return
 	}
 	w.pollInFlight = sentPoll{at: now, renews: o.LeaseUntil > 0, acks: o.Acked > 0}
-	if o.LeaseUntil > 0 {
-		w.noteRenewal(now)
-	}
 }
 
 // PollMissed records that a poll got no answer.
@@ -137,6 +134,8 @@
 	}
 	if provesNotExecuted(err) {
 		w.pollInFlight = sentPoll{}
+	} else {
+		w.silent = true
 	}
 	w.recordUnansweredPoll()
 	w.missedPolls++
@@ -176,7 +175,7 @@
 	if !ok {
 		return
 	}
-	w.pollInFlight = sentPoll{}
+	w.closePoll()
 	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(w.info.StartedAt) {
 		if sent.Before(w.restartedAt) {
 			// The incarnation before the present one has answered.
@@ -189,7 +188,7 @@
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.unresponsiveSince).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
 	w.updateClock(report.Clock, sent, now)
-	w.missedPolls, w.mayHaveRestarted = 0, false
+	w.missedPolls, w.silent, w.mayHaveRestarted = 0, false, false
 	w.recordReport(now)
 	c.recordResponse(w, now)
 	w.lastAckSent = max(w.lastAckSent, acked)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -17,7 +17,7 @@
 	pollWait = 1000 * time.Millisecond
 	// pollWaitServing is shorter, so that the gauges of serving tasks beside backfill tasks are recent.
 	pollWaitServing = 400 * time.Millisecond
-	// missedPollLimit is after how many consecutive missed polls a worker's leases are no longer renewed.
+	// missedPollLimit is after how many consecutive missed polls a worker counts as unresponsive.
 	missedPollLimit = 2
 	// unknownRunGrace is how long an unknown run, one of a job that is not known here, is left running.
 	unknownRunGrace = 1500 * time.Millisecond
@@ -139,8 +139,11 @@
 	// lastResponseAt is when the worker last answered an order.
 	lastResponseAt time.Time
 	// suspectedAt is since when an order has been unanswered for unusually long.
-	suspectedAt         time.Time
-	missedPolls         int
+	suspectedAt time.Time
+	missedPolls int
+	// silent says that the last poll that may have been carried out got no answer. The leases of a silent worker are not renewed, so
+	// that they end as soon as possible if it is dead.
+	silent              bool
 	unresponsiveSince   time.Time
 	consecutiveFailures int
 	// lastFailedJob is the job that failed here last.
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -131,17 +131,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ws := s.workers[id]
-	if ws.down {
+	if !s.endAllRuns(ws) {
 		return
 	}
+	close(ws.crashed)
+	s.record(id, graph.TaskID{}, 0, "crashed")
+}
+
+// PowerOff makes a worker lose power: unlike those of a worker that crashes, its connections stay open without an answer.
+func (s *WorkerSet) PowerOff(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws := s.workers[id]
+	if s.endAllRuns(ws) {
+		ws.unreachable = true
+		s.record(id, graph.TaskID{}, 0, "lost power")
+	}
+}
+
+// endAllRuns takes a worker down and drops its runs; false if it was down.
+func (s *WorkerSet) endAllRuns(ws *workerState) bool {
+	if ws.down {
+		return false
+	}
 	s.expireRuns(ws)
 	for key, r := range ws.runs {
 		r.timer.Stop()
 		delete(ws.runs, key)
 	}
 	ws.down = true
-	close(ws.crashed)
-	s.record(id, graph.TaskID{}, 0, "crashed")
+	return true
 }
 
 // IsDown reports whether a worker is down.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -112,6 +112,8 @@
 	unconfirmed map[string]time.Time
 	// handover is the handover state of the last runner; nil if there is none.
 	handover *cell.Handover
+	// advisor answers the runners' requests for advice.
+	advisor runner.Advisors
 	// sinceBoot is the boot clock of the runners.
 	sinceBoot func() time.Duration
 }
@@ -123,7 +125,7 @@
 		registry: &staticRegistry{changes: make(chan func(func(order.Worker), func(string)))}, epoch: elect.Epoch{Group: service},
 	}
 	s.store.Latency = 4 * time.Millisecond
-	s.orders = s.workers
+	s.orders, s.advisor = s.workers, &permissiveAdvisor{}
 	s.sinceBoot = func() time.Duration { return time.Since(s.startedAt) }
 	// A test must not end before its goroutines.
 	t.Cleanup(func() { time.Sleep(2 * registryLag) })
@@ -148,7 +150,7 @@
 	s.c.Assert(err, qt.IsNil)
 	s.epoch = epoch
 	r := runner.New(runner.Config{
-		Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: &permissiveAdvisor{}, Queues: s.configs,
+		Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: s.advisor, Queues: s.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: s.sinceBoot, Log: log, Unconfirmed: s.unconfirmed,
 		FetchHandover: func(context.Context) (cell.Handover, bool) {
 			if s.handover == nil {
--- /dev/null
+++ b/runner/silent_worker_test.go
@@ -0,0 +1,119 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+)
+
+// maxLastingIdle is how long a task that lasts may stay without a run, counted from the end of the last one.
+const maxLastingIdle = 9 * time.Second
+
+// lastingAdvice is that of a queue of lasting tasks.
+var lastingAdvice = queues.Advice{Base: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Validity: 2 * time.Second}
+
+// slowAdvisor answers each request after its expected duration, except that it refuses some, as a host does that is busy with other calls.
+type slowAdvisor struct {
+	permissiveAdvisor
+	refusals atomic.Int32
+}
+
+// busyAfter is how long a busy host takes to refuse a request.
+const busyAfter = 200 * time.Millisecond
+
+// Advise implements runner.Advisors.
+func (a *slowAdvisor) Advise(ctx context.Context, request cell.AdviceRequest) ([]order.Permit, time.Duration, error) {
+	if a.refusals.Add(-1) >= 0 {
+		time.Sleep(busyAfter)
+		return nil, 0, &order.AdvisorBusyError{}
+	}
+	time.Sleep(request.Cost)
+	return a.permissiveAdvisor.Advise(ctx, request)
+}
+
+// failingDials lets the connections for some starts time out, as they do to another worker that has lost power and does not count as silent yet.
+type failingDials struct {
+	*fakes.WorkerSet
+	remaining atomic.Int32
+}
+
+// Start implements order.Workers.
+func (f *failingDials) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
+	if f.remaining.Add(-1) >= 0 {
+		<-ctx.Done()
+		return 0, &order.NotSentError{Worker: w.ID, Err: ctx.Err()}
+	}
+	return f.WorkerSet.Start(ctx, w, o)
+}
+
+// newLastingCluster returns a cluster whose queue is that of lasting tasks, with its advisor.
+func newLastingCluster(t *testing.T, numWorkers int) (*cluster, *slowAdvisor) {
+	t.Helper()
+	s := newCluster(t, numWorkers, bigWorker)
+	advisor := &slowAdvisor{}
+	s.advisor = advisor
+	s.configs.Install(&queues.Config{Version: 2, Queues: []queues.Queue{{Name: queue, Service: service, Advice: &lastingAdvice}}})
+	s.workers.Outcome = func(string, graph.TaskID, int) (time.Duration, order.EndKind) { return time.Hour, order.EndFailed }
+	return s, advisor
+}
+
+// awaitRun waits until a task runs on some worker, and returns that.
+func (s *cluster) awaitRun(timeout time.Duration) string {
+	s.c.Helper()
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		for _, w := range s.registry.workers {
+			if !s.workers.IsDown(w.ID) && s.workers.NumRunning(w.ID) > 0 {
+				return w.ID
+			}
+		}
+	}
+	s.c.Fatalf("nothing runs after %v", timeout)
+	return ""
+}
+
+// Guards against lasting tasks that stay without a run for too long after their worker has lost power, since its lease is renewed in vain, its end
+// is noticed late, and advice is requested only then.
+func TestLastingTaskRunsAgainSoonAfterWorkerFallsSilent(t *testing.T) {
+	const pollPhases, phase = 20, 50 * time.Millisecond
+	for i := range pollPhases {
+		for _, test := range []struct {
+			name                 string
+			refusals, dialErrors int32
+		}{
+			{"nothing else fails", 0, 0},
+			{"a request for advice is refused", 1, 0},
+			{"two requests are refused, and a start can't be sent", 2, 1},
+		} {
+			t.Run(fmt.Sprintf("%v into a poll, %s", time.Duration(i)*phase, test.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s, advisor := newLastingCluster(t, 11)
+					dials := &failingDials{WorkerSet: s.workers}
+					s.orders = dials
+					_, stop := s.runner()
+					defer stop()
+					s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(4), LongRunning: true})
+					used := s.awaitRun(5 * time.Second)
+					time.Sleep(3*time.Second + time.Duration(i)*phase)
+					advisor.refusals.Store(test.refusals)
+					dials.remaining.Store(test.dialErrors)
+					s.workers.PowerOff(used)
+					diedAt := time.Now()
+					s.awaitRun(time.Minute)
+					s.c.Check(time.Since(diedAt) < maxLastingIdle, qt.IsTrue, qt.Commentf("idle for %v", time.Since(diedAt)))
+					s.assertNoFaults()
+				})
+			})
+		}
+	}
+}
