Give runs on a silent worker up when their lease expires, not at the next poll

Every plan looks at it now, and the next plan is made when the lease expires.

TestRunsOnSilentWorkerEndWithItsLease fails on the former code: no plan is asked for, and the run stays.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -102,7 +102,7 @@
 	if w.missedPolls < missedPollLimit || len(w.placements)+len(w.unknownRuns) == 0 {
 		return
 	}
-	if now.Sub(w.lastRenewal()) > c.settings.Lease+leaseMargin && c.isExclusive(leaseAge) {
+	if !now.Before(c.expiresAt(w)) && c.isExclusive(leaseAge) {
 		clear(w.unknownRuns)
 		c.loseRuns(w, "its lease has expired", now, leaseAge, func(p *placement) bool {
 			return now.Before(p.lateUntil().Add(c.settings.Lease + leaseMargin))
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -66,9 +66,11 @@
 
 // Plan places waiting tasks and returns the resulting orders and requests; cfg may have changed since the last call.
 func (c *Cell) Plan(cfg *queues.Config, slots AdvisorSlots, now time.Time) Plan {
+	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	plan := Plan{slots: slots}
+	c.planExpiries(&plan, now, leaseAge)
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
 	c.planThrottles(&plan)
