Request advice for tasks on a silent worker before its lease expires

Advice about the steps on a silent worker is now requested 1.2 s before the lease expires, if no ticket for then is known, so the tasks start as it expires. Gangs, whose other members still use capacity then, are left out.

--- a/cell/plan.go
+++ b/cell/plan.go
@@ -74,7 +74,7 @@
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
 	c.planThrottles(&plan)
-	if len(c.stepsToPlace) == 0 && len(c.speculativeSteps) == 0 {
+	if len(c.stepsToPlace) == 0 && len(c.speculativeSteps) == 0 && !c.hasUnresponsiveWorker() {
 		return plan
 	}
 	c.candidateIndex.rebuild(c, now)
@@ -87,6 +87,7 @@
 		}
 	}
 	c.planSpeculative(&plan, cfg, now)
+	c.planReplacements(&plan, cfg, now)
 	c.sendRequests(&plan, now)
 	c.renewTickets(&plan, now)
 	return plan
