Tests of disruptions: cancel all lasting jobs before any job is awaited

awaitJobs 'waits until all jobs are completed, after cancelling those that last', but cancelled each only when its turn came, so that jobs before it were awaited while its tasks ran. All jobs still have to end in the same time.

--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -646,10 +646,13 @@
 // awaitJobs waits until all jobs are completed, after cancelling those that last.
 func (d *disruptions) awaitJobs(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
+	// Lasting tasks may fill the only worker that the advisor allows another job.
 	for _, job := range d.jobs {
 		if job.lasting && !job.cancelled {
 			d.cancel(job)
 		}
+	}
+	for _, job := range d.jobs {
 		for state := d.state(job); !job.mayEndAs(state); state = d.state(job) {
 			if time.Now().After(deadline) {
 				d.t.Errorf("job %s is %q after %v", job.id, d.state(job), timeout)
