Record which workers' leases are not renewed, so that a take-over need not assume orders to them

Callers saw lasting tasks wait for up to 17 s after their worker had died, if the host that ran the group died too, or was cut off: the next one could only count from the last order that might have been sent (6 s after the last renewal of the group's lease), and added a worker's lease; all restored tasks of the group wait for that.

Cause: what a holder knows of a worker is lost with the holder. Now it stores which workers it doesn't renew, since they don't answer, and how long runs may be active there (row 'unrenewed' beside the lease). While a worker is in that record, or a commit of it may have taken effect, no order is sent that renews its leases: no start, and polls only ask; when it answers, it is taken out first. The lease row of the next holder passes the list on until that has stored its own. A lease is acquired only if the record has not changed since it was read.

The loops of the two records share the commit of a row.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -70,8 +70,11 @@
 	// have ended, and recordedWorkers those in the durable record.
 	expectedWorkers map[string]time.Time
 	recordedWorkers map[string]bool
-	candidateIndex  candidateIndex
-	urgentDemand    urgentDemand
+	// unrenewedWorkers are the workers that the durable record of unrenewed workers names, or may name: no order is sent that renews the
+	// leases there, since the next scheduler relies on that.
+	unrenewedWorkers map[string]bool
+	candidateIndex   candidateIndex
+	urgentDemand     urgentDemand
 	// preemptibleRuns counts, for each priority, the placed runs that may be preempted for it.
 	preemptibleRuns map[int]int
 	runTimes        *runTimeEstimator
@@ -112,7 +115,7 @@
 		dirty: map[string]*job{}, stepsToPlace: map[graph.StepID]*step{},
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, runTimes: newRunTimeEstimator(),
-		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{},
+		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
 		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -136,11 +136,14 @@
 }
 
 // StartLease records that a start, which renews the leases on its worker, is about to be sent, and returns when the lease ends on
-// the worker's clock; 0 if that clock is not known.
-func (c *Cell) StartLease(o StartOrder, now time.Time) time.Duration {
+// the worker's clock; 0 if that clock is not known. It returns false if the start must not be sent, see Abandoned.
+func (c *Cell) StartLease(o StartOrder, now time.Time) (until time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.abandoned(o.p) {
+		return 0, false
+	}
 	o.p.sentAt = now
 	o.p.w.noteRenewal(now)
-	return o.p.w.leaseEnd(now, c.settings.Lease)
+	return o.p.w.leaseEnd(now, c.settings.Lease), true
 }
--- a/cell/index.go
+++ b/cell/index.go
@@ -72,7 +72,7 @@
 // mayGetWork reports whether a worker may get any work.
 func (c *Cell) mayGetWork(w *worker, now time.Time) bool {
 	switch {
-	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.recorded:
+	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.recorded || c.unrenewedWorkers[w.info.ID]:
 		return false
 	case !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil):
 		return false
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -9,12 +9,21 @@
 )
 
 // Abandoned reports whether a start must not be sent, or sent again: a stop of the run was requested, the run counts as ended, or
-// its worker has restarted or is leaving.
+// its worker has restarted, is leaving, or must not have its leases renewed.
 func (c *Cell) Abandoned(o StartOrder) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := o.p.w
-	return o.p.stopRequested || !o.p.isCurrent() || !o.p.incarnation.Equal(w.info.StartedAt) || !w.listed || w.info.Draining
+	return c.abandoned(o.p)
+}
+
+func (c *Cell) abandoned(p *placement) bool {
+	w := p.w
+	switch {
+	case p.stopRequested, !p.isCurrent(), !p.incarnation.Equal(w.info.StartedAt):
+		return true
+	default:
+		return !w.listed || w.info.Draining || c.unrenewedWorkers[w.info.ID]
+	}
 }
 
 // StartResult is the outcome of a start order.
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -71,10 +71,15 @@
 		// A worker that has left is only remembered for its return.
 		next.Needed = len(w.placements) > 0
 	}
-	if !w.silent {
+	unrenewed := c.unrenewedWorkers[id]
+	if !w.silent && !unrenewed {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
-	if w.polled && w.missedPolls == 0 && w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now) {
+	switch {
+	case !w.polled || w.missedPolls > 0:
+	case unrenewed:
+		next.Delay = max(next.Delay, unrenewedPollDelay)
+	case w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now):
 		next.Order.Wait = c.pollWaitFor(w)
 	}
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
--- /dev/null
+++ b/cell/unrenewed.go
@@ -0,0 +1,60 @@
+package cell
+
+import "time"
+
+// SetUnrenewed sets the workers in the durable record of unrenewed workers, by an earlier scheduler or a commit that has taken effect: no order
+// is sent that renews the leases there until another record is stored.
+func (c *Cell) SetUnrenewed(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.unrenewedWorkers)
+	for _, id := range ids {
+		c.unrenewedWorkers[id] = true
+	}
+	for _, w := range c.workers {
+		w.wakeUp()
+	}
+}
+
+// WithholdRenewals returns the workers to be recorded as unrenewed, since they don't answer, and for how long from now runs may be active there;
+// changed says whether the durable record names others. From then on, no order is sent that renews the leases of any of them.
+func (c *Cell) WithholdRenewals(now time.Time) (remaining map[string]time.Duration, changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	remaining = c.silentWorkers(now)
+	changed = len(remaining) != len(c.unrenewedWorkers)
+	for id := range remaining {
+		changed = changed || !c.unrenewedWorkers[id]
+	}
+	if changed {
+		for id := range remaining {
+			c.unrenewedWorkers[id] = true
+		}
+	}
+	return remaining, changed
+}
+
+// silentWorkers returns the workers that don't answer, or that an earlier scheduler used and that are not listed any more, and for how long
+// runs may be active there.
+func (c *Cell) silentWorkers(now time.Time) map[string]time.Duration {
+	until := map[string]time.Time{}
+	for id, w := range c.workers {
+		if w.silent {
+			until[id] = c.runsUntil(w)
+		}
+	}
+	for id, expected := range c.expectedWorkers {
+		w, known := c.workers[id]
+		if known && (w.reported || !w.silent) {
+			continue
+		}
+		if expected.After(until[id]) {
+			until[id] = expected
+		}
+	}
+	remaining := make(map[string]time.Duration, len(until))
+	for id, t := range until {
+		remaining[id] = max(0, t.Sub(now))
+	}
+	return remaining
+}
--- /dev/null
+++ b/cell/unrenewed_test.go
@@ -0,0 +1,50 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/order"
+)
+
+// A worker in the stored record of unrenewed workers must get no order that renews its leases until another record is stored: the next
+// scheduler would start its tasks elsewhere while they run.
+func TestUnrenewedWorkerGetsNoRenewals(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("j", 2))
+	starts := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts
+	h.c.Assert(starts, qt.HasLen, 2)
+	h.cell.Started(starts[0], cell.StartResult{Sent: h.now, Clock: time.Minute}, h.now)
+	h.cell.PollSent("w0", order.Poll{LeaseUntil: time.Minute}, h.now)
+	sentAt := h.now
+	h.now = h.now.Add(1700 * time.Millisecond)
+	h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
+
+	remaining, changed := h.cell.WithholdRenewals(h.now)
+	h.c.Assert(changed, qt.IsTrue)
+	h.c.Assert(remaining, qt.HasLen, 1)
+	h.c.Assert(remaining["w0"] >= sentAt.Add(leaseOfSilentWorker).Sub(h.now), qt.IsTrue)
+	_, ok := h.cell.StartLease(starts[1], h.now)
+	h.c.Assert(ok, qt.IsFalse)
+
+	// It answers again: no commit has told the next scheduler yet.
+	report := order.Report{
+		Clock: time.Minute + h.now.Sub(startTime), StartedAt: h.workers["w0"].StartedAt,
+		Running: []order.Run{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, CPUPercent: 100}},
+	}
+	h.cell.Polled("w0", report, 0, h.now, h.now)
+	h.c.Assert(h.cell.NextPoll("w0", h.now).Order.LeaseUntil, qt.Equals, time.Duration(0))
+	h.add(shortJob("k", 1))
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 0)
+	remaining, changed = h.cell.WithholdRenewals(h.now)
+	h.c.Assert(remaining, qt.HasLen, 0)
+	h.c.Assert(changed, qt.IsTrue)
+	h.c.Assert(h.cell.NextPoll("w0", h.now).Order.LeaseUntil, qt.Equals, time.Duration(0))
+
+	h.cell.SetUnrenewed(nil)
+	h.c.Assert(h.cell.NextPoll("w0", h.now).Order.LeaseUntil > 0, qt.IsTrue)
+	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -27,6 +27,8 @@
 	idleTimeout = 5 * time.Second
 	// unackedPollDelay is the delay before a worker is polled again while an end that it reported is made durable.
 	unackedPollDelay = 500 * time.Millisecond
+	// unrenewedPollDelay is the delay between polls of a worker whose leases must not be renewed before that is recorded.
+	unrenewedPollDelay = 100 * time.Millisecond
 	// ackPollDelay is the delay between polls while ends can't be acknowledged yet, since the worker reports them again at
 	// once.
 	ackPollDelay = 30 * time.Millisecond
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -19,6 +19,8 @@
 const (
 	rowEpoch   = "epoch"
 	rowRenewal = "beat"
+	// rowUnrenewed is the holder's record of the workers whose leases it does not renew.
+	rowUnrenewed = "unrenewed"
 )
 
 // Times of a lease.
@@ -53,12 +55,18 @@
 	Token       uint64         `json:"token"`
 	// Unconfirmed lists, in a released lease, the workers that its holder could not reach.
 	Unconfirmed []UnconfirmedWorker `json:"unsure,omitempty"`
+	// Inherited lists, in a lease that is held, the workers whose leases its holder does not renew until it has stored its own record of
+	// unrenewed workers; see Unrenewed.
+	Inherited []UnconfirmedWorker `json:"inherited,omitempty"`
 	// HandoverAddress is the address of the host that can be asked for the handover state of a released lease.
 	HandoverAddress netip.AddrPort `json:"left,omitzero"`
 	// Version is the version of the lease's row, which every write of the holder checks.
 	Version uint64 `json:"-"`
-	// seenRenewal is the check that no renewal has been written that the view had not seen; nil if the epoch is not from a view.
-	seenRenewal *table.Check
+	// seen are the checks that the rows of the last renewal and of the unrenewed workers are as the view has seen them; none if the epoch
+	// is not from a view.
+	seen []table.Check
+	// unconfirmed are, in an epoch from a view, the workers whose leases the next holder must not renew before it has recorded that.
+	unconfirmed []UnconfirmedWorker
 }
 
 // UnconfirmedWorker is a worker that could not be reached, and for how long runs may still be active there.
@@ -90,6 +98,8 @@
 	heldSince   time.Time
 	// renewal is the row of the last renewal.
 	renewal table.Row
+	// unrenewed is the last record of unrenewed workers.
+	unrenewed seenUnrenewed
 }
 
 // View is a host's view of all leases and their holders.
@@ -147,6 +157,10 @@
 			s.epoch, s.lastChange, s.epochSeenAt = e, now, now
 		case r.Name == rowRenewal:
 			s.lastChange, s.renewal = now, r
+		case r.Name == rowUnrenewed && r.Version > s.unrenewed.version && !r.Deleted:
+			if err := s.unrenewed.apply(r, now); err != nil {
+				decodeErr = fmt.Errorf("decode unrenewed workers of group %s: %w", r.Partition, err)
+			}
 		default:
 			continue
 		}
@@ -192,7 +206,12 @@
 	defer v.mu.Unlock()
 	s := v.leases[group]
 	s.epoch.Group = group
-	s.epoch.seenRenewal = &table.Check{Key: renewalKey(group), Version: s.renewal.Version}
+	s.epoch.seen = []table.Check{
+		{Key: renewalKey(group), Version: s.renewal.Version}, {Key: UnrenewedKey(group), Version: s.unrenewed.version},
+	}
+	for id, until := range s.unconfirmedUntil() {
+		s.epoch.unconfirmed = append(s.epoch.unconfirmed, UnconfirmedWorker{id, max(0, until.Sub(now))})
+	}
 	if now.Sub(v.lastAnswerAt) > TakeoverTimeout/2 || now.Sub(v.answeringSince) < delay {
 		return s.epoch, false
 	}
@@ -237,16 +256,12 @@
 	return lastOrders
 }
 
-// Unconfirmed returns the workers that the host which released a lease could not reach, and until when runs may be active there.
+// Unconfirmed returns the workers that the last holder of a lease could not reach, and until when runs may be active there.
 func (v *View) Unconfirmed(group string) map[string]time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.leases[group]
-	until := make(map[string]time.Time, len(s.epoch.Unconfirmed))
-	for _, u := range s.epoch.Unconfirmed {
-		until[u.Worker] = s.epochSeenAt.Add(u.Remaining)
-	}
-	return until
+	return s.unconfirmedUntil()
 }
 
 // holderRestarted reports whether a newer process of the holder's host has started. An incarnation that was announced before the lease was
@@ -263,9 +278,13 @@
 	Address     netip.AddrPort
 }
 
-// Acquire acquires the lease that old is the last epoch of; it fails if old is from a view that has not seen the last renewal.
+// Acquire acquires the lease that old is the last epoch of; it fails if old is from a view that has not seen the last renewal and the last
+// record of unrenewed workers.
 func Acquire(ctx context.Context, s table.Store, old Epoch, candidate Candidate) (Epoch, error) {
-	e := Epoch{Group: old.Group, Holder: candidate.Name, Incarnation: candidate.Incarnation, Address: candidate.Address, Token: old.Token + 1}
+	e := Epoch{
+		Group: old.Group, Holder: candidate.Name, Incarnation: candidate.Incarnation, Address: candidate.Address, Token: old.Token + 1,
+		Inherited: old.unconfirmed,
+	}
 	version, err := write(ctx, s, old, e)
 	e.Version = version
 	return e, err
@@ -284,10 +303,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	checks := []table.Check{old.Check()}
-	if old.seenRenewal != nil {
-		checks = append(checks, *old.seenRenewal)
-	}
+	checks := append([]table.Check{old.Check()}, old.seen...)
 	return s.Commit(ctx, table.Tx{Checks: checks, Writes: []table.Write{{Key: old.Check().Key, Value: raw}}})
 }
 
--- /dev/null
+++ b/elect/unrenewed.go
@@ -0,0 +1,53 @@
+package elect
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// Unrenewed is a holder's durable record of the workers whose leases it does not renew, since they don't answer. If the holder dies, the next one
+// knows from it until when runs may be active there, and needs not wait for orders that the holder might have sent.
+//
+// A holder must not send an order that renews the lease of a worker in a record that is stored, or may be. Until it has stored its own record, that
+// applies to the workers that it has inherited with the lease.
+type Unrenewed struct {
+	Token   uint64              `json:"token"`
+	Workers []UnconfirmedWorker `json:"workers"`
+}
+
+// UnrenewedKey returns the key of a group's record of unrenewed workers.
+func UnrenewedKey(group string) table.Key {
+	return table.Key{Table: Table, Partition: group, Name: rowUnrenewed}
+}
+
+// seenUnrenewed is a record of unrenewed workers with its version, and when it was first seen.
+type seenUnrenewed struct {
+	record  Unrenewed
+	version uint64
+	seenAt  time.Time
+}
+
+// apply stores a newer record. Of one that can't be decoded, only the version counts.
+func (u *seenUnrenewed) apply(r table.Row, now time.Time) error {
+	*u = seenUnrenewed{version: r.Version, seenAt: now}
+	return json.Unmarshal(r.Value, &u.record)
+}
+
+// unconfirmedUntil returns until when runs may be active on the workers that the last holder could not reach, by the newest source: the
+// released lease, the holder's record, or what it has inherited.
+func (s *leaseState) unconfirmedUntil() map[string]time.Time {
+	list, since := s.epoch.Inherited, s.epochSeenAt
+	switch {
+	case s.epoch.Holder == "":
+		list = s.epoch.Unconfirmed
+	case s.unrenewed.record.Token == s.epoch.Token:
+		list, since = s.unrenewed.record.Workers, s.unrenewed.seenAt
+	}
+	until := make(map[string]time.Time, len(list))
+	for _, u := range list {
+		until[u.Worker] = since.Add(u.Remaining)
+	}
+	return until
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,8 +36,8 @@
 	Settings cell.Settings
 	// PreviousOrdersUntil is the latest time at which earlier runners may have sent orders; the zero time means now.
 	PreviousOrdersUntil time.Time
-	// Unconfirmed maps the workers that the last runner could not reach when it released the lease to the time until which runs
-	// may be active there.
+	// Unconfirmed maps the workers that the last runner could not reach to the time until which runs may be active there. Their leases are
+	// not renewed until the record of unrenewed workers has been replaced.
 	Unconfirmed map[string]time.Time
 	// FetchHandover requests the handover state from the last runner; false if it is not available.
 	FetchHandover func(ctx context.Context) (cell.Handover, bool)
@@ -59,8 +61,10 @@
 	renewedAt atomic.Int64
 	// renewalFails says that the last attempt to renew the lease failed.
 	renewalFails atomic.Bool
-	// recordVersion is the version of the durable record of workers; only loadRecord and then recordLoop use it.
-	recordVersion uint64
+	// record is the row of the durable record of workers; only loadRecord and then recordLoop use it.
+	record groupRow
+	// unrenewed is the row of the record of unrenewed workers; only unrenewedLoop uses it.
+	unrenewed groupRow
 	// references holds the rows of jobs that other services run.
 	references agedRows
 	// orphanMarks holds the cancel marks of unknown jobs.
@@ -92,11 +96,14 @@
 	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Group, "token": cfg.Epoch.Token})
 	r := &Runner{
-		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
+		record:    groupRow{key: table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}},
+		unrenewed: groupRow{key: elect.UnrenewedKey(cfg.Epoch.Group)},
+		cfg:       cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
 		orderSlots: map[string]chan struct{}{},
 	}
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
+	r.cell.SetUnrenewed(slices.Collect(maps.Keys(cfg.Unconfirmed)))
 	return r
 }
 
@@ -155,6 +162,7 @@
 		eg.Go(func() error { return r.commitLoop(ctx) })
 		eg.Go(func() error { r.sweepLoop(ctx); return nil })
 		eg.Go(func() error { return r.recordLoop(ctx) })
+		eg.Go(func() error { return r.unrenewedLoop(ctx) })
 		eg.Go(func() error { r.awaitReports(ctx); return nil })
 		return nil
 	})
@@ -178,9 +186,13 @@
 // Unconfirmed returns, for the next runner, the workers that this runner can't reach and for how long runs may still be active
 // there. It must be called only after Run has returned.
 func (r *Runner) Unconfirmed(now time.Time) []elect.UnconfirmedWorker {
-	var list []elect.UnconfirmedWorker
-	for id, remaining := range r.cell.Unconfirmed(now) {
-		list = append(list, elect.UnconfirmedWorker{Worker: id, Remaining: remaining})
+	return unconfirmedList(r.cell.Unconfirmed(now))
+}
+
+func unconfirmedList(remaining map[string]time.Duration) []elect.UnconfirmedWorker {
+	list := make([]elect.UnconfirmedWorker, 0, len(remaining))
+	for _, id := range slices.Sorted(maps.Keys(remaining)) {
+		list = append(list, elect.UnconfirmedWorker{Worker: id, Remaining: remaining[id]})
 	}
 	return list
 }
@@ -229,10 +241,7 @@
 	)
 	start, logged := time.Now(), false
 	for clock.Pause(ctx, checkInterval) {
-		r.mu.Lock()
-		listed := r.registryListed
-		r.mu.Unlock()
-		if !listed {
+		if !r.isRegistryListed() {
 			continue
 		}
 		unreported := r.cell.UnreportedWorkers(time.Now())
@@ -255,6 +264,12 @@
 	}
 }
 
+func (r *Runner) isRegistryListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registryListed
+}
+
 // longestWait returns how long runs may be active on the last of some unconfirmed workers.
 func (r *Runner) longestWait(workers []string) time.Duration {
 	unconfirmed := r.cell.Unconfirmed(time.Now())
--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -117,3 +117,38 @@
 		}
 	}
 }
+
+// Guards against take-overs that wait for all orders that a dead holder might have sent, although it had stopped renewing the leases of a silent
+// worker long before.
+func TestTakeoverKnowsSinceWhenWorkerIsSilent(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// killedAfter is how long after the worker has fallen silent the holder is killed for good.
+		killedAfter time.Duration
+		fallSilent  func(workers *fakes.WorkerSet)
+	}{
+		{"dead worker, holder killed soon", 3 * time.Second, func(workers *fakes.WorkerSet) { workers.PowerOff("w0") }},
+		{"dead worker, holder killed late", 5 * time.Second, func(workers *fakes.WorkerSet) { workers.PowerOff("w0") }},
+		{"worker that is cut off", 3 * time.Second, func(workers *fakes.WorkerSet) { workers.SetUnreachable("w0", true) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(2)
+				n.startTask(t)
+				first, next := n.findHost("host0"), n.findHost("host1")
+				qt.Assert(t, first.currentRunner(), qt.IsNotNil)
+				qt.Assert(t, n.workers.NumRunning("w0"), qt.Equals, 1)
+				time.Sleep(3 * time.Second)
+				test.fallSilent(n.workers)
+				silentAt := time.Now()
+				time.Sleep(test.killedAfter)
+				first.kill()
+				for n.workers.NumRunning("w1") == 0 && time.Since(silentAt) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				qt.Check(t, time.Since(silentAt) < maxLastingIdle, qt.IsTrue, qt.Commentf("idle for %v", time.Since(silentAt)))
+				n.checkNoTaskRunsTwice(t, next)
+			})
+		})
+	}
+}
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -225,10 +225,14 @@
 	var res cell.StartResult
 	for range maxStartAttempts {
 		now, allowed := r.orderTime()
-		if !reported || ctx.Err() != nil || !allowed || r.cell.Abandoned(o) {
+		if !reported || ctx.Err() != nil || !allowed {
 			break
 		}
-		o.Order.LeaseUntil, o.Order.MinConnAge = r.cell.StartLease(o, now), r.minConnAge
+		until, ok := r.cell.StartLease(o, now)
+		if !ok {
+			break
+		}
+		o.Order.LeaseUntil, o.Order.MinConnAge = until, r.minConnAge
 		res.Sent = time.Now()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
