Tell the next scheduler which recorded workers are gone

Their logs: four workers had left at 16 s, and the holder knew that nothing ran there, but the commit that took them out of the record of used workers failed, as the store lost answers then. Neither its release nor its record of unrenewed workers named them, so each later holder counted for them from the last order that might have been sent: 9 s. Workers that refuse connections and were never reached were not told of either.

Both now name all workers that the record of used workers names, or may name, and that are gone, and those that have missed several polls for whatever reason. TestGoneWorkersAreToldToTheNextScheduler failed before in two of its three cases.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -67,9 +67,10 @@
 	// allRunsKnown says that the runs on all workers are known; a scheduler that ends before that can't hand over its runs.
 	allRunsKnown bool
 	// expectedWorkers are the workers that an earlier scheduler used, with the time when its runs there are guaranteed to
-	// have ended, and recordedWorkers those in the durable record.
+	// have ended, recordedWorkers those in the durable record, and namedWorkers those that it may name.
 	expectedWorkers map[string]time.Time
 	recordedWorkers map[string]bool
+	namedWorkers    map[string]bool
 	// unrenewedWorkers are the workers that the durable record of unrenewed workers names, or may name: no order is sent that renews the
 	// leases there, since the next scheduler relies on that.
 	unrenewedWorkers map[string]bool
@@ -115,7 +116,7 @@
 		dirty: map[string]*job{}, stepsToPlace: map[graph.StepID]*step{},
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, runTimes: newRunTimeEstimator(),
-		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
+		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, namedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
 		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -39,7 +39,7 @@
 	c.expireLeases(w, now, leaseAge)
 	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
-	left := !w.listed && len(w.placements) == 0 && len(w.unknownRuns) == 0
+	left := w.hasLeft()
 	if left && !w.expectsLateOrders(now) {
 		delete(c.workers, id)
 		c.workerList = nil
--- a/cell/record.go
+++ b/cell/record.go
@@ -12,7 +12,7 @@
 	defer c.mu.Unlock()
 	for _, id := range ids {
 		c.expectedWorkers[id] = until(id)
-		c.recordedWorkers[id] = true
+		c.recordedWorkers[id], c.namedWorkers[id] = true, true
 	}
 	c.markRecorded()
 }
@@ -48,12 +48,17 @@
 	return ids
 }
 
-// Unconfirmed returns the unconfirmed workers and for how long from now they may have runs: those that can't be reached, and those whose
-// leases a late renewal may prolong beyond the usual time.
+// Unconfirmed returns the unconfirmed workers and for how long from now they may have runs: those that can't be reached, those whose
+// leases a late renewal may prolong beyond the usual time, and those that are gone and are still in the durable record.
 func (c *Cell) Unconfirmed(now time.Time) map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	unconfirmed := map[string]time.Duration{}
+	for id := range c.namedWorkers {
+		if _, known := c.workers[id]; !known {
+			unconfirmed[id] = 0
+		}
+	}
 	for id, until := range c.expectedWorkers {
 		if w, ok := c.workers[id]; !ok || !w.reported {
 			unconfirmed[id] = max(0, until.Sub(now))
@@ -110,7 +115,7 @@
 	defer c.mu.Unlock()
 	named := make(map[string]bool, len(ids))
 	for _, id := range ids {
-		named[id] = true
+		named[id], c.namedWorkers[id] = true, true
 	}
 	maps.DeleteFunc(c.recordedWorkers, func(id string, _ bool) bool { return !named[id] })
 	c.markRecorded()
@@ -121,8 +126,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.recordedWorkers)
+	clear(c.namedWorkers)
 	for _, id := range ids {
-		c.recordedWorkers[id] = true
+		c.recordedWorkers[id], c.namedWorkers[id] = true, true
 	}
 	c.markRecorded()
 }
--- a/cell/unrenewed.go
+++ b/cell/unrenewed.go
@@ -34,21 +34,22 @@
 	return remaining, changed
 }
 
-// silentWorkers returns the workers that don't answer, or that an earlier scheduler used and that are not listed any more, and for how long
-// runs may be active there.
+// silentWorkers returns the workers that don't answer, or are gone, and for how long runs may be active there.
 func (c *Cell) silentWorkers(now time.Time) map[string]time.Duration {
 	until := map[string]time.Time{}
 	for id, w := range c.workers {
-		if w.silent {
+		if w.silent || w.missedPolls >= missedPollLimit || w.hasLeft() {
 			until[id] = c.runsUntil(w)
 		}
 	}
-	for id, expected := range c.expectedWorkers {
-		w, known := c.workers[id]
-		if known && (w.reported || !w.silent) {
-			continue
+	for id := range c.namedWorkers {
+		if _, known := c.workers[id]; !known {
+			until[id] = time.Time{}
 		}
-		if expected.After(until[id]) {
+	}
+	for id := range until {
+		w, known := c.workers[id]
+		if expected := c.expectedWorkers[id]; (!known || !w.reported) && expected.After(until[id]) {
 			until[id] = expected
 		}
 	}
@@ -58,3 +59,6 @@
 	}
 	return remaining
 }
+
+// hasLeft reports whether a worker is not listed any more and runs nothing; it is not polled then.
+func (w *worker) hasLeft() bool { return !w.listed && len(w.placements)+len(w.unknownRuns) == 0 }
--- a/cell/unrenewed_test.go
+++ b/cell/unrenewed_test.go
@@ -48,3 +48,43 @@
 	h.c.Assert(h.cell.NextPoll("w0", h.now).Order.LeaseUntil > 0, qt.IsTrue)
 	h.c.Assert(h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts, qt.HasLen, 1)
 }
+
+// Guards against take-overs that wait for workers of which the last scheduler knew that they are gone, or that they refuse connections, and that were
+// still in the durable record.
+func TestGoneWorkersAreToldToTheNextScheduler(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// leave makes w0 leave; its last lease may last for the given time then.
+		leave func(h *harness) (lease time.Duration)
+	}{
+		{"left the registry", func(h *harness) time.Duration {
+			h.cell.Unlist("w0")
+			h.c.Assert(h.cell.NextPoll("w0", h.now).Gone, qt.IsTrue)
+			return 0
+		}},
+		{"refuses connections", func(h *harness) time.Duration {
+			h.cell.PollSent("w0", order.Poll{LeaseUntil: time.Minute}, h.now)
+			h.cell.PollMissed("w0", &order.UnansweredError{Worker: "w0"}, h.now)
+			h.cell.PollMissed("w0", &order.NotSentError{Worker: "w0"}, h.now)
+			return leaseOfSilentWorker
+		}},
+		{"has not been reached by this scheduler", func(h *harness) time.Duration {
+			h.restart("w0")
+			h.cell.ExpectWorkers([]string{"w0", "w1"}, func(string) time.Time { return h.now.Add(2 * time.Second) })
+			for range 2 {
+				h.cell.PollMissed("w0", &order.NotSentError{Worker: "w0"}, h.now)
+			}
+			return 2 * time.Second
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 2, 4)
+			lease := test.leave(h)
+			remaining, _ := h.cell.WithholdRenewals(h.now)
+			h.c.Check(remaining, qt.DeepEquals, map[string]time.Duration{"w0": lease})
+			told, ok := h.cell.Unconfirmed(h.now)["w0"]
+			h.c.Check(ok, qt.IsTrue)
+			h.c.Check(told, qt.Equals, lease)
+		})
+	}
+}
