Tell the next holder which workers are idle when a lease is released

A release now names the confirmed workers on which nothing ran, whose ends are durable, and to which no order without an answer was sent: nothing is waited for there. They may get work at once, so the next holder does not pass that on. Workers that drain and run nothing are in the record of unrenewed workers; those to which an unanswered start may still come are not, as that would begin a new lease. A worker that is gone is remembered until its ends are durable.

TestTakeoverDoesNotWaitForIdleWorker fails on the commit before: nothing runs for longer than it takes the worker to be listed.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -40,7 +40,7 @@
 	w.forgetUnanswered(now)
 	next := NextPoll{Worker: w.info, Wake: w.wake, IdleTimeout: idleTimeout}
 	left := w.hasLeft()
-	if left && !w.expectsLateOrders(now) {
+	if left && !w.expectsLateOrders(now) && len(w.pendingEnds) == 0 {
 		delete(c.workers, id)
 		c.workerList = nil
 		next.Gone = true
--- a/cell/record.go
+++ b/cell/record.go
@@ -73,6 +73,24 @@
 	return unconfirmed
 }
 
+// IdleWorkers returns the confirmed workers on which nothing runs, and nothing can be started by an order that was sent to them, and whose ends
+// are durable, so that the next scheduler needs not hear of them. They are not polled, so they may be gone.
+func (c *Cell) IdleWorkers(now time.Time) []string {
+	unconfirmed := c.Unconfirmed(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for _, w := range c.sortedWorkers() {
+		if _, ok := unconfirmed[w.info.ID]; ok || !w.reported || !w.isIdle() || len(w.pendingEnds) > 0 {
+			continue
+		}
+		if len(w.toFence) == 0 && !w.expectsLateOrders(now) {
+			ids = append(ids, w.info.ID)
+		}
+	}
+	return ids
+}
+
 // runsUntil returns until when runs may be active on a worker that does not answer.
 func (c *Cell) runsUntil(w *worker) time.Time {
 	renewed := w.lastRenewal()
--- a/cell/unrenewed.go
+++ b/cell/unrenewed.go
@@ -38,7 +38,11 @@
 func (c *Cell) silentWorkers(now time.Time) map[string]time.Duration {
 	until := map[string]time.Time{}
 	for id, w := range c.workers {
-		if w.silent || w.missedPolls >= missedPollLimit || w.hasLeft() {
+		if len(w.toFence)+len(w.unansweredStarts) > 0 {
+			// A start that is carried out late would begin a new lease there.
+			continue
+		}
+		if w.silent || w.missedPolls >= missedPollLimit || w.isRetired() {
 			until[id] = c.runsUntil(w)
 		}
 	}
@@ -60,5 +64,11 @@
 	return remaining
 }
 
+// isIdle reports whether nothing is known to run on a worker.
+func (w *worker) isIdle() bool { return len(w.placements)+len(w.unknownRuns) == 0 }
+
 // hasLeft reports whether a worker is not listed any more and runs nothing; it is not polled then.
-func (w *worker) hasLeft() bool { return !w.listed && len(w.placements)+len(w.unknownRuns) == 0 }
+func (w *worker) hasLeft() bool { return !w.listed && w.isIdle() }
+
+// isRetired reports whether a worker runs nothing and gets no work any more.
+func (w *worker) isRetired() bool { return w.hasLeft() || (w.info.Draining && w.isIdle()) }
--- a/cell/unrenewed_test.go
+++ b/cell/unrenewed_test.go
@@ -88,3 +88,16 @@
 		})
 	}
 }
+
+// A worker whose ends are not durable must not be told as idle: the next scheduler would start its finished tasks again before it hears of them.
+func TestWorkerWithEndsThatAreNotDurableIsNotIdle(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(shortJob("j", 1))
+	o := h.plan().Starts[0]
+	h.c.Assert(h.cell.IdleWorkers(h.now), qt.HasLen, 0)
+	h.finish("w0", o.Order.Task, order.EndDone)
+	h.advance(time.Second)
+	h.c.Assert(h.cell.IdleWorkers(h.now), qt.HasLen, 0)
+	h.cell.Committed(h.cell.Collect(10), 2, h.now)
+	h.c.Assert(h.cell.IdleWorkers(h.now), qt.DeepEquals, []string{"w0"})
+}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -53,7 +53,7 @@
 	Incarnation string         `json:"life,omitempty"`
 	Address     netip.AddrPort `json:"address"`
 	Token       uint64         `json:"token"`
-	// Unconfirmed lists, in a released lease, the workers that its holder could not reach.
+	// Unconfirmed lists, in a released lease, the workers that its holder could not reach, and those that were idle.
 	Unconfirmed []UnconfirmedWorker `json:"unsure,omitempty"`
 	// Inherited lists, in a lease that is held, the workers whose leases its holder does not renew until it has stored its own record of
 	// unrenewed workers; see Unrenewed.
@@ -69,10 +69,12 @@
 	unconfirmed []UnconfirmedWorker
 }
 
-// UnconfirmedWorker is a worker that could not be reached, and for how long runs may still be active there.
+// UnconfirmedWorker is a worker that the next holder may not reach, and for how long runs may still be active there.
 type UnconfirmedWorker struct {
 	Worker    string        `json:"worker"`
 	Remaining time.Duration `json:"for"`
+	// Idle says that nothing ran there when the lease was released, and that the worker did not count as silent.
+	Idle bool `json:"idle,omitempty"`
 }
 
 // Check returns the check that makes a transaction fail once another epoch has begun.
@@ -209,9 +211,7 @@
 	s.epoch.seen = []table.Check{
 		{Key: renewalKey(group), Version: s.renewal.Version}, {Key: UnrenewedKey(group), Version: s.unrenewed.version},
 	}
-	for id, until := range s.unconfirmedUntil() {
-		s.epoch.unconfirmed = append(s.epoch.unconfirmed, UnconfirmedWorker{id, max(0, until.Sub(now))})
-	}
+	s.epoch.unconfirmed = s.toInherit(now)
 	if now.Sub(v.lastAnswerAt) > TakeoverTimeout/2 || now.Sub(v.answeringSince) < delay {
 		return s.epoch, false
 	}
@@ -256,7 +256,7 @@
 	return lastOrders
 }
 
-// Unconfirmed returns the workers that the last holder of a lease could not reach, and until when runs may be active there.
+// Unconfirmed returns the workers of which the last holder of a lease has told until when runs may be active there.
 func (v *View) Unconfirmed(group string) map[string]time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/elect/unrenewed.go
+++ b/elect/unrenewed.go
@@ -35,19 +35,37 @@
 	return json.Unmarshal(r.Value, &u.record)
 }
 
-// unconfirmedUntil returns until when runs may be active on the workers that the last holder could not reach, by the newest source: the
-// released lease, the holder's record, or what it has inherited.
-func (s *leaseState) unconfirmedUntil() map[string]time.Time {
-	list, since := s.epoch.Inherited, s.epochSeenAt
+// unconfirmed returns the workers that the last holder could not reach, or that were idle, and since when their remaining times count, by the
+// newest source: the released lease, the holder's record, or what it has inherited.
+func (s *leaseState) unconfirmed() (list []UnconfirmedWorker, since time.Time) {
 	switch {
 	case s.epoch.Holder == "":
-		list = s.epoch.Unconfirmed
+		return s.epoch.Unconfirmed, s.epochSeenAt
 	case s.unrenewed.record.Token == s.epoch.Token:
-		list, since = s.unrenewed.record.Workers, s.unrenewed.seenAt
+		return s.unrenewed.record.Workers, s.unrenewed.seenAt
+	default:
+		return s.epoch.Inherited, s.epochSeenAt
 	}
+}
+
+func (s *leaseState) unconfirmedUntil() map[string]time.Time {
+	list, since := s.unconfirmed()
 	until := make(map[string]time.Time, len(list))
 	for _, u := range list {
 		until[u.Worker] = since.Add(u.Remaining)
 	}
 	return until
 }
+
+// toInherit returns the workers whose leases the next holder must not renew before it has stored its own record. Idle ones may get work at
+// once.
+func (s *leaseState) toInherit(now time.Time) []UnconfirmedWorker {
+	list, since := s.unconfirmed()
+	var inherited []UnconfirmedWorker
+	for _, u := range list {
+		if !u.Idle {
+			inherited = append(inherited, UnconfirmedWorker{Worker: u.Worker, Remaining: max(0, since.Add(u.Remaining).Sub(now))})
+		}
+	}
+	return inherited
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -36,8 +36,8 @@
 	Settings cell.Settings
 	// PreviousOrdersUntil is the latest time at which earlier runners may have sent orders; the zero time means now.
 	PreviousOrdersUntil time.Time
-	// Unconfirmed maps the workers that the last runner could not reach to the time until which runs may be active there. Their leases are
-	// not renewed until the record of unrenewed workers has been replaced.
+	// Unconfirmed maps the workers of which the last runner has told until when runs may be active there to that time. The leases of those that
+	// Epoch.Inherited names are not renewed until the record of unrenewed workers has been replaced.
 	Unconfirmed map[string]time.Time
 	// FetchHandover requests the handover state from the last runner; false if it is not available.
 	FetchHandover func(ctx context.Context) (cell.Handover, bool)
@@ -103,7 +103,11 @@
 	}
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
-	r.cell.SetUnrenewed(slices.Collect(maps.Keys(cfg.Unconfirmed)))
+	var unrenewed []string
+	for _, w := range cfg.Epoch.Inherited {
+		unrenewed = append(unrenewed, w.Worker)
+	}
+	r.cell.SetUnrenewed(unrenewed)
 	return r
 }
 
@@ -184,9 +188,13 @@
 }
 
 // Unconfirmed returns, for the next runner, the workers that this runner can't reach and for how long runs may still be active
-// there. It must be called only after Run has returned.
+// there, and those that are idle. It must be called only after Run has returned.
 func (r *Runner) Unconfirmed(now time.Time) []elect.UnconfirmedWorker {
-	return unconfirmedList(r.cell.Unconfirmed(now))
+	list := unconfirmedList(r.cell.Unconfirmed(now))
+	for _, id := range r.cell.IdleWorkers(now) {
+		list = append(list, elect.UnconfirmedWorker{Worker: id, Idle: true})
+	}
+	return list
 }
 
 func unconfirmedList(remaining map[string]time.Duration) []elect.UnconfirmedWorker {
--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -152,3 +153,30 @@
 		})
 	}
 }
+
+// Guards against take-overs that wait for a worker that was idle at the release and has died unnoticed: idle workers are not polled.
+func TestTakeoverDoesNotWaitForIdleWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 2, bigWorker)
+		s.workers.Outcome = fixedDuration(time.Hour)
+		r, stop := s.runner()
+		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(4), LongRunning: true})
+		used := s.awaitRun(5 * time.Second)
+		time.Sleep(3 * time.Second)
+		for i, w := range s.registry.workers {
+			if w.ID != used {
+				s.workers.PowerOff(w.ID)
+				s.registry.workers = slices.Delete(s.registry.workers, i, i+1)
+				break
+			}
+		}
+		time.Sleep(time.Second)
+		stop()
+		s.handOverUnconfirmed(r)
+		s.registry.replaceLater(s.workers.Crash(used))
+		_, stop = s.runner()
+		defer stop()
+		s.awaitRun(registryLag + time.Second)
+		s.assertNoFaults()
+	})
+}
