Record on which worker a lasting task is before it is started

After a take-over without a handover, all tasks that are not found running waited until every recorded worker had reported, or until the last lease that the dead holder might have given had run out: 12.4 s after its last renewal for one worker that died near its end.

The progress of a job now says for each lasting task on which worker a run may be, and a lasting task is started only once that is durable. After a take-over, a task whose worker has reported, or whose worker's lease has run out, is started at once; one whose worker is silent waits as before. Starts of other tasks are frequent and short, and are not held up by a commit.

TestLastingTaskWaitsOnlyForItsOwnWorker fails on the commit before (the task waits for another worker).

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -22,6 +22,9 @@
 	LeaseAge func() time.Duration
 	// ExclusiveFor is the age of the group's lease up to which no other scheduler can have acquired it.
 	ExclusiveFor time.Duration
+	// RecordsSince is the token since which all schedulers have recorded on which worker a lasting task is before they started it; 0 if none
+	// of the earlier ones did.
+	RecordsSince uint64
 	// RunsPerToken is how many run numbers are reserved for each token, so that new runs don't reuse numbers of unreported
 	// runs of an earlier scheduler.
 	RunsPerToken int
@@ -148,6 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingReports, c.allRunsKnown = false, true
+	c.setLocationsKnown()
 }
 
 // State returns a job's state; known is false if the group has no such job in the queue.
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -60,12 +60,12 @@
 func (j *job) isDurable(revision uint64) bool { return j.dropped || j.durableRevision >= revision }
 
 // Dirty reports whether there is progress that is not durable, and whether committing it is urgent: a job has ended, or can't
-// start before it has a durable record.
+// start, or start a lasting task, before it has a durable record.
 func (c *Cell) Dirty() (dirty, urgent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, j := range c.dirty {
-		if j.state.Terminal() || j.version == 0 {
+		if j.state.Terminal() || j.version == 0 || j.awaitsRecord {
 			return true, true
 		}
 	}
@@ -84,7 +84,7 @@
 				return
 			}
 			if j := c.dirty[id]; j.state.Terminal() == terminal {
-				b.Changes = append(b.Changes, Change{id, j.progress(), j.version, j.revision})
+				b.Changes = append(b.Changes, Change{id, j.progress(c.token), j.version, j.revision})
 			}
 		}
 	}
@@ -105,6 +105,7 @@
 		j.version, j.durableRevision = version, ch.revision
 		if j.revision == ch.revision {
 			delete(c.dirty, ch.Job)
+			j.awaitsRecord = false
 		}
 		if ch.Progress.State.Terminal() {
 			c.finished[ch.Job] = finishedJob{ch.Progress.State, j.doc.Queue, now}
@@ -144,11 +145,14 @@
 	}
 }
 
-func (j *job) progress() *graph.Progress {
+func (j *job) progress(token uint64) *graph.Progress {
 	p := &graph.Progress{State: j.state, Queue: j.doc.Queue, Reason: j.reason}
 	if j.state.Terminal() {
 		return p
 	}
+	if j.longRunning {
+		p.Token = token
+	}
 	if j.started {
 		p.State = graph.Running
 	}
@@ -159,10 +163,8 @@
 				switch {
 				case t.done:
 					done = append(done, i)
-				case t.lastRun > 0:
-					p.Tasks = append(p.Tasks, graph.TaskRecord{
-						Occurrence: occ.number, Step: s.id.Step, Index: i, LastRun: t.lastRun, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
-					})
+				case t.lastRun > 0 || (s.recordsLocations() && !t.location.known):
+					p.Tasks = append(p.Tasks, t.record())
 				}
 			}
 			if len(done) > 0 {
@@ -172,3 +174,14 @@
 	}
 	return p
 }
+
+func (t *task) record() graph.TaskRecord {
+	id := t.id
+	r := graph.TaskRecord{
+		Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, LastRun: t.lastRun, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
+	}
+	if t.step.recordsLocations() {
+		r.Worker, r.Anywhere = t.location.worker, !t.location.known
+	}
+	return r
+}
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -86,6 +86,7 @@
 	}
 	clear(c.expectedWorkers)
 	c.awaitingReports, c.allRunsKnown = false, true
+	c.setLocationsKnown()
 	c.log.WithFields(logrus.Fields{"runs": len(h.Runs), "workers": len(h.Workers)}).Info("runs taken over from the previous scheduler")
 }
 
@@ -99,6 +100,7 @@
 	if t == nil {
 		return
 	}
+	t.locateAdopted(w, run.Run)
 	p := c.place(t, w, run.Run, now.Add(-run.Age))
 	p.adopted = true
 	if !run.Stop {
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -29,8 +29,10 @@
 	numUnfinished int
 	numPlaced     int
 	// restored says that another scheduler left a record of the job, and may have started tasks of it.
-	restored    bool
-	longRunning bool
+	restored bool
+	// awaitsRecord says that a start waits for the job's progress to be durable.
+	awaitsRecord bool
+	longRunning  bool
 	// sensitive says that a delay of some hundred milliseconds may make the job miss its objective.
 	sensitive bool
 }
@@ -107,6 +109,8 @@
 	notBefore time.Time
 	// idleSince is when the last run that was known here ended.
 	idleSince time.Time
+	// location is where a run of a lasting task may be.
+	location location
 }
 
 func (t *task) isWaiting() bool { return !t.done && len(t.placements) == 0 }
@@ -234,7 +238,7 @@
 			}
 			s.tasks = make([]*task, doc.Count)
 			for n := range s.tasks {
-				s.tasks[n] = &task{id: graph.TaskID{StepID: s.id, Index: n}, step: s}
+				s.tasks[n] = &task{id: graph.TaskID{StepID: s.id, Index: n}, step: s, location: location{known: !j.restored}}
 			}
 			for _, dep := range doc.After {
 				occ.steps[dep].dependents = append(occ.steps[dep].dependents, s)
@@ -248,9 +252,14 @@
 
 func (c *Cell) restore(j *job, p *graph.Progress) {
 	j.started = p.State == graph.Running
+	recorded := c.settings.RecordsSince > 0 && p.Token >= c.settings.RecordsSince
+	if recorded {
+		j.setLocationsKnown()
+	}
 	for _, m := range p.Tasks {
 		if t := j.task(graph.TaskID{StepID: graph.StepID{Job: j.doc.ID, Occurrence: m.Occurrence, Step: m.Step}, Index: m.Index}); t != nil {
 			t.lastRun, t.failedRuns, t.checkpoint = m.LastRun, m.FailedRuns, m.Checkpoint
+			t.location = location{known: recorded && !m.Anywhere, worker: m.Worker}
 		}
 	}
 	for _, d := range p.Done {
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -40,6 +40,8 @@
 	// NextPlanAt is the latest time of the next plan; zero if only an event can change the result.
 	NextPlanAt time.Time
 	slots      AdvisorSlots
+	// exclusive says that no other scheduler can have acquired the group's lease.
+	exclusive bool
 	// noSlot holds the minimum call durations for which no host had a free slot.
 	noSlot map[time.Duration]bool
 	// wanted are the requests for advice to be sent as far as hosts are free for them.
@@ -69,7 +71,7 @@
 	leaseAge := c.leaseAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	plan := Plan{slots: slots}
+	plan := Plan{slots: slots, exclusive: c.isExclusive(leaseAge)}
 	c.planExpiries(&plan, now, leaseAge)
 	c.planDrains(&plan, now)
 	c.planStops(&plan, now)
@@ -165,7 +167,7 @@
 	if q := cfg.Queue(s.job.doc.Queue); q != nil {
 		advice = q.Advice
 	}
-	if c.mayRunElsewhere(s) {
+	if s.job.restored && c.awaitingReports && !s.recordsLocations() {
 		return
 	}
 	if s.job.version == 0 {
@@ -186,7 +188,7 @@
 	var w *worker
 	var ticket string
 	for _, t := range s.tasks {
-		if !t.isWaiting() {
+		if !t.isWaiting() || c.mayRunElsewhere(t, plan.exclusive, now) {
 			continue
 		}
 		if now.Before(t.notBefore) {
@@ -225,10 +227,6 @@
 	c.scheduleTicketRenewal(plan, s, advice, now)
 }
 
-// mayRunElsewhere reports whether an earlier scheduler may have started a step's tasks on a worker that has not reported yet.
-// A scheduler that left no record of the job's progress has started none of them.
-func (c *Cell) mayRunElsewhere(s *step) bool { return s.job.restored && c.awaitingReports }
-
 // Intervals between attempts to place a step's tasks.
 const (
 	// headroomRetryDelay is the delay until the next plan if a step would use the headroom for urgent work.
@@ -279,6 +277,8 @@
 func (c *Cell) start(plan *Plan, t *task, w *worker, ticket string, run int, now time.Time) {
 	p := c.place(t, w, run, now)
 	p.ticketed = ticket != ""
+	t.locate(w)
+	c.recordLocation(p)
 	c.candidateIndex.free = c.candidateIndex.free.Sub(p.size)
 	c.stats.Starts++
 	plan.Starts = append(plan.Starts, StartOrder{
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -283,6 +283,7 @@
 		c.log.WithFields(logrus.Fields{fieldTask: r.Task.String(), fieldRun: r.Run, fieldWorker: w.info.ID}).Warn("worker reports an older run of a task")
 	}
 	c.checkResurfaced(w, r)
+	t.locateAdopted(w, r.Run)
 	p := c.place(t, w, r.Run, now)
 	p.confirm(now)
 	p.adopted = true
--- a/cell/record.go
+++ b/cell/record.go
@@ -24,23 +24,14 @@
 	}
 }
 
-// UnreportedWorkers returns the workers that an earlier scheduler used, that have not reported all their runs and ends under this
-// scheduler's token and that may still have its runs, or those of a later one. Nothing was started on workers that are not in the record.
+// UnreportedWorkers returns the workers that an earlier scheduler used, and whose runs are not known; see isUnreported.
 func (c *Cell) UnreportedWorkers(now time.Time) []string {
 	exclusive := c.isExclusive(c.leaseAge())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []string
-	for id, until := range c.expectedWorkers {
-		w, ok := c.workers[id]
-		if ok && w.reported {
-			continue
-		}
-		if ok && w.polled && c.runsUntil(w).After(until) {
-			// It lists its other ends once those that it has listed are acknowledged.
-			until = c.runsUntil(w)
-		}
-		if now.Before(until) || !exclusive {
+	for id := range c.expectedWorkers {
+		if c.isUnreported(id, exclusive, now) {
 			ids = append(ids, id)
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -59,6 +59,8 @@
 	ticketed bool
 	// unansweredAt is when the last attempt to start the run was sent, if one was not answered.
 	unansweredAt time.Time
+	// revision is that of the job's progress that has to be durable before the start is sent.
+	revision uint64
 	// incarnation is the start of the worker's incarnation for which the run was placed.
 	incarnation  time.Time
 	stopAnswered bool
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -58,6 +58,9 @@
 	// Inherited lists, in a lease that is held, the workers whose leases its holder does not renew until it has stored its own record of
 	// unrenewed workers; see Unrenewed.
 	Inherited []UnconfirmedWorker `json:"inherited,omitempty"`
+	// RecordsSince is the token since which all holders have recorded on which worker a lasting task is before they started it; 0 if the last
+	// holder did not.
+	RecordsSince uint64 `json:"records-since,omitempty"`
 	// HandoverAddress is the address of the host that can be asked for the handover state of a released lease.
 	HandoverAddress netip.AddrPort `json:"left,omitzero"`
 	// Version is the version of the lease's row, which every write of the holder checks.
@@ -283,7 +286,10 @@
 func Acquire(ctx context.Context, s table.Store, old Epoch, candidate Candidate) (Epoch, error) {
 	e := Epoch{
 		Group: old.Group, Holder: candidate.Name, Incarnation: candidate.Incarnation, Address: candidate.Address, Token: old.Token + 1,
-		Inherited: old.unconfirmed,
+		Inherited: old.unconfirmed, RecordsSince: old.RecordsSince,
+	}
+	if e.RecordsSince == 0 {
+		e.RecordsSince = e.Token
 	}
 	version, err := write(ctx, s, old, e)
 	e.Version = version
@@ -292,7 +298,9 @@
 
 // Release releases a lease, so that another host need not wait for the timeout, and records the workers that could not be reached.
 func Release(ctx context.Context, s table.Store, e Epoch, unconfirmed []UnconfirmedWorker) error {
-	_, err := write(ctx, s, e, Epoch{Group: e.Group, Token: e.Token, Unconfirmed: unconfirmed, HandoverAddress: e.Address})
+	_, err := write(ctx, s, e, Epoch{
+		Group: e.Group, Token: e.Token, Unconfirmed: unconfirmed, RecordsSince: e.RecordsSince, HandoverAddress: e.Address,
+	})
 	return err
 }
 
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -32,6 +32,9 @@
 	FailedRuns []int `json:"f,omitempty"`
 	// Checkpoint is the latest checkpoint.
 	Checkpoint string `json:"c,omitempty"`
+	// Worker is, for a lasting task, the only worker on which a run may be, unless Anywhere says that this is not known.
+	Worker   string `json:"w,omitempty"`
+	Anywhere bool   `json:"a,omitempty"`
 }
 
 // DoneTasks lists the completed tasks of a step as half-open ranges of indexes [from, to).
@@ -49,6 +52,8 @@
 	Tasks []TaskRecord `json:"marks,omitempty"`
 	// Reason is why the job failed.
 	Reason string `json:"reason,omitempty"`
+	// Token is the fencing token of the scheduler that has written this; 0 if that does not record the workers of lasting tasks.
+	Token uint64 `json:"token,omitempty"`
 }
 
 // Encode returns the stored form.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -102,6 +102,7 @@
 		orderSlots: map[string]chan struct{}{},
 	}
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
+	cfg.Settings.RecordsSince = cfg.Epoch.RecordsSince
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
 	var unrenewed []string
 	for _, w := range cfg.Epoch.Inherited {
--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -180,3 +180,35 @@
 		s.assertNoFaults()
 	})
 }
+
+// Guards against lasting tasks that wait, after their holder has died, for a silent worker on which they did not run. Those that ran there must wait.
+func TestLastingTaskWaitsOnlyForItsOwnWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 4, bigWorker)
+		s.workers.Outcome = fixedDuration(time.Hour)
+		_, kill := s.runner()
+		s.submit("00000000000000aa", graph.Step{Count: 2, Size: cores(4), LongRunning: true, MaxPerWorker: 1})
+		time.Sleep(3 * time.Second)
+		var used []string
+		for _, w := range s.registry.workers {
+			if s.workers.NumRunning(w.ID) > 0 {
+				used = append(used, w.ID)
+			}
+		}
+		s.c.Assert(used, qt.HasLen, 2)
+		kill()
+		killedAt := time.Now()
+		s.workers.SetUnreachable(used[0], true)
+		s.registry.replaceLater(s.workers.Crash(used[1]))
+		_, kill = s.runner()
+		defer kill()
+		time.Sleep(registryLag + time.Second)
+		s.c.Assert(s.workers.NumStarts(), qt.Equals, 3)
+		for s.workers.NumStarts() == 3 && time.Since(killedAt) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.c.Assert(time.Since(killedAt) >= lease, qt.IsTrue)
+		s.c.Assert(time.Since(killedAt) < lease+time.Second, qt.IsTrue)
+		s.assertNoFaults()
+	})
+}
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -26,6 +26,9 @@
 	maxStartAttempts = 3
 	// maxOrdersPerWorker limits the orders in flight to one worker, and with them its connections.
 	maxOrdersPerWorker = 3
+	// startRecordTimeout is how long a start may wait for the record of its task's location, and startRecordInterval how often it looks.
+	startRecordTimeout  = 1200 * time.Millisecond
+	startRecordInterval = 2 * time.Millisecond
 	// holdCheckInterval is how often a host that may not send orders checks whether it may again.
 	holdCheckInterval = 50 * time.Millisecond
 )
@@ -216,16 +219,26 @@
 	return false
 }
 
+// awaitRecord waits until the location of a start's task is durable, and reports whether it is.
+func (r *Runner) awaitRecord(ctx context.Context, o cell.StartOrder) bool {
+	for deadline := time.Now().Add(startRecordTimeout); !r.cell.StartRecorded(o); {
+		if time.Now().After(deadline) || !clock.Pause(ctx, startRecordInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // sendStart sends a start up to maxStartAttempts times until there is a reply, and passes the result to the cell.
 func (r *Runner) sendStart(ctx context.Context, o cell.StartOrder) {
-	reported := r.awaitReport(ctx, o)
+	ready := r.awaitReport(ctx, o) && r.awaitRecord(ctx, o)
 	slot := r.orderSlot(o.Worker.ID)
 	slot <- struct{}{}
 	defer func() { <-slot }()
 	var res cell.StartResult
 	for range maxStartAttempts {
 		now, allowed := r.orderTime()
-		if !reported || ctx.Err() != nil || !allowed {
+		if !ready || ctx.Err() != nil || !allowed {
 			break
 		}
 		until, ok := r.cell.StartLease(o, now)
