Don't count workers that are known to be unresponsive against their data centre

In trials with real processes (24 workers in one data centre, several of which had lost power) the holder logged 'data centre does not answer' every half second and placed nothing there until the next answer of any worker, up to a second later: two silent workers were enough, also if both had been silent for long. Their silence says nothing about the others; those that have just fallen silent count as before.

TestDeadWorkersDoNotMakeDataCenterUnreachable fails without the change.

--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -693,6 +694,31 @@
 	h.c.Assert(startsByDataCenter(), qt.DeepEquals, map[string]int{"b": 4})
 }
 
+// Guards against data centres that count as unreachable again and again because some of their workers have died, so that no task is placed there.
+func TestDeadWorkersDoNotMakeDataCenterUnreachable(t *testing.T) {
+	h := newHarness(t, 4, 4)
+	for _, id := range []string{"w0", "w1"} {
+		h.missPolls(id, time.Second)
+	}
+	h.advanceExcept("w0", "w1")
+	sent := h.now.Add(time.Millisecond)
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.cell.Suspect("w0", sent, h.now)
+	h.cell.Suspect("w1", sent, h.now)
+	h.add(shortJob("j", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+}
+
+// advanceExcept polls all workers but the given ones after a second.
+func (h *harness) advanceExcept(silent ...string) {
+	h.now = h.now.Add(time.Second)
+	for id, info := range h.workers {
+		if !slices.Contains(silent, id) {
+			h.cell.Polled(id, order.Report{Clock: time.Minute + h.now.Sub(startTime), StartedAt: info.StartedAt, Running: h.running[id]}, 0, h.now, h.now)
+		}
+	}
+}
+
 // The scheduler is partitioned from a worker, or a worker is slow. A step that allows it gets speculative copies elsewhere.
 func TestLaggingTasksGetSpeculativeCopies(t *testing.T) {
 	for _, test := range []struct {
--- a/cell/suspect.go
+++ b/cell/suspect.go
@@ -43,7 +43,8 @@
 			Info("worker is slow to answer")
 	}
 	center := w.center
-	if center.lastResponseAt.After(sent) {
+	if center.lastResponseAt.After(sent) || w.missedPolls >= missedPollLimit {
+		// The silence of an unresponsive worker says nothing about the others.
 		return
 	}
 	center.suspects[id] = true
