A runner that has sent no orders passes on what it was told

A host that acquired a lease and stopped before it had read the group's jobs (rolling restarts, the next leader first) released it with nothing: the state that the last holder had left for the next one, and what that knew of unreachable workers, were lost, and the one after it waited for the leases of all workers that it could not reach, counted from that release.

A release now says for how long this or an earlier holder may send orders, and a runner that has sent none leaves the handover state, the unconfirmed workers and that time as they were told to it.

TestOrdersBeforeUnseenHolder is unchanged but for the new argument.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -225,6 +225,7 @@
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.advisors,
 		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed, SinceBoot: clock.SinceBoot, Log: g.a.log,
+		Previous:      previous,
 		FetchHandover: func(ctx context.Context) (cell.Handover, bool) { return g.fetchHandover(ctx, previous) },
 		Timeout:       func(base time.Duration) time.Duration { return g.a.health.Timeout(base, time.Now()) },
 	})
@@ -263,7 +264,7 @@
 	warned := false
 	for deadline := clock.SinceBoot() + g.a.stopLimit() - shutdownReserve; clock.SinceBoot() < deadline; {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		err := elect.Release(ctx, g.a.store, epoch, r.Unconfirmed(time.Now()))
+		err := elect.Release(ctx, g.a.store, epoch, r.ReleaseState(time.Now()))
 		cancel()
 		var conflict *table.ConflictError
 		if err == nil || errors.As(err, &conflict) {
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -18,20 +18,21 @@
 
 // fetchHandover requests the handover state from the host that released a lease.
 func (g *groups) fetchHandover(ctx context.Context, previous elect.Epoch) (cell.Handover, bool) {
-	if previous.Holder != "" || !previous.HandoverAddress.IsValid() {
+	address, token, ok := previous.Handover()
+	if !ok {
 		return cell.Handover{}, false
 	}
-	if h, ok := g.localHandover(previous.Group, previous.Token); ok {
+	if h, ok := g.localHandover(previous.Group, token); ok {
 		return h, true
 	}
-	conn, err := g.a.hosts.conn(previous.HandoverAddress)
+	conn, err := g.a.hosts.conn(address)
 	if err != nil {
 		g.a.log.WithError(err).WithField("group", previous.Group).Warn("connection to host failed")
 		return cell.Handover{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	reply, err := cellpb.NewCellsClient(conn).Left(ctx, &cellpb.LeftRequest{Service: previous.Group, Token: previous.Token})
+	reply, err := cellpb.NewCellsClient(conn).Left(ctx, &cellpb.LeftRequest{Service: previous.Group, Token: token})
 	if err != nil {
 		g.a.log.WithError(err).WithField("group", previous.Group).Info("request for the last runner's handover state failed")
 		return cell.Handover{}, false
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -61,8 +61,13 @@
 	// RecordsSince is the token since which all holders have recorded on which worker a lasting task is before they started it; 0 if the last
 	// holder did not.
 	RecordsSince uint64 `json:"records-since,omitempty"`
-	// HandoverAddress is the address of the host that can be asked for the handover state of a released lease.
+	// HandoverAddress is the address of the host that can be asked for the handover state of a released lease, and HandoverToken the token under
+	// which that was left, if it is not Token.
 	HandoverAddress netip.AddrPort `json:"left,omitzero"`
+	HandoverToken   uint64         `json:"left-token,omitempty"`
+	// OrdersFor is, in a released lease, how long after the release this or an earlier holder may send orders; negative if they stopped before
+	// it, and nil if it is not told.
+	OrdersFor *time.Duration `json:"orders-for,omitempty"`
 	// Version is the version of the lease's row, which every write of the holder checks.
 	Version uint64 `json:"-"`
 	// seen are the checks that the rows of the last renewal and of the unrenewed workers are as the view has seen them; none if the epoch
@@ -244,6 +249,9 @@
 	if !ok || s.epoch.Token == 0 {
 		return now
 	}
+	if s.epoch.Holder == "" && s.epoch.OrdersFor != nil {
+		return s.epochSeenAt.Add(*s.epoch.OrdersFor)
+	}
 	// A holder that was replaced by the last one had not renewed its lease for TakeoverTimeout.
 	until := s.heldSince.Add(HoldTimeout - TakeoverTimeout)
 	lastOrders := s.lastChange.Add(HoldTimeout)
@@ -296,14 +304,6 @@
 	return e, err
 }
 
-// Release releases a lease, so that another host need not wait for the timeout, and records the workers that could not be reached.
-func Release(ctx context.Context, s table.Store, e Epoch, unconfirmed []UnconfirmedWorker) error {
-	_, err := write(ctx, s, e, Epoch{
-		Group: e.Group, Token: e.Token, Unconfirmed: unconfirmed, RecordsSince: e.RecordsSince, HandoverAddress: e.Address,
-	})
-	return err
-}
-
 func write(ctx context.Context, s table.Store, old, next Epoch) (uint64, error) {
 	raw, err := json.Marshal(next)
 	if err != nil {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -56,7 +56,7 @@
 			epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: test.holder, Incarnation: "1"})
 			c.Assert(err, qt.IsNil)
 			if test.released {
-				c.Assert(elect.Release(ctx, store, epoch, nil), qt.IsNil)
+				c.Assert(elect.Release(ctx, store, epoch, elect.ReleaseState{}), qt.IsNil)
 			}
 			page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
 			c.Assert(err, qt.IsNil)
@@ -124,7 +124,7 @@
 	c.Assert(view.OrdersUntil(group, queriedAt).Equal(after(elect.HoldTimeout)), qt.IsTrue)
 
 	unconfirmed := []elect.UnconfirmedWorker{{Worker: "w", Remaining: 4 * time.Second}}
-	c.Assert(elect.Release(ctx, store, first, unconfirmed), qt.IsNil)
+	c.Assert(elect.Release(ctx, store, first, elect.ReleaseState{Unconfirmed: unconfirmed}), qt.IsNil)
 	apply(after(20 * time.Second))
 	c.Assert(view.OrdersUntil(group, queriedAt).Equal(after(20*time.Second)), qt.IsTrue)
 	c.Assert(view.Unconfirmed(group)["w"].Equal(after(24*time.Second)), qt.IsTrue)
@@ -211,7 +211,7 @@
 	// The second host acquires the lease of one that is cut off, and stops.
 	second, err := elect.Acquire(ctx, store, first, elect.Candidate{Name: "b", Incarnation: "1"})
 	c.Assert(err, qt.IsNil)
-	c.Assert(elect.Release(ctx, store, second, nil), qt.IsNil)
+	c.Assert(elect.Release(ctx, store, second, elect.ReleaseState{}), qt.IsNil)
 	seenAt := renewedAt + elect.TakeoverTimeout + 500*time.Millisecond
 	apply(seenAt)
 	ordersUntil := view.OrdersUntil(group, start.Add(seenAt))
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -432,16 +432,17 @@
 
 // fetchHandover requests the handover state of a released lease from the host that released it.
 func (h *host) fetchHandover(previous elect.Epoch) (cell.Handover, bool) {
-	if previous.Holder != "" || !previous.HandoverAddress.IsValid() {
+	address, token, ok := previous.Handover()
+	if !ok {
 		return cell.Handover{}, false
 	}
-	holder := h.n.findHost(fmt.Sprintf("host%d", previous.HandoverAddress.Port()-1))
+	holder := h.n.findHost(fmt.Sprintf("host%d", address.Port()-1))
 	if holder == nil || !holder.isReachable() || !h.canCall(holder) {
 		return cell.Handover{}, false
 	}
 	holder.mu.Lock()
 	defer holder.mu.Unlock()
-	handover, ok := holder.handovers[previous.Token]
+	handover, ok := holder.handovers[token]
 	return handover, ok && !holder.dead
 }
 
@@ -453,6 +454,7 @@
 		Epoch: epoch, Store: &hostStore{h}, Workers: &hostWorkers{h}, Registry: &hostRegistry{h}, Advisors: h.n.advisor, Queues: h.n.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed,
 		SinceBoot: h.sinceBoot, Log: log,
+		Previous:      previous,
 		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.fetchHandover(previous) },
 	})
 	ctx, stopRunner := context.WithCancel(h.ctx)
@@ -473,7 +475,7 @@
 			return
 		}
 		for h.ctx.Err() == nil {
-			err := elect.Release(h.ctx, &hostStore{h}, epoch, r.Unconfirmed(time.Now()))
+			err := elect.Release(h.ctx, &hostStore{h}, epoch, r.ReleaseState(time.Now()))
 			var conflict *table.ConflictError
 			if err == nil || errors.As(err, &conflict) {
 				return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -39,6 +39,8 @@
 	// Unconfirmed maps the workers of which the last runner has told until when runs may be active there to that time. The leases of those that
 	// Epoch.Inherited names are not renewed until the record of unrenewed workers has been replaced.
 	Unconfirmed map[string]time.Time
+	// Previous is the epoch that this one has replaced.
+	Previous elect.Epoch
 	// FetchHandover requests the handover state from the last runner; false if it is not available.
 	FetchHandover func(ctx context.Context) (cell.Handover, bool)
 	// Timeout returns the timeout of a call to the table whose usual timeout is base.
@@ -69,6 +71,8 @@
 	references agedRows
 	// orphanMarks holds the cancel marks of unknown jobs.
 	orphanMarks agedRows
+	// ordersSent is set before the first order to a worker is sent.
+	ordersSent atomic.Bool
 	// loaded is set once all jobs accepted before have been read.
 	loaded     atomic.Bool
 	planWake   chan struct{}
@@ -188,14 +192,35 @@
 	return nil
 }
 
-// Unconfirmed returns, for the next runner, the workers that this runner can't reach and for how long runs may still be active
-// there, and those that are idle. It must be called only after Run has returned.
-func (r *Runner) Unconfirmed(now time.Time) []elect.UnconfirmedWorker {
-	list := unconfirmedList(r.cell.Unconfirmed(now))
+// ReleaseState returns what the next runner is told when the lease is released. It must be called only after Run has returned.
+func (r *Runner) ReleaseState(now time.Time) elect.ReleaseState {
+	ordersFor := r.cfg.PreviousOrdersUntil.Sub(now)
+	if !r.ordersSent.Load() {
+		return r.inheritedState(now, ordersFor)
+	}
+	ordersFor = max(0, ordersFor)
+	state := elect.ReleaseState{Unconfirmed: unconfirmedList(r.cell.Unconfirmed(now)), OrdersFor: &ordersFor}
 	for _, id := range r.cell.IdleWorkers(now) {
-		list = append(list, elect.UnconfirmedWorker{Worker: id, Idle: true})
+		state.Unconfirmed = append(state.Unconfirmed, elect.UnconfirmedWorker{Worker: id, Idle: true})
 	}
-	return list
+	return state
+}
+
+// inheritedState returns what the last runner has told this one, which has sent no orders since.
+func (r *Runner) inheritedState(now time.Time, ordersFor time.Duration) elect.ReleaseState {
+	state := elect.ReleaseState{OrdersFor: &ordersFor}
+	if address, token, ok := r.cfg.Previous.Handover(); ok {
+		state.HandoverAddress, state.HandoverToken = address, token
+	}
+	idle := map[string]bool{}
+	for _, w := range r.cfg.Previous.Unconfirmed {
+		idle[w.Worker] = w.Idle
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.cfg.Unconfirmed)) {
+		remaining := max(0, r.cfg.Unconfirmed[id].Sub(now))
+		state.Unconfirmed = append(state.Unconfirmed, elect.UnconfirmedWorker{Worker: id, Remaining: remaining, Idle: idle[id]})
+	}
+	return state
 }
 
 func unconfirmedList(remaining map[string]time.Duration) []elect.UnconfirmedWorker {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -183,7 +183,7 @@
 // handOverUnconfirmed passes the workers that a stopped runner could not reach to the next one.
 func (s *cluster) handOverUnconfirmed(r *runner.Runner) {
 	s.unconfirmed = map[string]time.Time{}
-	for _, u := range r.Unconfirmed(time.Now()) {
+	for _, u := range r.ReleaseState(time.Now()).Unconfirmed {
 		s.unconfirmed[u.Worker] = time.Now().Add(u.Remaining)
 	}
 }
--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -212,3 +212,28 @@
 		s.assertNoFaults()
 	})
 }
+
+// Guards against take-overs that know nothing of the runs since a host in between has stopped before it had read the group's jobs.
+func TestHostThatStopsBeforeItsFirstOrderPassesOnWhatItWasTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(3)
+		n.startTask(t)
+		first, second, third := n.findHost("host0"), n.findHost("host1"), n.findHost("host2")
+		n.workers.SetUnreachable("w0", true)
+		time.Sleep(2 * time.Second)
+		n.store.SetLatency(300 * time.Millisecond)
+		first.stop()
+		for second.currentRunner() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		second.stop()
+		n.store.SetLatency(4 * time.Millisecond)
+		for third.currentRunner() == nil || !third.currentRunner().Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		// A task that is known to run on w0 must not keep those of restored jobs back: nothing else may run there.
+		qt.Check(t, third.currentRunner().Cell().UnreportedWorkers(time.Now()), qt.HasLen, 0)
+		n.checkNoTaskRunsTwice(t, third)
+	})
+}
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -77,6 +77,7 @@
 		return
 	}
 	r.polling[id] = true
+	r.ordersSent.Store(true)
 	r.inFlight.Add(1)
 	go func() {
 		defer r.inFlight.Done()
