--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -237,3 +237,52 @@
 		n.checkNoTaskRunsTwice(t, third)
 	})
 }
+
+// Guards against lasting tasks that wait for all orders that a dead holder might have sent, if it has died soon after their worker.
+func TestLastingTaskRunsAgainSoonAfterWorkerAndHolderDie(t *testing.T) {
+	for _, killedAfter := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(fmt.Sprintf("holder dies %v later", killedAfter), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(2)
+				n.startTask(t)
+				time.Sleep(3 * time.Second)
+				n.workers.PowerOff("w0")
+				diedAt := time.Now()
+				time.Sleep(killedAfter)
+				n.findHost("host0").kill()
+				for n.workers.NumRunning("w1") == 0 && time.Since(diedAt) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				qt.Check(t, time.Since(diedAt) < maxLastingIdle, qt.IsTrue, qt.Commentf("idle for %v", time.Since(diedAt)))
+				n.checkNoTaskRunsTwice(t, n.findHost("host1"))
+			})
+		})
+	}
+}
+
+// Guards against lasting tasks that wait for a late renewal of a lease, sent before their worker restarted, after it has died.
+func TestLastingTaskRunsAgainSoonAfterRestartedWorkerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 3, bigWorker)
+		s.workers.Outcome = fixedDuration(time.Hour)
+		spare := s.registry.workers[2]
+		s.registry.workers = s.registry.workers[:2]
+		_, stop := s.runner()
+		defer stop()
+		s.submit("00000000000000aa", graph.Step{Count: 2, Size: cores(4), LongRunning: true, MaxPerWorker: 1})
+		time.Sleep(3 * time.Second)
+		s.registry.replaceLater(s.workers.Crash("w0"))
+		for s.workers.NumRunning("w0") == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.registry.changes <- func(changed func(order.Worker), _ func(string)) { changed(spare) }
+		time.Sleep(5 * time.Second)
+		s.workers.PowerOff("w0")
+		diedAt := time.Now()
+		for s.workers.NumRunning(spare.ID) == 0 && time.Since(diedAt) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.c.Check(time.Since(diedAt) < maxLastingIdle, qt.IsTrue, qt.Commentf("idle for %v", time.Since(diedAt)))
+		s.assertNoFaults()
+	})
+}
