Run a group whose lease was acquired without an answer

The host now keeps the attempt and what it knew of earlier holders, and runs the group once it sees its own epoch. The age of its lease counts from the sending of the request.

TestLeaseAcquiredWithoutAnswerIsUsed fails without the change (2.7 s).

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -69,6 +69,8 @@
 	handovers map[string]storedHandover
 	// confirmedAt is when the unresponsive holder of a group last confirmed that it runs it; only the campaign uses it.
 	confirmedAt map[string]time.Time
+	// unanswered holds the last attempt to acquire each lease that got no answer; only the campaign uses it.
+	unanswered map[string]elect.Attempt
 	// yieldedAt is when this host last handed a group over to a more suitable one.
 	yieldedAt map[string]time.Time
 	// holdsTimeout bounds the Holds call to an unresponsive holder.
@@ -86,7 +88,7 @@
 func newGroups(a *Agent) *groups {
 	return &groups{
 		a: a, running: map[string]*runner.Runner{}, confirmedAt: map[string]time.Time{}, yieldedAt: map[string]time.Time{},
-		handovers: map[string]storedHandover{}, holdsTimeout: defaultHoldsTimeout,
+		handovers: map[string]storedHandover{}, unanswered: map[string]elect.Attempt{}, holdsTimeout: defaultHoldsTimeout,
 	}
 }
 
@@ -120,7 +122,7 @@
 	_, isRunning := g.running[service]
 	numRunning, stopping := len(g.running), g.stopping
 	g.mu.Unlock()
-	if isRunning || stopping {
+	if isRunning || stopping || g.runUnanswered(ctx, service) {
 		return
 	}
 	previous, acquirable := g.a.leases.Acquirable(service, g.acquireDelay(service, numRunning), time.Now())
@@ -130,20 +132,32 @@
 	if g.holderConfirms(ctx, previous) {
 		return
 	}
-	previousOrdersUntil, unconfirmed := g.a.leases.OrdersUntil(service, time.Now()), g.a.leases.Unconfirmed(service)
-	sentAt := clock.SinceBoot()
-	epoch, err := elect.Acquire(ctx, g.a.store, previous, elect.Candidate{
+	attempt := g.a.leases.NewAttempt(previous, clock.SinceBoot(), time.Now())
+	var err error
+	attempt.Epoch, err = elect.Acquire(ctx, g.a.store, previous, elect.Candidate{
 		Name: g.a.settings.Name, Incarnation: g.a.incarnation, Address: g.a.peerAddress(),
 	})
 	if err != nil {
 		var conflict *table.ConflictError
 		if !errors.As(err, &conflict) {
 			g.a.log.WithError(err).WithField("group", service).Warn("failed to acquire the lease of a group")
+			g.unanswered[service] = attempt
 			clock.Pause(ctx, rankDelay)
 		}
 		return
 	}
-	g.run(ctx, epoch, sentAt, previousOrdersUntil, unconfirmed, previous)
+	g.run(ctx, attempt)
+}
+
+// runUnanswered runs a group whose lease this host has acquired without noticing: it has sent no orders since.
+func (g *groups) runUnanswered(ctx context.Context, service string) bool {
+	attempt, ok := g.unanswered[service]
+	if !ok || !g.a.leases.Confirm(&attempt) {
+		return false
+	}
+	delete(g.unanswered, service)
+	g.run(ctx, attempt)
+	return true
 }
 
 // acquireDelay returns how long this host leaves a free lease to the hosts before it in the group's ranking. Hosts with clearly
@@ -218,13 +232,11 @@
 // hostRank returns the hash by which hosts are ranked; each name gives a different ranking.
 func hostRank(name, host string) uint64 { return xxhash.Sum64String(name + "/" + host) }
 
-func (g *groups) run(
-	ctx context.Context, epoch elect.Epoch, sentAt time.Duration, previousOrdersUntil time.Time, unconfirmed map[string]time.Time,
-	previous elect.Epoch,
-) {
+func (g *groups) run(ctx context.Context, acquired elect.Attempt) {
+	epoch, previous := acquired.Epoch, acquired.Previous
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.advisors,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed, SinceBoot: clock.SinceBoot, Log: g.a.log,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed, SinceBoot: clock.SinceBoot, Log: g.a.log,
 		Previous:      previous,
 		FetchHandover: func(ctx context.Context) (cell.Handover, bool) { return g.fetchHandover(ctx, previous) },
 		Timeout:       func(base time.Duration) time.Duration { return g.a.health.Timeout(base, time.Now()) },
@@ -239,7 +251,7 @@
 	go func() {
 		defer g.wg.Done()
 		defer yield()
-		err := r.Run(ctx, sentAt)
+		err := r.Run(ctx, acquired.SentAt)
 		g.mu.Lock()
 		delete(g.running, epoch.Group)
 		if h, handoverErr := r.Cell().Handover(time.Now()); handoverErr == nil {
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -146,6 +146,8 @@
 	freezeAfterStart time.Duration
 	// slowness returns how long the host takes for its next piece of work; nil if it takes no time.
 	slowness func() time.Duration
+	// loseNextReply loses the reply to the host's next commit that takes effect.
+	loseNextReply bool
 	// tableFault is the fault of this host's calls to the table.
 	tableFault fakes.TableFault
 	// isolated says that other hosts can't reach this one.
@@ -160,6 +162,8 @@
 	token       uint64
 	handovers   map[uint64]cell.Handover
 	confirmedAt time.Time
+	// unanswered is the last attempt to acquire the lease that failed; only the campaign uses it.
+	unanswered elect.Attempt
 }
 
 // startHost starts a process of the host with the given rank.
@@ -381,20 +385,27 @@
 	if busy {
 		return
 	}
+	if h.view.Confirm(&h.unanswered) {
+		attempt := h.unanswered
+		h.unanswered = elect.Attempt{}
+		h.run(attempt)
+		return
+	}
 	previous, acquirable := h.view.Acquirable(service, time.Duration(h.rank)*rankDelay, time.Now())
 	if !acquirable || h.holderConfirms(previous) {
 		return
 	}
-	previousOrdersUntil, unconfirmed := h.view.OrdersUntil(service, time.Now()), h.view.Unconfirmed(service)
-	sentAt := h.sinceBoot()
-	epoch, err := elect.Acquire(h.ctx, &hostStore{h}, previous, elect.Candidate{
+	attempt := h.view.NewAttempt(previous, h.sinceBoot(), time.Now())
+	var err error
+	attempt.Epoch, err = elect.Acquire(h.ctx, &hostStore{h}, previous, elect.Candidate{
 		Name: h.name, Incarnation: h.process, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(h.rank+1)),
 	})
 	if err != nil {
+		h.unanswered = attempt
 		clock.Pause(h.ctx, rankDelay)
 		return
 	}
-	h.run(epoch, sentAt, previousOrdersUntil, unconfirmed, previous)
+	h.run(attempt)
 }
 
 func (h *host) holderConfirms(previous elect.Epoch) bool {
@@ -446,13 +457,12 @@
 	return handover, ok && !holder.dead
 }
 
-func (h *host) run(
-	epoch elect.Epoch, sentAt time.Duration, previousOrdersUntil time.Time, unconfirmed map[string]time.Time, previous elect.Epoch,
-) {
+func (h *host) run(acquired elect.Attempt) {
+	epoch, previous := acquired.Epoch, acquired.Previous
 	log := h.n.log.WithField("host", h.name)
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: &hostStore{h}, Workers: &hostWorkers{h}, Registry: &hostRegistry{h}, Advisors: h.n.advisor, Queues: h.n.configs,
-		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: previousOrdersUntil, Unconfirmed: unconfirmed,
+		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
 		SinceBoot: h.sinceBoot, Log: log,
 		Previous:      previous,
 		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.fetchHandover(previous) },
@@ -462,7 +472,7 @@
 	h.runner, h.token, h.stopRunner = r, epoch.Token, stopRunner
 	h.mu.Unlock()
 	h.goAsync(func() {
-		err := r.Run(ctx, sentAt)
+		err := r.Run(ctx, acquired.SentAt)
 		handover, handoverErr := r.Cell().Handover(time.Now())
 		h.mu.Lock()
 		h.runner, h.stopRunner = nil, nil
@@ -540,6 +550,11 @@
 		return 0, &table.UnansweredError{Op: "commit", Err: ctx.Err()}
 	}
 	version, err := s.h.n.store.Commit(ctx, tx)
+	s.h.mu.Lock()
+	if s.h.loseNextReply && err == nil {
+		s.h.loseNextReply, err = false, &table.UnansweredError{Op: "commit", Err: errReplyLost}
+	}
+	s.h.mu.Unlock()
 	s.h.freezeOnce(&s.h.freezeAtCommit)
 	return version, s.leave(ctx, "commit", err)
 }
--- a/runner/takeover_test.go
+++ b/runner/takeover_test.go
@@ -109,3 +109,23 @@
 		})
 	}
 }
+
+// Guards against a group that nobody runs because the answer to the request that acquired its lease was lost: other hosts wait until the
+// lease has not been renewed for long, and then for orders that were never sent.
+func TestLeaseAcquiredWithoutAnswerIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(2)
+		n.startTask(t)
+		first, second := n.findHost("host0"), n.findHost("host1")
+		second.mu.Lock()
+		second.loseNextReply = true
+		second.mu.Unlock()
+		first.stop()
+		stoppedAt := time.Now()
+		for second.currentRunner() == nil || !second.currentRunner().Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		qt.Check(t, time.Since(stoppedAt) < time.Second, qt.IsTrue, qt.Commentf("after %v", time.Since(stoppedAt)))
+		n.checkNoTaskRunsTwice(t, second)
+	})
+}
