Keep what was known of a silent worker until it is heard of; wording

A worker that was inherited as silent was taken off the record of unrenewed workers before its first poll, and put back when that was missed, so a holder that died in between left less than it had been told (TestUnheardWorkerStaysInRecord failed before: the record changes at once). The time 'idle' of a run counts from the last run that had started, not from a start that was given up.

--- a/agent/groups.go
+++ b/agent/groups.go
@@ -236,8 +236,8 @@
 	epoch, previous := acquired.Epoch, acquired.Previous
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.advisors,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed, SinceBoot: clock.SinceBoot, Log: g.a.log,
-		Previous:      previous,
+		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
+		Previous: previous, SinceBoot: clock.SinceBoot, Log: g.a.log,
 		FetchHandover: func(ctx context.Context) (cell.Handover, bool) { return g.fetchHandover(ctx, previous) },
 		Timeout:       func(base time.Duration) time.Duration { return g.a.health.Timeout(base, time.Now()) },
 	})
--- a/cell/location.go
+++ b/cell/location.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// location says where a run of a task may be. That of a lasting task is durable before the task is started, so that after a take-over it needs to
-// wait for that worker only. For other tasks, whose starts are frequent and must not wait for a commit, only the memory has it.
+// location says where a run of a task may be. That of a lasting task is durable before the task is started, so that after a take-over it waits
+// for that worker only. For other tasks, whose starts are frequent and must not wait for a commit, only the memory has it.
 type location struct {
 	// known says that a run can only be on worker, or nowhere if that is empty.
 	known  bool
--- a/cell/record.go
+++ b/cell/record.go
@@ -65,7 +65,7 @@
 }
 
 // IdleWorkers returns the confirmed workers on which nothing runs, and nothing can be started by an order that was sent to them, and whose ends
-// are durable, so that the next scheduler needs not hear of them. They are not polled, so they may be gone.
+// are durable, so that the next scheduler need not hear of them. They are not polled, so they may be gone.
 func (c *Cell) IdleWorkers(now time.Time) []string {
 	unconfirmed := c.Unconfirmed(now)
 	c.mu.Lock()
--- a/cell/unrenewed.go
+++ b/cell/unrenewed.go
@@ -34,7 +34,8 @@
 	return remaining, changed
 }
 
-// silentWorkers returns the workers that don't answer, or are gone, and for how long runs may be active there.
+// silentWorkers returns the workers that don't answer, have not answered since they were recorded as silent, or are gone, and for how long runs may
+// be active there.
 func (c *Cell) silentWorkers(now time.Time) map[string]time.Duration {
 	until := map[string]time.Time{}
 	for id, w := range c.workers {
@@ -42,7 +43,8 @@
 			// A start that is carried out late would begin a new lease there.
 			continue
 		}
-		if w.silent || w.missedPolls >= missedPollLimit || w.isRetired() {
+		unheard := !w.polled && c.unrenewedWorkers[id]
+		if w.silent || unheard || w.missedPolls >= missedPollLimit || w.isRetired() {
 			until[id] = c.runsUntil(w)
 		}
 	}
--- a/cell/unrenewed_test.go
+++ b/cell/unrenewed_test.go
@@ -101,3 +101,18 @@
 	h.cell.Committed(h.cell.Collect(10), 2, h.now)
 	h.c.Assert(h.cell.IdleWorkers(h.now), qt.DeepEquals, []string{"w0"})
 }
+
+// What an earlier scheduler knew of a silent worker must stay in the record until the worker has been heard of.
+func TestUnheardWorkerStaysInRecord(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.restart("w0")
+	h.cell.SetUnrenewed([]string{"w0"})
+	h.cell.ExpectWorkers([]string{"w0"}, func(string) time.Time { return h.now.Add(2 * time.Second) })
+	remaining, changed := h.cell.WithholdRenewals(h.now)
+	h.c.Assert(remaining, qt.DeepEquals, map[string]time.Duration{"w0": 2 * time.Second})
+	h.c.Assert(changed, qt.IsFalse)
+	h.pollAll()
+	remaining, changed = h.cell.WithholdRenewals(h.now)
+	h.c.Assert(remaining, qt.HasLen, 0)
+	h.c.Assert(changed, qt.IsTrue)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -319,7 +319,9 @@
 	}
 	if t.isWaiting() {
 		s.numWaiting++
-		t.idleSince = now
+		if !p.confirmedAt.IsZero() {
+			t.idleSince = now
+		}
 	}
 	c.markDirty(j)
 	c.applyEnd(p, kind, now)
--- a/elect/unrenewed.go
+++ b/elect/unrenewed.go
@@ -7,11 +7,7 @@
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
-// Unrenewed is a holder's durable record of the workers whose leases it does not renew, since they don't answer. If the holder dies, the next one
-// knows from it until when runs may be active there, and needs not wait for orders that the holder might have sent.
-//
-// A holder must not send an order that renews the lease of a worker in a record that is stored, or may be. Until it has stored its own record, that
-// applies to the workers that it has inherited with the lease.
+// Unrenewed is a holder's durable record of the workers whose leases it does not renew, with the times for which runs may be active there.
 type Unrenewed struct {
 	Token   uint64              `json:"token"`
 	Workers []UnconfirmedWorker `json:"workers"`
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -100,11 +100,11 @@
 	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Group, "token": cfg.Epoch.Token})
 	r := &Runner{
-		record:    groupRow{key: table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}},
-		unrenewed: groupRow{key: elect.UnrenewedKey(cfg.Epoch.Group)},
-		cfg:       cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
+		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
 		orderSlots: map[string]chan struct{}{},
 	}
+	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
+	r.unrenewed.key = elect.UnrenewedKey(cfg.Epoch.Group)
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
 	cfg.Settings.RecordsSince = cfg.Epoch.RecordsSince
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
