--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -40,6 +40,20 @@
 // registryLag is the delay until a new incarnation of a worker is listed.
 const registryLag = 1500 * time.Millisecond
 
+// list returns the entries.
+func (l *staticRegistry) list() []order.Worker {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.workers)
+}
+
+// remove removes a worker's entry from the list that the next runner gets.
+func (l *staticRegistry) remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.workers = slices.DeleteFunc(l.workers, func(w order.Worker) bool { return w.ID == id })
+}
+
 // replaceLater replaces a worker's entry after registryLag, as its new incarnation does.
 func (l *staticRegistry) replaceLater(w order.Worker) {
 	go func() {
@@ -61,10 +75,7 @@
 
 // Follow implements runner.Registry.
 func (l *staticRegistry) Follow(ctx context.Context, list func([]order.Worker), changed func(order.Worker), gone func(string)) {
-	l.mu.Lock()
-	workers := slices.Clone(l.workers)
-	l.mu.Unlock()
-	list(workers)
+	list(l.list())
 	for {
 		select {
 		case <-ctx.Done():
--- a/runner/silent_worker_test.go
+++ b/runner/silent_worker_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -73,7 +72,7 @@
 func (s *cluster) awaitRun(timeout time.Duration) string {
 	s.c.Helper()
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		for _, w := range s.registry.workers {
+		for _, w := range s.registry.list() {
 			if !s.workers.IsDown(w.ID) && s.workers.NumRunning(w.ID) > 0 {
 				return w.ID
 			}
@@ -163,11 +162,10 @@
 		s.submit("00000000000000aa", graph.Step{Count: 1, Size: cores(4), LongRunning: true})
 		used := s.awaitRun(5 * time.Second)
 		time.Sleep(3 * time.Second)
-		for i, w := range s.registry.workers {
+		for _, w := range s.registry.list() {
 			if w.ID != used {
 				s.workers.PowerOff(w.ID)
-				s.registry.workers = slices.Delete(s.registry.workers, i, i+1)
-				break
+				s.registry.remove(w.ID)
 			}
 		}
 		time.Sleep(time.Second)
@@ -190,7 +188,7 @@
 		s.submit("00000000000000aa", graph.Step{Count: 2, Size: cores(4), LongRunning: true, MaxPerWorker: 1})
 		time.Sleep(3 * time.Second)
 		var used []string
-		for _, w := range s.registry.workers {
+		for _, w := range s.registry.list() {
 			if s.workers.NumRunning(w.ID) > 0 {
 				used = append(used, w.ID)
 			}
@@ -265,8 +263,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newCluster(t, 3, bigWorker)
 		s.workers.Outcome = fixedDuration(time.Hour)
-		spare := s.registry.workers[2]
-		s.registry.workers = s.registry.workers[:2]
+		spare := s.registry.list()[2]
+		s.registry.remove(spare.ID)
 		_, stop := s.runner()
 		defer stop()
 		s.submit("00000000000000aa", graph.Step{Count: 2, Size: cores(4), LongRunning: true, MaxPerWorker: 1})
