--- a/review/standin-2/hosts.go
+++ b/review/standin-2/hosts.go
@@ -97,13 +97,12 @@
 
 // Cell is a small deployment.
 type Cell struct {
-	rec     *Record
-	store   *Store
-	watch   *Watch
-	hosts   []*Host
-	root    string
-	tmp     string
-	started time.Time
+	rec   *Record
+	store *Store
+	watch *Watch
+	hosts []*Host
+	root  string
+	tmp   string
 	// numHosts counts the hosts that have been added.
 	numHosts              int
 	zones                 []string
@@ -239,7 +238,6 @@
 
 // Start starts all hosts with the command of the deploy file.
 func (c *Cell) Start() {
-	c.started = time.Now()
 	for _, h := range c.hosts {
 		go c.supervise(h)
 	}
@@ -398,9 +396,10 @@
 	}
 	text, _ := json.Marshal(body)
 	j := &Job{
-		ID: newID(), Queue: queue, Count: int(toInt(phase["count"])), CPU: toInt(phase["cpu"]), Mem: toInt(phase["mem_mb"]),
+		ID: newID(), Queue: queue, Count: int(toInt(phase["count"])), CPU: toInt(phase["cpu"]),
 		tasks: map[string]*Task{}, Ends: map[string]int{}, Lasting: phase["daemon"] == true,
 	}
+	j.Label, _ = phase["requires"].(string)
 	if times, ok := more["times"]; ok {
 		j.Count *= int(toInt(times))
 		j.Due = time.UnixMilli(toInt(more["start_at_ms"]))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -37,13 +37,13 @@
 	threeZones = []string{"zone-a", "zone-b", "zone-c"}
 )
 
-// plainWorkers returns four workers of 16 cores.
+// plainWorkers returns four workers of 16 cores, the last of them of kind b.
 func plainWorkers() []*Worker {
 	var list []*Worker
 	for i := range 4 {
 		list = append(list, &Worker{
 			ID: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), Service: service, Zone: []string{"zone-a", "zone-b", "zone-c"}[i%3], Rack: "r1-1",
-			CPU: 16000, MemMB: 32768,
+			Kind: []string{"a", "a", "a", "b"}[i], CPU: 16000, MemMB: 32768,
 		})
 	}
 	return list
--- a/review/standin-2/plays.go
+++ b/review/standin-2/plays.go
@@ -38,7 +38,7 @@
 	c.watch.mu.Lock()
 	var accepted []*Job
 	for _, j := range c.watch.jobs {
-		if !j.Accepted.IsZero() && !j.Dropped {
+		if !j.Accepted.IsZero() {
 			accepted = append(accepted, j)
 		}
 	}
@@ -139,7 +139,7 @@
 		spec.CPU = 20
 	}
 	for range 2 {
-		j := c.Submit("copy", spec, map[string]any{"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": 4000, "max_per_server": 1}, nil)
+		j := c.Submit("copy", spec, map[string]any{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 4000, "requires": "b"}, nil)
 		c.rec.Say("job %s accepted: %v", j.ID, !j.Accepted.IsZero())
 	}
 	c.traffic("short", 20*time.Second)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -21,7 +21,6 @@
 	maxPageRows   = 500
 	writesPerS    = 600
 	readsPerS     = 2000
-	retention     = 20 * time.Second
 	maxFeedWaitMS = 30000
 )
 
--- a/review/standin-2/watch.go
+++ b/review/standin-2/watch.go
@@ -35,17 +35,18 @@
 	Accepted time.Time
 	Due      time.Time
 	Count    int
-	CPU, Mem int64
-	// Lasting says that the tasks last, and Dropped that no configuration has the job's queue any more, so that it can't be asked for.
-	Lasting, Dropped bool
-	lastEnd          time.Time
-	tasks            map[string]*Task
+	CPU      int64
+	// Label is the label that a worker must have, if any.
+	Label string
+	// Lasting says that the tasks last.
+	Lasting bool
+	lastEnd time.Time
+	tasks   map[string]*Task
 	// standing is since when nothing of the job runs though it could; longest is the longest such time, and longestLate that of the time from
 	// finish_s after the end of the traffic.
 	standing             time.Time
 	longest, longestLate time.Duration
 	Ends                 map[string]int
-	stops                int
 }
 
 // Watch sees what the clients and the workers see, and judges it.
@@ -55,7 +56,6 @@
 	jobs    map[string]*Job
 	workers []*Worker
 	used    map[string]int64
-	taskCPU map[string]int64
 	// trafficEnd is when the traffic ended; zero before.
 	trafficEnd time.Time
 	// tickets, if not nil, says that starts of these queues need a ticket, and holds the tickets that were given out.
@@ -63,11 +63,11 @@
 	tickets     map[string]time.Time
 	// adviceTakes returns how long the advice on a number of workers takes.
 	adviceTakes func(workers int) time.Duration
-	twice       []string
 }
 
 func newWatch(rec *Record) *Watch {
-	return &Watch{rec: rec, jobs: map[string]*Job{}, used: map[string]int64{}, tickets: map[string]time.Time{},
+	return &Watch{
+		rec: rec, jobs: map[string]*Job{}, used: map[string]int64{}, tickets: map[string]time.Time{},
 		adviceTakes: func(int) time.Duration { return 15 * time.Millisecond },
 	}
 }
@@ -100,7 +100,6 @@
 		return
 	}
 	if len(t.running) > 0 {
-		w.twice = append(w.twice, task)
 		w.rec.Line("TWICE: %s runs twice", task)
 	}
 	t.running[worker+"/"+strconv.Itoa(run)] = true
@@ -123,9 +122,6 @@
 	t.done = t.done || how == "done"
 }
 
-// Acked records that an end was acknowledged.
-func (w *Watch) Acked(worker, task string, run int) {}
-
 // TicketProblem returns the reason for which a worker refuses a start, or "".
 func (w *Watch) TicketProblem(worker, task, ticket string) string {
 	w.mu.Lock()
@@ -226,6 +222,9 @@
 	}
 	room := int64(0)
 	for _, x := range w.workers {
+		if j.Label != "" && x.Kind != j.Label {
+			continue
+		}
 		room += max(0, x.CPU-w.used[x.ID]) / max(1, j.CPU)
 	}
 	return room >= 2
@@ -266,19 +265,6 @@
 	return list
 }
 
-// standingCalm returns the jobs that stood for 3 s or more at any time; it is for plays without any disruption.
-func (w *Watch) standingCalm(queue string) []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var list []string
-	for _, j := range w.jobs {
-		if j.Queue == queue && j.longest >= standS {
-			list = append(list, fmt.Sprintf("%s (for %.1f s)", j.ID, j.longest.Seconds()))
-		}
-	}
-	return list
-}
-
 // summary returns counts of a queue's jobs.
 func (w *Watch) summary(queue string) (accepted, complete, starts, stops int) {
 	w.mu.Lock()
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -21,9 +21,8 @@
 
 // Spec is what a task does on a worker: the clients of this stand-in write it into the job's spec.
 type Spec struct {
-	// MS is how long the task runs; 0 means until it is stopped. Fails makes it fail then.
-	MS    int  `json:"ms"`
-	Fails bool `json:"fails"`
+	// MS is how long the task runs; 0 means until it is stopped.
+	MS int `json:"ms"`
 	// CPU is what the task uses, in thousandths of a core.
 	CPU float64 `json:"cpu"`
 	// Saves says that the task writes checkpoints.
@@ -55,10 +54,8 @@
 
 // Worker is a stand-in of one of the users' workers.
 type Worker struct {
-	ID, Service, Zone, Rack string
-	CPU, MemMB, GPUs        int64
-	// OnStart, if set, may refuse a start with a status.
-	OnStart func(task string) int
+	ID, Service, Zone, Rack, Kind string
+	CPU, MemMB, GPUs              int64
 
 	mu       sync.Mutex
 	addr     string
@@ -108,7 +105,7 @@
 	w.sequence++
 	raw, _ := json.Marshal(map[string]any{
 		"service": w.Service, "address": w.addr, "zone": w.Zone, "version": "v1", "slots": 8, "state": w.state, "cold_left_ms": 0,
-		"capacity": map[string]int64{"cpu": w.CPU, "mem_mb": w.MemMB, "gpus": w.GPUs}, "labels": []string{"a", w.Rack},
+		"capacity": map[string]int64{"cpu": w.CPU, "mem_mb": w.MemMB, "gpus": w.GPUs}, "labels": []string{w.Kind, w.Rack},
 		"clock_ms": w.clock().Milliseconds(), "sequence": w.sequence, "born": w.born.UnixMilli(), "machine": "m-" + w.ID,
 	})
 	w.mu.Unlock()
@@ -224,12 +221,6 @@
 }
 
 func (w *Worker) start(rw http.ResponseWriter, o *order) {
-	if w.OnStart != nil {
-		if status := w.OnStart(o.Task); status != 0 {
-			w.answer(rw, status, nil)
-			return
-		}
-	}
 	if reason := w.watch.TicketProblem(w.ID, o.Task, o.Ticket); reason != "" {
 		if w.refused++; w.refused <= 5 || w.refused%1000 == 0 {
 			w.rec.Line("worker %s: start %s/%d refused: %s (%d so far)", w.ID, o.Task, o.Run, reason, w.refused)
@@ -263,11 +254,7 @@
 		x.end = time.AfterFunc(time.Duration(x.spec.MS)*time.Millisecond, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			how := "done"
-			if x.spec.Fails {
-				how = "failed"
-			}
-			w.finish(x, how)
+			w.finish(x, "done")
 		})
 	}
 	w.answer(rw, http.StatusOK, nil)
@@ -289,7 +276,6 @@
 func (w *Worker) hold(rw http.ResponseWriter, r *http.Request, o *order) {
 	w.extend(o)
 	for len(w.ends) > 0 && w.ends[0].n <= o.Ack {
-		w.watch.Acked(w.ID, w.ends[0].key.task, w.ends[0].key.run)
 		w.ends = w.ends[1:]
 	}
 	deadline := time.NewTimer(time.Duration(min(o.WaitMS, 2000)) * time.Millisecond)
