Review: a play that can't run ends its processes too

Cause: six processes of two plays that couldn't run had been left running. Change: the stand-ins end what they started before they give up.

--- a/review/standin-2/hosts.go
+++ b/review/standin-2/hosts.go
@@ -275,11 +275,12 @@
 		cmd.Dir = c.root
 		cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.tmp, "LANG=C.UTF-8", "CORIANDERDRIFT_BOOT=" + h.settings}
 		log, err := os.OpenFile(filepath.Join(c.tmp, h.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			fatal(err)
+		if err == nil {
+			cmd.Stdout, cmd.Stderr = log, log
+			err = cmd.Start()
 		}
-		cmd.Stdout, cmd.Stderr = log, log
-		if err := cmd.Start(); err != nil {
+		if err != nil {
+			h.mu.Unlock()
 			fatal(err)
 		}
 		h.cmd = cmd
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -67,6 +67,7 @@
 	rec := newRecord(os.Args[2])
 	trouble := os.Getenv("TROUBLE") != "0"
 	c := newCell(root, rec, s.workers(), s.hosts, s.zones)
+	cleanUp = c.Stop
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -45,7 +45,12 @@
 	_ = r.f.Close()
 }
 
+// cleanUp ends what a play has started; it is set once there is something.
+var cleanUp = func() {}
+
+// fatal ends the play, which couldn't run.
 func fatal(err error) {
+	cleanUp()
 	fmt.Fprintln(os.Stderr, "the case can't run:", err)
 	os.Exit(2)
 }
