Decode teams, their keys, weights and caps, and public queues

Interfaces for the parts that follow: the configuration names teams with keys, weight, cap and priority, and queues that need no key. Nothing uses them yet. Keys are kept as digests only, so that no log line or dump of a configuration can show them.

--- a/graph/job.go
+++ b/graph/job.go
@@ -72,6 +72,8 @@
 	MaxAttempts int           `json:"attempts"`
 	Stretch     float64       `json:"stretch"`
 	Objective   time.Duration `json:"objective"`
+	// Team is the team whose key the job was submitted with; empty for a public queue, or where no keys are needed.
+	Team string `json:"team,omitempty"`
 	// Advice is kept for jobs whose queue is removed from the configuration: their tasks still need tickets.
 	Advice *queues.Advice `json:"advice,omitempty"`
 }
--- a/graph/progress.go
+++ b/graph/progress.go
@@ -92,8 +92,10 @@
 
 // Progress is the stored progress of a job and its tasks.
 type Progress struct {
-	State State        `json:"state"`
-	Queue string       `json:"queue"`
+	State State  `json:"state"`
+	Queue string `json:"queue"`
+	// Team is that of the job.
+	Team  string       `json:"team,omitempty"`
 	Done  Done         `json:"done,omitzero"`
 	Tasks []TaskRecord `json:"marks,omitempty"`
 	// Reason is why the job failed.
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -1,9 +1,12 @@
 package queues
 
 import (
+	"crypto/sha256"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/corianderdrift/corianderdrift/unit"
 )
 
 // Queue accepts jobs of one kind and runs them on the workers of a service.
@@ -22,6 +25,8 @@
 	MaxAttempts int
 	// Advice describes calls to the advisor; nil if the queue's tasks need no tickets.
 	Advice *Advice
+	// Public says that requests need no key; their jobs belong to no team.
+	Public bool
 }
 
 // Endpoint returns the host and the path prefix at which clients reach the queue. It identifies the queue's jobs for them, whatever queue
@@ -48,6 +53,22 @@
 	HealthPath string
 }
 
+// KeyDigest is the SHA-256 digest of a key. The keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
+// Team is a group of callers whose requests carry its keys, and whose jobs share a cap.
+type Team struct {
+	Name string
+	Keys []KeyDigest
+	// Weight is the team's part of what all teams want when there is too little room, and the jobs a second that it may send beyond which its
+	// jobs come last.
+	Weight float64
+	// Cap bounds what the team may have running on the workers of all services; 0 in a dimension means no limit.
+	Cap unit.Size
+	// Priority ranks teams of which all send more than their part; 0 is the highest priority.
+	Priority int
+}
+
 // Limits restrict the requests of clients.
 type Limits struct {
 	HeaderBytes   int
@@ -62,6 +83,8 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+	// Teams are the teams whose keys are accepted; if there are none, no request needs a key.
+	Teams []Team
 }
 
 // Match returns the queue of host with the longest matching path prefix, and the rest of the path; nil if none matches.
@@ -93,6 +116,16 @@
 	return nil
 }
 
+// Team returns the team with the given name, or nil.
+func (c *Config) Team(name string) *Team {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return &c.Teams[i]
+		}
+	}
+	return nil
+}
+
 // Store holds the newest configuration that this process has received.
 type Store struct {
 	current atomic.Pointer[Config]
