--- a/queues/queues.go
+++ b/queues/queues.go
@@ -25,7 +25,7 @@
 	MaxAttempts int
 	// Advice describes calls to the advisor; nil if the queue's tasks need no tickets.
 	Advice *Advice
-	// Public says that requests need no key; their jobs belong to no team.
+	// Public says that requests need no key; jobs submitted without a known one belong to no team.
 	Public bool
 }
 
@@ -85,25 +85,26 @@
 	Limits   Limits
 	// Teams are the teams whose keys are accepted; if there are none, no request needs a key.
 	Teams []Team
+	// index is set by Store.Install.
+	index *index
 }
 
 // Match returns the queue of host with the longest matching path prefix, and the rest of the path; nil if none matches.
 func (c *Config) Match(host, path string) (*Queue, string) {
 	host, _, _ = strings.Cut(host, ":")
-	var best *Queue
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
-			continue
-		}
-		if best == nil || len(q.Prefix) > len(best.Prefix) {
-			best = q
-		}
-	}
-	if best == nil {
+	q := c.lookup().match(host, path)
+	if q == nil {
 		return nil, ""
 	}
-	return best, path[len(best.Prefix):]
+	return q, path[len(q.Prefix):]
+}
+
+// lookup returns the index, which an installed configuration has from the start.
+func (c *Config) lookup() *index {
+	if c.index != nil {
+		return c.index
+	}
+	return newIndex(c)
 }
 
 // Queue returns the queue with the given name, or nil.
@@ -134,14 +135,21 @@
 // Current returns the current configuration, or nil before the first Install.
 func (s *Store) Current() *Config { return s.current.Load() }
 
-// Install makes c the current configuration if it is newer, and reports whether it did.
+// Install makes c the current configuration if it is newer, and reports whether it did. Its queues and teams must not change afterwards.
 func (s *Store) Install(c *Config) bool {
+	var indexed *Config
 	for {
 		old := s.current.Load()
 		if old != nil && c.Version <= old.Version {
 			return false
 		}
-		if s.current.CompareAndSwap(old, c) {
+		if indexed == nil {
+			// A copy, since c may be in use in another store.
+			installed := *c
+			installed.index = newIndex(&installed)
+			indexed = &installed
+		}
+		if s.current.CompareAndSwap(old, indexed) {
 			return true
 		}
 	}
