--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,14 +116,15 @@
 	a.front = &platform.Front{
 		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
 		Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes,
-		OnRefusal: func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() }, Log: log,
+		OnRefusal:   func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() },
+		OnSubmitted: a.countSubmitted, Log: log,
 	}
 	return a
 }
 
 func (a *Agent) cellSettings() cell.Settings {
 	return cell.Settings{
-		Lease: a.settings.MaxLease, DataCenter: a.settings.DataCenter, Early: a.settings.MaxEarlyStart, RunsPerToken: runsPerToken,
+		Lease: a.settings.MaxLease, DataCenter: a.settings.DataCenter, Early: a.settings.MaxEarlyStart, RunsPerToken: runsPerToken, OnFinished: a.countFinished,
 	}
 }
 
@@ -218,13 +219,22 @@
 }
 
 func (a *Agent) followConfig(ctx context.Context) {
-	a.config.Follow(ctx, func(c *queues.Config) {
-		if a.queues.Install(c) {
-			a.log.WithFields(logrus.Fields{
-				"version": c.Version, "queues": len(c.Queues), "services": len(c.Services),
-			}).Info("configuration applied")
-		}
-	}, nil)
+	a.config.Follow(ctx, a.installConfig, nil)
+}
+
+func (a *Agent) installConfig(c *queues.Config) {
+	old := a.queues.Current()
+	if !a.queues.Install(c) {
+		return
+	}
+	fields := logrus.Fields{"version": c.Version, "queues": len(c.Queues), "services": len(c.Services)}
+	if len(c.Teams) > 0 {
+		fields["teams"] = len(c.Teams)
+	}
+	a.log.WithFields(fields).Info("configuration applied")
+	if old != nil {
+		a.metrics.removeTeams(old, c)
+	}
 }
 
 func (a *Agent) followLeases(ctx context.Context) {
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -11,12 +11,15 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -298,54 +301,62 @@
 }
 
 // State implements intake.Groups.
-func (g *groups) State(ctx context.Context, service, queue, id string) (graph.State, bool) {
+func (g *groups) State(ctx context.Context, service, queue, id string, caller queues.Caller) (graph.State, bool) {
 	if r := g.localRunner(service); r != nil && r.Ready() {
-		return r.Cell().State(id, queue)
+		return r.Cell().State(id, queue, caller)
+	}
+	reply, applied := g.remoteState(ctx, service, queue, id, caller)
+	if !applied {
+		// The job may be another team's; its row tells.
+		return "", false
 	}
-	reply := g.remoteState(ctx, service, queue, id)
 	return graph.State(reply.GetState()), reply.GetKnown()
 }
 
 // Stored implements intake.Groups.
-func (g *groups) Stored(ctx context.Context, service, queue, id string) bool {
+func (g *groups) Stored(ctx context.Context, service, queue, id string, caller queues.Caller) bool {
 	if r := g.localRunner(service); r != nil {
-		_, known := r.Cell().State(id, queue)
+		_, known := r.Cell().State(id, queue, caller)
 		return known
 	}
-	reply := g.remoteState(ctx, service, queue, id)
+	// A holder of an earlier version tells of any team's job. Its word counts nevertheless: a false refusal says that a job of the caller's own never
+	// runs, and a job of another team with the same ID is less likely.
+	reply, _ := g.remoteState(ctx, service, queue, id, caller)
 	// Holders of earlier versions don't set stored.
 	return reply.GetStored() || reply.GetKnown()
 }
 
-// remoteState returns the reply of the holder of a group's lease, which is nil if there is none.
-func (g *groups) remoteState(ctx context.Context, service, queue, id string) *cellpb.StateReply {
+// remoteState returns the reply of the holder of a group's lease, which is nil if there is none, and whether it takes the caller's team into account.
+func (g *groups) remoteState(ctx context.Context, service, queue, id string, caller queues.Caller) (reply *cellpb.StateReply, applied bool) {
 	client, ok := g.remoteClient(service)
 	if !ok {
-		return nil
+		return nil, false
 	}
-	reply, err := client.State(ctx, &cellpb.StateRequest{Service: service, Job: id, Queue: queue})
+	var header metadata.MD
+	reply, err := client.State(withCaller(ctx, caller), &cellpb.StateRequest{Service: service, Job: id, Queue: queue}, grpc.Header(&header))
 	if err != nil {
 		g.a.log.WithError(err).WithField("job", id).Debug("query to the runner failed")
-		return nil
+		return nil, false
 	}
-	return reply
+	return reply, appliesTo(header, caller)
 }
 
 // Pending implements intake.Groups.
-func (g *groups) Pending(ctx context.Context, service, queue string) (int, bool) {
+func (g *groups) Pending(ctx context.Context, service, queue string, caller queues.Caller) (int, bool) {
 	if r := g.localRunner(service); r != nil && r.Ready() {
-		return r.Cell().Pending(queue), true
+		return r.Cell().Pending(queue, caller), true
 	}
 	client, ok := g.remoteClient(service)
 	if !ok {
 		return 0, false
 	}
-	reply, err := client.Pending(ctx, &cellpb.PendingRequest{Service: service, Queue: queue})
+	var header metadata.MD
+	reply, err := client.Pending(withCaller(ctx, caller), &cellpb.PendingRequest{Service: service, Queue: queue}, grpc.Header(&header))
 	if err != nil {
 		g.a.log.WithError(err).WithField("queue", queue).Debug("query to the runner failed")
 		return 0, false
 	}
-	return int(reply.GetJobs()), reply.GetKnown()
+	return int(reply.GetJobs()), reply.GetKnown() && appliesTo(header, caller)
 }
 
 // Accepted implements intake.Groups.
--- a/agent/groups_test.go
+++ b/agent/groups_test.go
@@ -17,12 +17,16 @@
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/platform"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
 const testService = "desk"
 
+// anyone is the caller where the configuration has no teams.
+var anyone = queues.Caller{AnyTeam: true}
+
 // newTestAgent returns a host that runs no servers and no background loops.
 func newTestAgent(name string) *Agent {
 	log := logrus.New()
@@ -116,10 +120,10 @@
 	holder.groups.running[testService] = r
 	c.Assert(r.Ready(), qt.IsFalse)
 	for _, a := range []*Agent{holder, other} {
-		_, known := a.groups.State(ctx, testService, queue, id)
+		_, known := a.groups.State(ctx, testService, queue, id, anyone)
 		c.Check(known, qt.IsFalse, qt.Commentf("%s", a.settings.Name))
-		c.Check(a.groups.Stored(ctx, testService, queue, id), qt.IsTrue, qt.Commentf("%s", a.settings.Name))
-		c.Check(a.groups.Stored(ctx, testService, queue, "00000000000000bb"), qt.IsFalse, qt.Commentf("%s", a.settings.Name))
+		c.Check(a.groups.Stored(ctx, testService, queue, id, anyone), qt.IsTrue, qt.Commentf("%s", a.settings.Name))
+		c.Check(a.groups.Stored(ctx, testService, queue, "00000000000000bb", anyone), qt.IsFalse, qt.Commentf("%s", a.settings.Name))
 	}
 }
 
@@ -137,5 +141,5 @@
 func TestHolderOfEarlierVersionTellsOfStoredJobs(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	other := newAgentBesideHolder(c, earlierHost{})
-	c.Assert(other.groups.Stored(ctx, testService, "checks", "00000000000000aa"), qt.IsTrue)
+	c.Assert(other.groups.Stored(ctx, testService, "checks", "00000000000000aa", anyone), qt.IsTrue)
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -11,7 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/intake"
 	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
@@ -24,7 +27,10 @@
 	tableCalls *prometheus.CounterVec
 	durations  *prometheus.HistogramVec
 	orders     *prometheus.CounterVec
-	handler    http.Handler
+	// submitted and finished count jobs by team.
+	submitted *prometheus.CounterVec
+	finished  *prometheus.CounterVec
+	handler   http.Handler
 }
 
 func newMetrics(a *Agent) *metrics {
@@ -38,16 +44,52 @@
 	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "orders_total", Help: "Orders to workers, by kind and result.",
 	}, []string{"order", "result"})
+	m.submitted = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "submitted_jobs_total", Help: "Jobs submitted to this host, by team and answer.",
+	}, []string{teamLabel, "answer"})
+	m.finished = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "finished_jobs_total", Help: "Jobs of the groups that this host runs that have ended, by team and final state.",
+	}, []string{teamLabel, "state"})
 	m.durations = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "call_seconds", Help: "Times of requests, table calls, orders and advice.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 9),
 	}, []string{"call"})
-	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations)
+	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations, m.submitted, m.finished)
 	m.registerGauges(a)
 	m.handler = promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 	return m
 }
 
+// teamLabel names a team of the configuration; it is empty for jobs without a team, and for those of a team that the configuration no longer names.
+const teamLabel = "team"
+
+func (a *Agent) countSubmitted(team string, outcome intake.Outcome) {
+	a.metrics.submitted.WithLabelValues(a.labelOf(team), string(outcome)).Inc()
+}
+
+func (a *Agent) countFinished(team string, state graph.State) {
+	a.metrics.finished.WithLabelValues(a.labelOf(team), string(state)).Inc()
+}
+
+// labelOf returns the value of teamLabel for a team. The teams of the configuration bound the number of values.
+func (a *Agent) labelOf(team string) string {
+	if cfg := a.queues.Current(); cfg == nil || cfg.Team(team) == nil {
+		return ""
+	}
+	return team
+}
+
+// removeTeams removes the series of teams that a new configuration no longer names.
+func (m *metrics) removeTeams(old, current *queues.Config) {
+	for i := range old.Teams {
+		name := old.Teams[i].Name
+		if current.Team(name) == nil {
+			m.submitted.DeletePartialMatch(prometheus.Labels{teamLabel: name})
+			m.finished.DeletePartialMatch(prometheus.Labels{teamLabel: name})
+		}
+	}
+}
+
 // registerGauges registers the gauges, which are read on each scrape.
 func (m *metrics) registerGauges(a *Agent) {
 	gauge := func(name, help string, read func() float64) {
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -17,12 +17,12 @@
 }
 
 // State implements cellpb.CellsServer.
-func (p *peerServer) State(_ context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
+func (p *peerServer) State(ctx context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
 	groupRunner := p.a.groups.localRunner(r.GetService())
 	if groupRunner == nil {
 		return &cellpb.StateReply{}, nil
 	}
-	state, stored := groupRunner.Cell().State(r.GetJob(), r.GetQueue())
+	state, stored := groupRunner.Cell().State(r.GetJob(), r.GetQueue(), acceptCaller(ctx))
 	if !groupRunner.Ready() {
 		return &cellpb.StateReply{Stored: stored}, nil
 	}
@@ -30,12 +30,13 @@
 }
 
 // Pending implements cellpb.CellsServer.
-func (p *peerServer) Pending(_ context.Context, r *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
+func (p *peerServer) Pending(ctx context.Context, r *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
 	groupRunner := p.a.groups.localRunner(r.GetService())
 	if groupRunner == nil || !groupRunner.Ready() {
 		return &cellpb.PendingReply{}, nil
 	}
-	return &cellpb.PendingReply{Known: true, Jobs: int64(groupRunner.Cell().Pending(r.GetQueue()))}, nil
+	n := groupRunner.Cell().Pending(r.GetQueue(), acceptCaller(ctx))
+	return &cellpb.PendingReply{Known: true, Jobs: int64(n)}, nil
 }
 
 // Holds implements cellpb.CellsServer.
--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -139,7 +139,7 @@
 			full = h.now
 		}
 		h.c.Assert(h.now.Sub(full) < maxIdle, qt.IsTrue, qt.Commentf("at %v", h.now.Sub(startTime)))
-		h.c.Assert(h.cell.Pending("short") <= 1, qt.IsTrue)
+		h.c.Assert(h.cell.Pending("short", queues.Caller{AnyTeam: true}) <= 1, qt.IsTrue)
 	}
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
 )
 
 // Settings are the times that the platform guarantees, and the parameters of this scheduler.
@@ -28,6 +29,9 @@
 	// RunsPerToken is how many run numbers are reserved for each token, so that new runs don't reuse numbers of unreported
 	// runs of an earlier scheduler.
 	RunsPerToken int
+	// OnFinished is called with the team and the final state of each job whose end becomes durable; nil means not at all. It must not block,
+	// nor call the group.
+	OnFinished func(team string, state graph.State)
 }
 
 // Timing of leases and of the memory of finished jobs.
@@ -102,6 +106,7 @@
 type finishedJob struct {
 	state      graph.State
 	queue      string
+	team       string
 	finishedAt time.Time
 }
 
@@ -160,27 +165,30 @@
 	c.setLocationsKnown()
 }
 
-// State returns a job's state; known is false if the group has no such job in the queue.
-func (c *Cell) State(id, queue string) (state graph.State, known bool) {
+// State returns a job's state; known is false if the group has no such job in the queue that the caller sees.
+func (c *Cell) State(id, queue string, caller queues.Caller) (state graph.State, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if finished, ok := c.finished[id]; ok && finished.queue == queue {
+		if !caller.Sees(finished.team) {
+			return "", false
+		}
 		return finished.state, true
 	}
 	j, ok := c.jobs[id]
-	if !ok || j.doc.Queue != queue {
+	if !ok || j.doc.Queue != queue || !caller.Sees(j.doc.Team) {
 		return "", false
 	}
 	return j.visibleState(), true
 }
 
-// Pending returns the number of a queue's unfinished jobs of which no task has started.
-func (c *Cell) Pending(queue string) int {
+// Pending returns the number of a queue's unfinished jobs that the caller sees and of which no task has started.
+func (c *Cell) Pending(queue string, caller queues.Caller) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, j := range c.jobs {
-		if j.doc.Queue == queue && !j.started && !j.state.Terminal() {
+		if j.doc.Queue == queue && caller.Sees(j.doc.Team) && !j.started && !j.state.Terminal() {
 			n++
 		}
 	}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -124,8 +124,11 @@
 			j.awaitsRecord = false
 		}
 		if ch.Progress.State.Terminal() {
-			c.finished[ch.Job] = finishedJob{ch.Progress.State, j.doc.Queue, now}
-			c.log.WithFields(logrus.Fields{
+			if _, counted := c.finished[ch.Job]; !counted && c.settings.OnFinished != nil {
+				c.settings.OnFinished(j.doc.Team, ch.Progress.State)
+			}
+			c.finished[ch.Job] = finishedJob{ch.Progress.State, j.doc.Queue, j.doc.Team, now}
+			c.teamLog(j.doc.Team).WithFields(logrus.Fields{
 				fieldJob: ch.Job, "queue": j.doc.Queue, "state": ch.Progress.State, "reason": ch.Progress.Reason,
 				fieldTook: now.Sub(j.doc.AcceptedAt).Round(time.Millisecond).String(),
 			}).Info("job over")
@@ -139,6 +142,14 @@
 	}
 }
 
+// teamLog returns the log for lines about a job of a team; those about jobs without a team don't name one.
+func (c *Cell) teamLog(team string) logrus.FieldLogger {
+	if team == "" {
+		return c.log
+	}
+	return c.log.WithField("team", team)
+}
+
 // retryNow lets the next plan try the job's steps.
 func (j *job) retryNow() {
 	for _, occ := range j.occurrences {
@@ -188,7 +199,7 @@
 }
 
 func (j *job) progress(token uint64) *graph.Progress {
-	p := &graph.Progress{State: j.state, Queue: j.doc.Queue, Reason: j.reason}
+	p := &graph.Progress{State: j.state, Queue: j.doc.Queue, Team: j.doc.Team, Reason: j.reason}
 	if j.state.Terminal() {
 		return p
 	}
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -198,7 +198,7 @@
 	defer c.mu.Unlock()
 	_, known := c.jobs[id]
 	if _, finished := c.finished[id]; !known && !finished {
-		c.finished[id] = finishedJob{progress.State, progress.Queue, now}
+		c.finished[id] = finishedJob{progress.State, progress.Queue, progress.Team, now}
 	}
 }
 
@@ -238,7 +238,7 @@
 	if progress != nil {
 		c.restore(j, progress, now)
 	}
-	c.log.WithFields(logrus.Fields{
+	c.teamLog(doc.Team).WithFields(logrus.Fields{
 		fieldJob: doc.ID, "queue": doc.Queue, "steps": len(doc.Steps), "times": doc.Repetitions, "completed-times": j.completed.Len(),
 		"age": now.Sub(doc.AcceptedAt).Round(time.Millisecond).String(), "restored": progress != nil,
 	}).Info("job taken")
--- a/cell/occurrences_test.go
+++ b/cell/occurrences_test.go
@@ -12,6 +12,7 @@
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
@@ -56,7 +57,7 @@
 				h.add(timedJob("t", minutesPerYear, test.first, test.interval))
 				h.plan()
 			}) < 4<<20, qt.IsTrue)
-			state, _ := h.cell.State("t", "short")
+			state, _ := h.cell.State("t", "short", queues.Caller{AnyTeam: true})
 			h.c.Assert(state.Terminal(), qt.IsFalse)
 		})
 	}
@@ -107,7 +108,7 @@
 		h.finishAll()
 	}
 	h.c.Assert(started, qt.HasLen, 3000)
-	state, _ := h.cell.State("w", "long")
+	state, _ := h.cell.State("w", "long", queues.Caller{AnyTeam: true})
 	h.c.Assert(state, qt.Equals, graph.Completed)
 }
 
@@ -183,7 +184,7 @@
 		largest = max(largest, h.finishAll())
 	}
 	h.finishAll()
-	state, _ := h.cell.State("t", "short")
+	state, _ := h.cell.State("t", "short", queues.Caller{AnyTeam: true})
 	h.c.Assert(state, qt.Equals, graph.Completed)
 	h.c.Assert(largest < rowBytes/2, qt.IsTrue, qt.Commentf("a record of %d bytes", largest))
 }
@@ -268,7 +269,7 @@
 			h.finish("w0", task(1), order.EndStopped)
 			h.pollAll()
 			h.finishAll()
-			state, _ := h.cell.State("t", "short")
+			state, _ := h.cell.State("t", "short", queues.Caller{AnyTeam: true})
 			h.c.Assert(state, qt.Equals, graph.Completed)
 		})
 	}
--- a/cell/pending_test.go
+++ b/cell/pending_test.go
@@ -9,6 +9,7 @@
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
 )
 
 // A job whose only start has not begun a run must still be shown as queued and counted as pending.
@@ -41,8 +42,8 @@
 			h.add(shortJob("j", 1))
 			o := h.cell.Plan(h.cfg, unlimitedSlots{}, h.now).Starts[0]
 			test.settle(h, o)
-			h.c.Assert(h.cell.Pending("short"), qt.Equals, test.pending)
-			state, known := h.cell.State("j", "short")
+			h.c.Assert(h.cell.Pending("short", queues.Caller{AnyTeam: true}), qt.Equals, test.pending)
+			state, known := h.cell.State("j", "short", queues.Caller{AnyTeam: true})
 			h.c.Assert(known, qt.IsTrue)
 			h.c.Assert(state, qt.Equals, test.state)
 		})
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -331,7 +331,7 @@
 		h.advance(100 * time.Millisecond)
 	}
 	for i := range 3 {
-		state, _ := h.cell.State(fmt.Sprintf("j%d", i), "short")
+		state, _ := h.cell.State(fmt.Sprintf("j%d", i), "short", queues.Caller{AnyTeam: true})
 		h.c.Assert(state, qt.Not(qt.Equals), graph.Failed)
 	}
 	failed := 0
--- a/graph/job.go
+++ b/graph/job.go
@@ -72,7 +72,7 @@
 	MaxAttempts int           `json:"attempts"`
 	Stretch     float64       `json:"stretch"`
 	Objective   time.Duration `json:"objective"`
-	// Team is the team whose key the job was submitted with; empty for a public queue, or where no keys are needed.
+	// Team is the team whose key the job was submitted with; empty if there was none, as may be on a public queue or where no keys are needed.
 	Team string `json:"team,omitempty"`
 	// Advice is kept for jobs whose queue is removed from the configuration: their tasks still need tickets.
 	Advice *queues.Advice `json:"advice,omitempty"`
@@ -163,27 +163,37 @@
 	return &j, nil
 }
 
-// Owner is the queue in which a job was accepted and the service that runs it. In the table of another service it stands in place of the job.
+// Owner is the queue in which a job was accepted and the service that runs it.
 type Owner struct {
 	Queue   string `json:"queue"`
 	Service string `json:"service"`
 }
 
-// Encode returns the stored form of an owner.
-func (o Owner) Encode() ([]byte, error) { return json.Marshal(o) }
+// Reference says to whom a job belongs. In the table of another service it stands in place of the job.
+type Reference struct {
+	Owner
+	// Team is that of the job; references that earlier versions stored have none.
+	Team string `json:"team,omitempty"`
+}
 
-// DecodeOwner returns the owner of a job from the stored form of either.
-func DecodeOwner(raw []byte) (Owner, error) {
-	var o Owner
-	if err := json.Unmarshal(raw, &o); err != nil {
-		return Owner{}, fmt.Errorf("owner of a job: %w", err)
+// Encode returns the stored form of a reference.
+func (r Reference) Encode() ([]byte, error) { return json.Marshal(r) }
+
+// DecodeReference returns the reference to a job from the stored form of either.
+func DecodeReference(raw []byte) (Reference, error) {
+	var r Reference
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Reference{}, fmt.Errorf("owner of a job: %w", err)
 	}
-	return o, nil
+	return r, nil
 }
 
 // Owner returns the job's queue and service.
 func (j *Job) Owner() Owner { return Owner{j.Queue, j.Service} }
 
+// Reference returns the reference to the job.
+func (j *Job) Reference() Reference { return Reference{j.Owner(), j.Team} }
+
 // StepID identifies a step of an occurrence of a job.
 type StepID struct {
 	Job        string
--- a/intake/attempt.go
+++ b/intake/attempt.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/corianderdrift/corianderdrift/queues"
 )
 
 // Outcome is what the answer to a request tells its caller.
@@ -53,11 +55,14 @@
 	rowReported rowState = "reported"
 	// rowOther means that the row is that of another queue's job.
 	rowOther rowState = "other-queue"
+	// rowOtherTeam means that the row is that of another team's job.
+	rowOtherTeam rowState = "other-team"
 )
 
 // attempt records what a request to submit or cancel a job has sent to the table, and learned from it.
 type attempt struct {
 	startedAt time.Time
+	caller    queues.Caller
 	// commits counts the transactions about the job, unanswered those without a usable answer: they may have taken effect, or may still do so.
 	commits, unanswered int
 	// row is empty for a cancelling.
@@ -83,6 +88,9 @@
 	fields := logrus.Fields{
 		"commits": a.commits, "unanswered": a.unanswered, "took": time.Since(a.startedAt).Round(time.Millisecond).String(),
 	}
+	if a.caller.Team != "" {
+		fields["team"] = a.caller.Team
+	}
 	if a.row != "" {
 		fields["row"] = string(a.row)
 	}
--- a/intake/attempt_test.go
+++ b/intake/attempt_test.go
@@ -66,7 +66,7 @@
 					n++
 					return test.fault(n)
 				})
-				_ = in.Submit(context.Background(), queue, jobFor(queue))
+				_ = in.Submit(context.Background(), queue, jobFor(queue), anyone)
 				entry := hook.LastEntry()
 				c.Assert(entry, qt.IsNotNil)
 				for name, want := range test.fields {
@@ -120,7 +120,7 @@
 		{"reference stored, job refused", movedQueue, nil, []fakes.TableFault{ok, refused}, intake.Refused},
 		{
 			"reference of an earlier request found, job refused", movedQueue, func(c *qt.C, host *intake.Intake) {
-				c.Assert(host.Submit(context.Background(), movedQueue, jobFor(movedQueue)), qt.IsNil)
+				c.Assert(host.Submit(context.Background(), movedQueue, jobFor(movedQueue), anyone), qt.IsNil)
 			},
 			[]fakes.TableFault{ok, ok, refused},
 			intake.Unknown,
@@ -128,7 +128,7 @@
 		{"reference unanswered, job refused", movedQueue, nil, []fakes.TableFault{late, ok, refused}, intake.Unknown},
 		{
 			"job of a later queue found, record of the endpoint refused", queue, func(c *qt.C, host *intake.Intake) {
-				c.Assert(host.Submit(context.Background(), laterQueue, jobFor(laterQueue)), qt.IsNil)
+				c.Assert(host.Submit(context.Background(), laterQueue, jobFor(laterQueue), anyone), qt.IsNil)
 			},
 			[]fakes.TableFault{ok, ok, refused},
 			intake.Unknown,
@@ -154,7 +154,7 @@
 					n++
 					return test.faults[min(n, len(test.faults))-1]
 				})
-				err := in.Submit(context.Background(), test.queue, jobFor(test.queue))
+				err := in.Submit(context.Background(), test.queue, jobFor(test.queue), anyone)
 				c.Assert(intake.OutcomeOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
 			})
 		})
@@ -166,7 +166,7 @@
 
 // cancelUnknown cancels a job that was never stored.
 func cancelUnknown(c *qt.C, host *intake.Intake) {
-	c.Assert(intake.OutcomeOf(host.Cancel(context.Background(), queue, id)), qt.Equals, intake.NotFound)
+	c.Assert(intake.OutcomeOf(host.Cancel(context.Background(), queue, id, anyone)), qt.Equals, intake.NotFound)
 }
 
 // A cancelling must not be answered as refused if a commit that marks the job may have taken effect.
@@ -174,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		in, store, _ := newIntake()
-		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob(), anyone), qt.IsNil)
 		n := 0
 		store.SetFault(func(op string) fakes.TableFault {
 			if op == "commit" {
@@ -188,10 +188,10 @@
 			}
 			return fakes.TableOK
 		})
-		err := in.Cancel(context.Background(), queue, id)
+		err := in.Cancel(context.Background(), queue, id, anyone)
 		c.Assert(intake.OutcomeOf(err), qt.Equals, intake.Unknown, qt.Commentf("%v", err))
 		store.SetFault(nil)
-		state, err := in.State(context.Background(), queue, id)
+		state, err := in.State(context.Background(), queue, id, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, graph.Cancelled)
 	})
@@ -207,7 +207,7 @@
 }
 
 // Stored implements intake.Groups.
-func (h *holderGroups) Stored(ctx context.Context, service, _, job string) bool {
+func (h *holderGroups) Stored(ctx context.Context, service, _, job string, _ queues.Caller) bool {
 	if h.silent {
 		<-ctx.Done()
 		return false
@@ -242,7 +242,7 @@
 				submitEarlier(c, in, test.queue)
 				store.SetFault(func(op string) fakes.TableFault { return test.fault })
 				start := time.Now()
-				err := in.Submit(context.Background(), test.queue, jobFor(test.queue))
+				err := in.Submit(context.Background(), test.queue, jobFor(test.queue), anyone)
 				c.Assert(intake.OutcomeOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
 				if test.want == intake.Refused {
 					c.Assert(time.Since(start) <= store.Latency+maxDelay, qt.IsTrue)
@@ -263,7 +263,7 @@
 				submitEarlier(c, in, movedQueue)
 				in.Groups = &oneSilentGroup{service: silent}
 				store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
-				c.Assert(in.Submit(context.Background(), movedQueue, jobFor(movedQueue)), qt.IsNil)
+				c.Assert(in.Submit(context.Background(), movedQueue, jobFor(movedQueue), anyone), qt.IsNil)
 			})
 		})
 	}
@@ -276,7 +276,7 @@
 }
 
 // Stored implements intake.Groups.
-func (g *oneSilentGroup) Stored(ctx context.Context, service, _, _ string) bool {
+func (g *oneSilentGroup) Stored(ctx context.Context, service, _, _ string, _ queues.Caller) bool {
 	if service == g.service {
 		<-ctx.Done()
 	}
@@ -293,7 +293,7 @@
 		in.Groups = &busyGroups{}
 		store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
 		start := time.Now()
-		err := in.Submit(context.Background(), queue, jobFor(queue))
+		err := in.Submit(context.Background(), queue, jobFor(queue), anyone)
 		c.Assert(intake.OutcomeOf(err), qt.Equals, intake.Refused)
 		c.Assert(time.Since(start) <= store.Latency+maxDelay, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 		time.Sleep(busyTime)
@@ -309,7 +309,7 @@
 }
 
 // Stored implements intake.Groups.
-func (*busyGroups) Stored(context.Context, string, string, string) bool {
+func (*busyGroups) Stored(context.Context, string, string, string, queues.Caller) bool {
 	time.Sleep(busyTime)
 	return false
 }
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -46,19 +46,19 @@
 					return fakes.TableOK
 				})
 				var unknown *intake.UnknownError
-				c.Assert(errors.As(in.Submit(ctx, test.queue, jobFor(test.queue)), &unknown), qt.IsTrue)
+				c.Assert(errors.As(in.Submit(ctx, test.queue, jobFor(test.queue), anyone), &unknown), qt.IsTrue)
 				store.SetFault(nil)
 				stored := numStored(store, "desk", "eyes")
 				host, _ := newHost(store)
-				err := host.Cancel(ctx, test.queue, id)
+				err := host.Cancel(ctx, test.queue, id, anyone)
 				var notFound *intake.NotFoundError
 				c.Assert(err == nil || errors.As(err, &notFound), qt.IsTrue, qt.Commentf("%v", err))
 				time.Sleep(time.Minute)
 				c.Assert(numStored(store, "desk", "eyes"), qt.Equals, stored)
-				state, err := host.State(ctx, test.queue, id)
+				state, err := host.State(ctx, test.queue, id, anyone)
 				c.Assert(errors.As(err, &notFound) || state == graph.Cancelled, qt.IsTrue, qt.Commentf("%v, %v", state, err))
 				var refused *intake.RefusedError
-				err = host.Submit(ctx, test.queue, jobFor(test.queue))
+				err = host.Submit(ctx, test.queue, jobFor(test.queue), anyone)
 				c.Assert(errors.As(err, &refused), qt.Equals, stored == 0, qt.Commentf("%v", err))
 				c.Assert(numStored(store, "desk", "eyes"), qt.Equals, stored)
 			})
@@ -79,16 +79,16 @@
 				accepted := make(chan error, 1)
 				go func() {
 					time.Sleep(max(0, lead))
-					accepted <- in.Submit(ctx, q, jobFor(q))
+					accepted <- in.Submit(ctx, q, jobFor(q), anyone)
 				}()
 				time.Sleep(max(0, -lead))
-				err := host.Cancel(ctx, q, id)
+				err := host.Cancel(ctx, q, id, anyone)
 				var notFound *intake.NotFoundError
 				c.Assert(err == nil || errors.As(err, &notFound), qt.IsTrue, qt.Commentf("%v", err))
 				var refused *intake.RefusedError
 				acceptErr := <-accepted
 				c.Assert(acceptErr == nil || errors.As(acceptErr, &refused), qt.IsTrue, qt.Commentf("%v", acceptErr))
-				state, err := host.State(ctx, q, id)
+				state, err := host.State(ctx, q, id, anyone)
 				if acceptErr != nil {
 					c.Assert(errors.As(err, &notFound), qt.IsTrue)
 					return
@@ -120,7 +120,7 @@
 					}
 					return fakes.TableOK
 				})
-				err := in.Cancel(ctx, queue, id)
+				err := in.Cancel(ctx, queue, id, anyone)
 				var notFound *intake.NotFoundError
 				c.Assert(err, qt.IsNotNil)
 				c.Assert(errors.As(err, &notFound), qt.IsFalse)
@@ -150,7 +150,7 @@
 				if test.lateFrom > 1 {
 					// The mark is set beside the row that names the service.
 					store.SetFault(failCommits(test.lateFrom, fakes.TableUnavailable))
-					c.Assert(in.Submit(ctx, test.queue, jobFor(test.queue)), qt.IsNotNil)
+					c.Assert(in.Submit(ctx, test.queue, jobFor(test.queue), anyone), qt.IsNotNil)
 					store.SetFault(nil)
 				}
 				cancelUnknown(c, host)
@@ -159,7 +159,7 @@
 				c.Assert(ok, qt.IsTrue)
 				time.Sleep(28 * time.Second)
 				store.SetFault(failCommits(test.lateFrom, fakes.TableLate))
-				c.Assert(intake.OutcomeOf(in.Submit(ctx, test.queue, jobFor(test.queue))), qt.Equals, intake.Unknown)
+				c.Assert(intake.OutcomeOf(in.Submit(ctx, test.queue, jobFor(test.queue), anyone)), qt.Equals, intake.Unknown)
 				store.SetFault(nil)
 				cancelUnknown(c, host)
 				// The group's runner removes the mark that it has seen 30 s before.
--- a/intake/endpoint_test.go
+++ b/intake/endpoint_test.go
@@ -54,24 +54,24 @@
 				c, ctx := qt.New(t), context.Background()
 				first, store, groups := newIntake()
 				submitEarlier(c, first, test.earlier)
-				c.Assert(first.Submit(ctx, test.accepted, jobFor(test.accepted)), qt.IsNil)
+				c.Assert(first.Submit(ctx, test.accepted, jobFor(test.accepted), anyone), qt.IsNil)
 				c.Assert(groups.accepted, qt.Equals, 2)
 				for _, q := range test.later {
 					fresh, freshGroups := newHost(store)
 					for _, in := range []*intake.Intake{first, fresh} {
-						state, err := in.State(ctx, q, id)
+						state, err := in.State(ctx, q, id, anyone)
 						c.Assert(err, qt.IsNil)
 						c.Assert(state, qt.Equals, graph.Queued)
-						c.Assert(in.Submit(ctx, q, jobFor(q)), qt.IsNil)
+						c.Assert(in.Submit(ctx, q, jobFor(q), anyone), qt.IsNil)
 						c.Assert(numStored(store, "desk", "eyes"), qt.Equals, 1)
 					}
 					c.Assert(groups.accepted, qt.Equals, 2)
 					c.Assert(freshGroups.accepted, qt.Equals, 0)
 				}
 				last := test.later[len(test.later)-1]
-				c.Assert(first.Cancel(ctx, last, id), qt.IsNil)
+				c.Assert(first.Cancel(ctx, last, id, anyone), qt.IsNil)
 				for _, q := range append(test.later, test.accepted) {
-					state, err := first.State(ctx, q, id)
+					state, err := first.State(ctx, q, id, anyone)
 					c.Assert(err, qt.IsNil)
 					c.Assert(state, qt.Equals, graph.Cancelled)
 				}
@@ -96,11 +96,11 @@
 				var wg sync.WaitGroup
 				wg.Go(func() {
 					time.Sleep(max(0, lead))
-					qt.Check(t, old.Submit(ctx, queue, jobFor(queue)), qt.IsNil)
+					qt.Check(t, old.Submit(ctx, queue, jobFor(queue), anyone), qt.IsNil)
 				})
 				wg.Go(func() {
 					time.Sleep(max(0, -lead))
-					qt.Check(t, next.Submit(ctx, movedQueue, jobFor(movedQueue)), qt.IsNil)
+					qt.Check(t, next.Submit(ctx, movedQueue, jobFor(movedQueue), anyone), qt.IsNil)
 				})
 				wg.Wait()
 				c.Assert(groups.accepted+nextGroups.accepted, qt.Equals, 1)
@@ -129,13 +129,13 @@
 					return fakes.TableOK
 				})
 				var refused *intake.RefusedError
-				c.Assert(errors.As(in.Submit(ctx, movedQueue, jobFor(movedQueue)), &refused), qt.IsTrue)
+				c.Assert(errors.As(in.Submit(ctx, movedQueue, jobFor(movedQueue), anyone), &refused), qt.IsTrue)
 				store.SetFault(nil)
 				var notFound *intake.NotFoundError
-				_, err := in.State(ctx, movedQueue, id)
+				_, err := in.State(ctx, movedQueue, id, anyone)
 				c.Assert(errors.As(err, &notFound), qt.IsTrue)
 				host, groups := newHost(store)
-				c.Assert(host.Submit(ctx, repeated, jobFor(repeated)), qt.IsNil)
+				c.Assert(host.Submit(ctx, repeated, jobFor(repeated), anyone), qt.IsNil)
 				c.Assert(groups.accepted, qt.Equals, 1)
 				c.Assert(numStored(store, "eyes"), qt.Equals, 1)
 			})
@@ -149,14 +149,14 @@
 		c, ctx := qt.New(t), context.Background()
 		in, _, _ := newIntake()
 		other := &queues.Queue{Name: "rosters", Host: queue.Host, Prefix: "/rosters/", Service: queue.Service}
-		c.Assert(in.Submit(ctx, queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(ctx, queue, newJob(), anyone), qt.IsNil)
 		var refused *intake.RefusedError
-		c.Assert(errors.As(in.Submit(ctx, other, jobFor(other)), &refused), qt.IsTrue)
+		c.Assert(errors.As(in.Submit(ctx, other, jobFor(other), anyone), &refused), qt.IsTrue)
 		var notFound *intake.NotFoundError
-		_, err := in.State(ctx, other, id)
+		_, err := in.State(ctx, other, id, anyone)
 		c.Assert(errors.As(err, &notFound), qt.IsTrue)
-		c.Assert(errors.As(in.Cancel(ctx, other, id), &notFound), qt.IsTrue)
-		state, err := in.State(ctx, queue, id)
+		c.Assert(errors.As(in.Cancel(ctx, other, id, anyone), &notFound), qt.IsTrue)
+		state, err := in.State(ctx, queue, id, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, graph.Queued)
 	})
@@ -169,7 +169,7 @@
 }
 
 // Pending implements intake.Groups.
-func (g *countedGroups) Pending(_ context.Context, service, queue string) (int, bool) {
+func (g *countedGroups) Pending(_ context.Context, service, queue string, _ queues.Caller) (int, bool) {
 	n, ok := g.pending[graph.Owner{Queue: queue, Service: service}]
 	return n, ok
 }
@@ -179,15 +179,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, ctx := qt.New(t), context.Background()
 		in, store, _ := newIntake()
-		c.Assert(in.Submit(ctx, queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(ctx, queue, newJob(), anyone), qt.IsNil)
 		host, _ := newHost(store)
 		groups := &countedGroups{pending: map[graph.Owner]int{{Queue: "checks", Service: "desk"}: 3, {Queue: "checks-2", Service: "eyes"}: 2}}
 		host.Groups = groups
-		n, err := host.Pending(ctx, movedQueue)
+		n, err := host.Pending(ctx, movedQueue, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(n, qt.Equals, 5)
 		delete(groups.pending, graph.Owner{Queue: "checks", Service: "desk"})
-		n, err = host.Pending(ctx, movedQueue)
+		n, err = host.Pending(ctx, movedQueue, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(n, qt.Equals, 2)
 	})
@@ -203,13 +203,13 @@
 		key := runner.JobKey("desk", id)
 		_, err = store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
 		c.Assert(err, qt.IsNil)
-		state, err := in.State(ctx, queue, id)
+		state, err := in.State(ctx, queue, id, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, graph.Queued)
-		c.Assert(in.Submit(ctx, queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(ctx, queue, newJob(), anyone), qt.IsNil)
 		c.Assert(groups.accepted, qt.Equals, 0)
-		c.Assert(in.Cancel(ctx, movedQueue, id), qt.IsNil)
-		state, err = in.State(ctx, queue, id)
+		c.Assert(in.Cancel(ctx, movedQueue, id, anyone), qt.IsNil)
+		state, err = in.State(ctx, queue, id, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, graph.Cancelled)
 	})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -38,15 +38,15 @@
 	maxRetryAfter = 4 * time.Second
 )
 
-// Groups queries the groups of workers, whichever hosts run them.
+// Groups queries the groups of workers, whichever hosts run them. It reports nothing of jobs that the caller doesn't see.
 type Groups interface {
 	// State returns a job's state as reported by the host that runs its group; known is false if no host reports it.
-	State(ctx context.Context, service, queue, id string) (state graph.State, known bool)
+	State(ctx context.Context, service, queue, id string, caller queues.Caller) (state graph.State, known bool)
 	// Stored reports whether the host that runs a job's group, or was the last one that this host knows of, has seen the job in the table. Unlike a
 	// state, that can't be out of date.
-	Stored(ctx context.Context, service, queue, id string) bool
+	Stored(ctx context.Context, service, queue, id string, caller queues.Caller) bool
 	// Pending returns the number of a queue's jobs of which no task has started; known is false if no host reports it.
-	Pending(ctx context.Context, service, queue string) (n int, known bool)
+	Pending(ctx context.Context, service, queue string, caller queues.Caller) (n int, known bool)
 	// Accepted passes a newly accepted job to its group, if this host runs it.
 	Accepted(job *graph.Job)
 }
@@ -78,7 +78,7 @@
 // Error names the job.
 func (e *NotFoundError) Error() string { return fmt.Sprintf("job %s does not exist", e.Job) }
 
-// Intake accepts, reports and cancels jobs.
+// Intake accepts, reports and cancels jobs. To a caller, a job of another team is like an ID that does not exist, except that the ID can't be used.
 type Intake struct {
 	Store  table.Store
 	Health *table.Health
@@ -89,10 +89,11 @@
 }
 
 // Submit stores a job that was submitted to a queue; submitting the same ID at its endpoint again refers to the same job.
-func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job) error {
-	a := &attempt{startedAt: time.Now(), row: rowUnread}
+func (i *Intake) Submit(ctx context.Context, q *queues.Queue, job *graph.Job, caller queues.Caller) error {
+	a := &attempt{startedAt: time.Now(), caller: caller, row: rowUnread}
 	err := a.settle(i.accept(ctx, a, q, job))
-	if err != nil && i.reported(ctx, q, job.ID) {
+	// A holder of an earlier version would report another team's job too.
+	if err != nil && a.row != rowOtherTeam && i.reported(ctx, q, job.ID, caller) {
 		a.row, err = rowReported, nil
 	}
 	i.logResult("submit", job.Queue, job.ID, a, err)
@@ -101,7 +102,7 @@
 
 // reported reports whether a host that runs a group of the endpoint knows a job, so that this or an earlier request has stored it, though this
 // host can't tell from the table. All are asked at once, since some may not answer.
-func (i *Intake) reported(ctx context.Context, q *queues.Queue, id string) bool {
+func (i *Intake) reported(ctx context.Context, q *queues.Queue, id string, caller queues.Caller) bool {
 	ctx, cancel := context.WithTimeout(ctx, reportedTimeout)
 	defer cancel()
 	e, _ := i.endpoints.get(endpointKey(q).Name)
@@ -111,7 +112,7 @@
 	}
 	answers := make(chan bool, len(owners))
 	for _, o := range owners {
-		go func() { answers <- i.Groups.Stored(ctx, o.Service, o.Queue, id) }()
+		go func() { answers <- i.Groups.Stored(ctx, o.Service, o.Queue, id, caller) }()
 	}
 	for range owners {
 		select {
@@ -152,7 +153,7 @@
 func (i *Intake) storeIn(ctx context.Context, a *attempt, q *queues.Queue, job *graph.Job, service string) (graph.Owner, error) {
 	encode := job.Encode
 	if job.Service != service {
-		encode = job.Owner().Encode
+		encode = job.Reference().Encode
 	}
 	raw, err := encode()
 	if err != nil {
@@ -178,8 +179,8 @@
 	}
 	if conflict == nil {
 		a.row = rowCreated
-		o, err = graph.DecodeOwner(raw)
-		return o, true, err
+		ref, err := graph.DecodeReference(raw)
+		return ref.Owner, true, err
 	}
 	a.row = rowConflict
 	rows, ok := rowsInConflict(key, conflict)
@@ -198,21 +199,28 @@
 	case rows.job == nil:
 		return graph.Owner{}, false, &UnknownError{errRowRemoved}
 	}
-	if o, err = graph.DecodeOwner(rows.job.Value); err != nil {
+	ref, err := graph.DecodeReference(rows.job.Value)
+	if err != nil {
 		return graph.Owner{}, false, err
 	}
-	belongs, err := i.belongs(ctx, q, o)
-	if err == nil && !belongs {
+	belongs, err := i.belongs(ctx, q, ref.Owner)
+	switch {
+	case err != nil:
+	case !belongs:
 		a.row = rowOther
 		err = &RefusedError{"id-in-use", 0, errIDInUse}
+	case !a.caller.Sees(ref.Team):
+		a.row = rowOtherTeam
+		err = &RefusedError{"id-in-use", 0, errIDOfOtherTeam}
 	}
-	return o, false, err
+	return ref.Owner, false, err
 }
 
 var (
-	errCancelled  = errors.New("the job was cancelled before it was stored")
-	errRowRemoved = errors.New("the job's row has just been removed")
-	errIDInUse    = errors.New("a job of another queue has this ID")
+	errCancelled     = errors.New("the job was cancelled before it was stored")
+	errRowRemoved    = errors.New("the job's row has just been removed")
+	errIDInUse       = errors.New("a job of another queue has this ID")
+	errIDOfOtherTeam = errors.New("a job of another team has this ID")
 )
 
 // belongs reports whether a job with an owner is one of a queue's endpoint.
@@ -290,11 +298,11 @@
 }
 
 // State returns the state of a job.
-func (i *Intake) State(ctx context.Context, q *queues.Queue, id string) (graph.State, error) {
-	if state, known := i.groupState(ctx, owner(q), id); known {
+func (i *Intake) State(ctx context.Context, q *queues.Queue, id string, caller queues.Caller) (graph.State, error) {
+	if state, known := i.groupState(ctx, owner(q), id, caller); known {
 		return state, nil
 	}
-	stored, err := i.findJob(ctx, q, id)
+	stored, err := i.findJob(ctx, q, id, caller)
 	switch {
 	case err != nil:
 		return "", err
@@ -302,7 +310,7 @@
 		return "", &NotFoundError{id}
 	}
 	if stored.owner != owner(q) {
-		if state, known := i.groupState(ctx, stored.owner, id); known {
+		if state, known := i.groupState(ctx, stored.owner, id, caller); known {
 			return state, nil
 		}
 	}
@@ -312,10 +320,10 @@
 	return stored.state, nil
 }
 
-func (i *Intake) groupState(ctx context.Context, o graph.Owner, id string) (state graph.State, known bool) {
+func (i *Intake) groupState(ctx context.Context, o graph.Owner, id string, caller queues.Caller) (state graph.State, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
 	defer cancel()
-	return i.Groups.State(ctx, o.Service, o.Queue, id)
+	return i.Groups.State(ctx, o.Service, o.Queue, id, caller)
 }
 
 // storedJob is a job according to its rows.
@@ -376,15 +384,16 @@
 	return rows, nil
 }
 
-// findJob reads a job from its rows, in the table of the endpoint's home and, if that names another service, in the table of that one.
-func (i *Intake) findJob(ctx context.Context, q *queues.Queue, id string) (storedJob, error) {
+// findJob reads a job from its rows, in the table of the endpoint's home and, if that names another service, in the table of that one. A job that the
+// caller doesn't see is *NotFoundError, while one that isn't stored has version 0.
+func (i *Intake) findJob(ctx context.Context, q *queues.Queue, id string, caller queues.Caller) (storedJob, error) {
 	e, err := i.endpoint(ctx, q)
 	if err != nil {
 		return storedJob{}, err
 	}
-	stored, err := i.readJob(ctx, e.home(), id)
+	stored, err := i.readJob(ctx, e.home(), id, caller)
 	if err == nil && stored.version > 0 && stored.owner.Service != e.home() {
-		stored, err = i.readJob(ctx, stored.owner.Service, id)
+		stored, err = i.readJob(ctx, stored.owner.Service, id, caller)
 	}
 	if err != nil || stored.version == 0 {
 		return stored, err
@@ -400,8 +409,8 @@
 	return stored, err
 }
 
-// readJob reads a job from its rows in the table of a service, which may name another owner.
-func (i *Intake) readJob(ctx context.Context, service, id string) (storedJob, error) {
+// readJob reads a job from its rows in the table of a service, which may name another owner; one that the caller doesn't see is *NotFoundError.
+func (i *Intake) readJob(ctx context.Context, service, id string, caller queues.Caller) (storedJob, error) {
 	key := runner.JobKey(service, id)
 	rows, err := i.readRows(ctx, key)
 	if err != nil {
@@ -414,9 +423,15 @@
 	if rows.job == nil {
 		return stored, nil
 	}
-	stored.version = rows.job.Version
-	stored.owner, err = graph.DecodeOwner(rows.job.Value)
-	return stored, err
+	ref, err := graph.DecodeReference(rows.job.Value)
+	if err != nil {
+		return storedJob{}, err
+	}
+	if !caller.Sees(ref.Team) {
+		return storedJob{}, &NotFoundError{id}
+	}
+	stored.version, stored.owner = rows.job.Version, ref.Owner
+	return stored, nil
 }
 
 // readProgress sets the state of a job that has stored progress.
@@ -441,11 +456,11 @@
 }
 
 // Cancel stores that a job is cancelled. It does so for an unknown ID too, since a request that stores the job may still be performed by the table;
-// the result then is *NotFoundError.
-func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string) error {
+// the result then is *NotFoundError. So it is for a job of another team, of which nothing is stored.
+func (i *Intake) Cancel(ctx context.Context, q *queues.Queue, id string, caller queues.Caller) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	a := &attempt{startedAt: time.Now()}
+	a := &attempt{startedAt: time.Now(), caller: caller}
 	err := a.settle(i.cancel(ctx, a, q, id))
 	i.logResult("cancel", q.Name, id, a, err)
 	return err
@@ -456,7 +471,7 @@
 		return err
 	}
 	for first := true; ; first = false {
-		stored, err := i.findJob(ctx, q, id)
+		stored, err := i.findJob(ctx, q, id, a.caller)
 		if err != nil {
 			return err
 		}
@@ -483,15 +498,15 @@
 	}
 }
 
-// Pending returns the number of jobs of a queue's endpoint of which no task has started.
-func (i *Intake) Pending(ctx context.Context, q *queues.Queue) (int, error) {
+// Pending returns the number of jobs of a queue's endpoint that the caller sees and of which no task has started.
+func (i *Intake) Pending(ctx context.Context, q *queues.Queue, caller queues.Caller) (int, error) {
 	e, err := i.endpoint(ctx, q)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
 	defer cancel()
-	total, known := i.Groups.Pending(ctx, q.Service, q.Name)
+	total, known := i.Groups.Pending(ctx, q.Service, q.Name, caller)
 	if !known {
 		return 0, &RefusedError{"no-runner", minRetryAfter, nil}
 	}
@@ -500,7 +515,7 @@
 			continue
 		}
 		// A service that the configuration doesn't name any more has no runner, so its jobs can't be counted.
-		n, _ := i.Groups.Pending(ctx, o.Service, o.Queue)
+		n, _ := i.Groups.Pending(ctx, o.Service, o.Queue, caller)
 		total += n
 	}
 	return total, nil
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -21,19 +21,24 @@
 
 const id = "00000000000000aa"
 
+// anyone is the caller where the configuration has no teams.
+var anyone = queues.Caller{AnyTeam: true}
+
 // noGroups is an intake.Groups of which no host runs a group; it counts the accepted jobs.
 type noGroups struct {
 	accepted int
 }
 
 // State implements intake.Groups.
-func (*noGroups) State(context.Context, string, string, string) (graph.State, bool) { return "", false }
+func (*noGroups) State(context.Context, string, string, string, queues.Caller) (graph.State, bool) {
+	return "", false
+}
 
 // Stored implements intake.Groups.
-func (*noGroups) Stored(context.Context, string, string, string) bool { return false }
+func (*noGroups) Stored(context.Context, string, string, string, queues.Caller) bool { return false }
 
 // Pending implements intake.Groups.
-func (*noGroups) Pending(context.Context, string, string) (int, bool) { return 0, false }
+func (*noGroups) Pending(context.Context, string, string, queues.Caller) (int, bool) { return 0, false }
 
 // Accepted implements intake.Groups.
 func (n *noGroups) Accepted(*graph.Job) { n.accepted++ }
@@ -59,7 +64,7 @@
 	c.Helper()
 	earlier := jobFor(q)
 	earlier.ID = "00000000000000bb"
-	c.Assert(in.Submit(context.Background(), q, earlier), qt.IsNil)
+	c.Assert(in.Submit(context.Background(), q, earlier, anyone), qt.IsNil)
 }
 
 func jobFor(q *queues.Queue) *graph.Job {
@@ -80,8 +85,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		in, _, groups := newIntake()
-		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
-		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob(), anyone), qt.IsNil)
+		c.Assert(in.Submit(context.Background(), queue, newJob(), anyone), qt.IsNil)
 		c.Assert(groups.accepted, qt.Equals, 1)
 	})
 }
@@ -118,13 +123,13 @@
 				submitEarlier(c, in, queue)
 				n := 0
 				store.SetFault(func(op string) fakes.TableFault { n++; return test.fault(n, op) })
-				err := in.Submit(context.Background(), queue, newJob())
+				err := in.Submit(context.Background(), queue, newJob(), anyone)
 				var refused *intake.RefusedError
 				var unknown *intake.UnknownError
 				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
 				c.Assert(errors.As(err, &unknown), qt.Equals, test.unknown)
 				store.SetFault(nil)
-				_, err = in.State(context.Background(), queue, id)
+				_, err = in.State(context.Background(), queue, id, anyone)
 				var notFound *intake.NotFoundError
 				c.Assert(errors.As(err, &notFound), qt.Equals, !test.stored)
 			})
@@ -138,10 +143,10 @@
 		c := qt.New(t)
 		in, store, _ := newIntake()
 		store.SetFault(func(string) fakes.TableFault { return fakes.TableNoReply })
-		_, err := in.State(context.Background(), queue, id)
+		_, err := in.State(context.Background(), queue, id, anyone)
 		c.Assert(err, qt.IsNotNil)
 		start := time.Now()
-		err = in.Submit(context.Background(), queue, newJob())
+		err = in.Submit(context.Background(), queue, newJob(), anyone)
 		var refused *intake.RefusedError
 		c.Assert(errors.As(err, &refused), qt.IsTrue)
 		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
@@ -171,12 +176,12 @@
 					store.Latency = latency
 					earlier := newJob()
 					earlier.ID = fmt.Sprintf("00000000000000b%d", i)
-					c.Assert(in.Submit(context.Background(), queue, earlier), qt.IsNil)
+					c.Assert(in.Submit(context.Background(), queue, earlier, anyone), qt.IsNil)
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), test.timeout)
 				defer cancel()
 				commits := store.NumCommits()
-				err := in.Submit(ctx, queue, newJob())
+				err := in.Submit(ctx, queue, newJob(), anyone)
 				var refused *intake.RefusedError
 				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
 				if test.refused {
@@ -194,11 +199,11 @@
 		c := qt.New(t)
 		in, _, _ := newIntake()
 		var notFound *intake.NotFoundError
-		c.Assert(errors.As(in.Cancel(context.Background(), queue, "00000000000000bb"), &notFound), qt.IsTrue)
-		c.Assert(in.Submit(context.Background(), queue, newJob()), qt.IsNil)
-		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
-		c.Assert(in.Cancel(context.Background(), queue, id), qt.IsNil)
-		state, err := in.State(context.Background(), queue, id)
+		c.Assert(errors.As(in.Cancel(context.Background(), queue, "00000000000000bb", anyone), &notFound), qt.IsTrue)
+		c.Assert(in.Submit(context.Background(), queue, newJob(), anyone), qt.IsNil)
+		c.Assert(in.Cancel(context.Background(), queue, id, anyone), qt.IsNil)
+		c.Assert(in.Cancel(context.Background(), queue, id, anyone), qt.IsNil)
+		state, err := in.State(context.Background(), queue, id, anyone)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, graph.Cancelled)
 	})
--- a/intake/sequence_test.go
+++ b/intake/sequence_test.go
@@ -73,11 +73,11 @@
 			n++
 			return e.commitFaults[min(n, len(e.commitFaults))-1]
 		})
-		_ = host.Submit(context.Background(), e.queue, jobFor(e.queue))
+		_ = host.Submit(context.Background(), e.queue, jobFor(e.queue), anyone)
 		store.SetFault(nil)
 	}
 	if e.cancelled {
-		_ = host.Cancel(context.Background(), queue, id)
+		_ = host.Cancel(context.Background(), queue, id, anyone)
 	}
 }
 
@@ -181,9 +181,9 @@
 		})
 		var err error
 		if op == "submit" {
-			err = in.Submit(context.Background(), q, jobFor(q))
+			err = in.Submit(context.Background(), q, jobFor(q), anyone)
 		} else {
-			err = in.Cancel(context.Background(), q, id)
+			err = in.Cancel(context.Background(), q, id, anyone)
 		}
 		store.SetFault(nil)
 		after := stateOf(store)
--- a/runner/disruption_test.go
+++ b/runner/disruption_test.go
@@ -630,7 +630,7 @@
 	d.network.mu.Unlock()
 	for _, h := range hosts {
 		if r := h.currentRunner(); r != nil && r.Ready() {
-			if state, ok := r.Cell().State(job.id, job.queue); ok {
+			if state, ok := r.Cell().State(job.id, job.queue, queues.Caller{AnyTeam: true}); ok {
 				return state
 			}
 		}
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -165,6 +166,7 @@
 			}
 			if stored.progress != nil && stored.progress.State.Terminal() {
 				// Most rows at a takeover belong to finished jobs, whose documents need not be decoded.
+				r.restoreTeam(stored.progress, row)
 				r.cell.AddFinished(row.Name, stored.progress, now)
 				continue
 			}
@@ -213,6 +215,23 @@
 	f.Run(ctx)
 }
 
+// teamField is in the row of each job that has a team.
+var teamField = []byte(`"team":`)
+
+// restoreTeam sets the team of a finished job from the job's row if its progress names none, as that which a host of an earlier version has written:
+// without it the job would be visible to all teams.
+func (r *Runner) restoreTeam(p *graph.Progress, job table.Row) {
+	if p.Team != "" || !bytes.Contains(job.Value, teamField) {
+		return
+	}
+	ref, err := graph.DecodeReference(job.Value)
+	if err != nil {
+		r.log.WithError(err).WithField("job", job.Name).Error("stored job can't be decoded")
+		return
+	}
+	p.Team = ref.Team
+}
+
 // AddJob adds a job that this host has just accepted, before it is seen in the table's changes. It does nothing until the
 // earlier jobs are loaded.
 func (r *Runner) AddJob(doc *graph.Job) {
--- a/runner/progress.go
+++ b/runner/progress.go
@@ -71,7 +71,9 @@
 		return nil, nil, err
 	}
 	segments = slices.Collect(slices.Chunk(compressed.Bytes(), rowBytes))
-	head := graph.Progress{State: p.State, Queue: p.Queue, Reason: p.Reason, Token: p.Token, Done: graph.Done{Segments: len(segments)}}
+	head := graph.Progress{
+		State: p.State, Queue: p.Queue, Team: p.Team, Reason: p.Reason, Token: p.Token, Done: graph.Done{Segments: len(segments)},
+	}
 	row, err = head.Encode()
 	return row, segments, err
 }
--- a/runner/references.go
+++ b/runner/references.go
@@ -14,8 +14,8 @@
 
 // isReference reports whether a row of a group's table only names another service, which runs the job.
 func isReference(row table.Row, group string) bool {
-	o, err := graph.DecodeOwner(row.Value)
-	return err == nil && o.Service != "" && o.Service != group
+	ref, err := graph.DecodeReference(row.Value)
+	return err == nil && ref.Service != "" && ref.Service != group
 }
 
 // sweepReferences removes the references to jobs whose rows have been removed.
@@ -30,11 +30,11 @@
 func (r *Runner) removeUnlessJobExists(ctx context.Context, ref table.Row) error {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout(tableTimeout))
 	defer cancel()
-	o, err := graph.DecodeOwner(ref.Value)
+	decoded, err := graph.DecodeReference(ref.Value)
 	if err != nil {
 		return err
 	}
-	job := JobKey(o.Service, ref.Name)
+	job := JobKey(decoded.Service, ref.Name)
 	page, err := r.cfg.Store.Read(ctx, table.Range{
 		Table: job.Table, Partition: job.Partition, From: job.Name, To: job.Name + "\x00", Limit: 1,
 	})
--- a/runner/references_test.go
+++ b/runner/references_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -17,7 +18,7 @@
 	const id, other = "00000000000000aa", "eyes"
 	synctest.Test(t, func(t *testing.T) {
 		s := newCluster(t, 1, bigWorker)
-		raw, err := graph.Owner{Queue: queue, Service: other}.Encode()
+		raw, err := graph.Reference{Owner: graph.Owner{Queue: queue, Service: other}}.Encode()
 		s.c.Assert(err, qt.IsNil)
 		reference := runner.JobKey(service, id)
 		job := runner.JobKey(other, id)
@@ -26,7 +27,7 @@
 		r, stop := s.runner()
 		defer stop()
 		time.Sleep(25 * time.Minute)
-		_, known := r.Cell().State(id, queue)
+		_, known := r.Cell().State(id, queue, queues.Caller{AnyTeam: true})
 		s.c.Assert(known, qt.IsFalse)
 		s.c.Assert(s.workers.NumStarts(), qt.Equals, 0)
 		_, kept := s.store.Get(reference)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -225,7 +225,7 @@
 	s.c.Helper()
 	var state graph.State
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if state, _ = r.Cell().State(id, queue); state == want {
+		if state, _ = r.Cell().State(id, queue, queues.Caller{AnyTeam: true}); state == want {
 			return
 		}
 	}
