Keep each team's cap over all groups

A team's tasks ran without regard to its cap: the configuration's caps were decoded and not used. Now each group has a durable share of each cap (table "shares", one row per team), changed by compare-and-set, and its holder starts a team's tasks only within that share. A step whose team has no room is left out of plans, so it costs no search for workers, no advice and no preemption. Without a team that has a cap, nothing is read or written.

A team that a configuration drops keeps its last cap in this process (queues.Config.DroppedTeams), without its keys.

The fake workers check that a team's running tasks exceed its cap by at most one task.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
 )
 
 // Settings are the times that the platform guarantees, and the parameters of this scheduler.
@@ -93,6 +94,11 @@
 	callsInFlight map[string]time.Duration
 	// admittedAt is when the jobs that are to meet their objectives were last chosen.
 	admittedAt time.Time
+	// teams holds the teams that have a cap, and teamsFrom the configuration that names them.
+	teams     map[string]*team
+	teamsFrom *queues.Config
+	// workersExpected says that the workers that an earlier scheduler used are known.
+	workersExpected bool
 	// renewingTickets says that a request that renews tickets is in flight.
 	renewingTickets bool
 	stats           Stats
@@ -126,7 +132,7 @@
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, activities: map[string]*activity{}, runTimes: newRunTimeEstimator(),
 		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, namedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
-		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
+		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, teams: map[string]*team{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
--- a/cell/expiry.go
+++ b/cell/expiry.go
@@ -87,7 +87,7 @@
 // for that time, or requests advice anyway, as its other tasks wait.
 func (c *Cell) requestReplacementAdvice(plan *Plan, s *step, numTasks int, cfg *queues.Config, at, now time.Time) {
 	advice := s.job.advice(cfg)
-	if advice == nil || s.numWaiting > 0 {
+	if advice == nil || s.numWaiting > 0 || c.teamRoomWithout(s, numTasks) == 0 {
 		return
 	}
 	size := allocationOf(s.doc)
--- a/cell/fields.go
+++ b/cell/fields.go
@@ -9,6 +9,7 @@
 	fieldReason = "why"
 	fieldPlaced = "placed"
 	fieldTook   = "took"
+	fieldTeam   = "team"
 	// fieldSilent is how long a worker has not answered a poll.
 	fieldSilent = "silent"
 	// fieldLeaseAge is how long ago the group's lease was renewed: beyond elect.TakeoverTimeout another host may run the group.
--- a/cell/handover.go
+++ b/cell/handover.go
@@ -94,6 +94,9 @@
 	j, w := c.jobs[run.Task.Job], c.workers[run.Worker]
 	if j == nil || w == nil {
 		// The run belongs to a finished job; the worker will report it.
+		if w != nil {
+			w.hasDroppedRuns = true
+		}
 		return
 	}
 	t := c.task(j, run.Task, now)
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -47,6 +47,7 @@
 		p.unansweredAt = res.Sent
 	}
 	if !p.isCurrent() {
+		c.countLate(p)
 		return
 	}
 	p.sentAt = res.Sent
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -44,6 +44,8 @@
 	exclusive bool
 	// noSlot holds the minimum call durations for which no host had a free slot.
 	noSlot map[time.Duration]bool
+	// TeamsHeld says that the cap of a team holds back tasks.
+	TeamsHeld bool
 	// wanted are the requests for advice to be sent as far as hosts are free for them.
 	wanted []wantedAdvice
 	// ticketRenewals are the requests that come after all others.
@@ -77,6 +79,9 @@
 	c.planStops(&plan, now)
 	c.planThrottles(&plan)
 	c.openDue(&plan, now)
+	c.setTeams(cfg)
+	c.updateTeams(plan.exclusive, now)
+	c.beginHeld(now)
 	if len(c.stepsToPlace) == 0 && len(c.speculativeSteps) == 0 && !c.hasUnresponsiveWorker() {
 		return plan
 	}
@@ -86,7 +91,7 @@
 	for _, r := range ranked {
 		numStarts := len(plan.Starts)
 		c.planStep(&plan, r.s, cfg, now)
-		if len(plan.Starts) == numStarts {
+		if len(plan.Starts) == numStarts && c.teamRoom(r.s) > 0 {
 			r.s.triedAt, r.s.retryAt = now, now.Add(retryInterval(r))
 		}
 	}
@@ -176,13 +181,18 @@
 
 func (c *Cell) planStep(plan *Plan, s *step, cfg *queues.Config, now time.Time) {
 	advice := s.job.advice(cfg)
+	room := c.teamRoom(s)
+	if room == 0 {
+		// Steps that come first have taken the rest of the team's share.
+		return
+	}
 	if s.job.version == 0 {
 		// Without a durable record a later scheduler would assume that no task of the job was ever started.
 		if _, ok := c.dirty[s.job.doc.ID]; !ok {
 			c.markDirty(s.job)
 		}
 		if !s.hasTickets(now) {
-			c.requestAdvice(plan, s, advice, s.numWaiting, now)
+			c.requestAdviceInRoom(plan, s, advice, min(s.numWaiting, room), now)
 		}
 		return
 	}
@@ -207,6 +217,9 @@
 			waiting++
 			continue
 		}
+		if room == 0 {
+			break
+		}
 		t = s.task(i)
 		if c.needsHeadroom(s) {
 			plan.replanAt(now.Add(headroomRetryDelay))
@@ -220,13 +233,15 @@
 			waiting++
 			continue
 		}
-		if t.avoidWorkers[w.info.ID] && c.requestAdvice(plan, s, advice, 1, now) {
+		if t.avoidWorkers[w.info.ID] && c.requestAdviceInRoom(plan, s, advice, 1, now) {
 			// The task has failed there; advice about other workers is being requested.
 			continue
 		}
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
+		room--
 	}
-	if waiting == 0 || c.requestAdvice(plan, s, advice, waiting, now) {
+	waiting = min(waiting, room)
+	if waiting == 0 || c.requestAdviceInRoom(plan, s, advice, waiting, now) {
 		return
 	}
 	if c.mayPreempt(s, now) && c.preempt(plan, s, advice != nil, waiting, now) == 0 {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -205,7 +205,7 @@
 	if !w.polled {
 		c.retryAll()
 	}
-	w.polled = true
+	w.polled, w.hasDroppedRuns = true, false
 	w.reported = w.reported || !report.MoreEnds
 	running := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -49,6 +49,9 @@
 			plan.replanAt(s.occ.due)
 			continue
 		}
+		if c.heldByTeam(plan, s, now) {
+			continue
+		}
 		if now.Before(s.retryAt) {
 			plan.replanAt(s.retryAt)
 			continue
--- a/cell/record.go
+++ b/cell/record.go
@@ -10,6 +10,7 @@
 func (c *Cell) ExpectWorkers(ids []string, until func(id string) time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.workersExpected = true
 	for _, id := range ids {
 		c.expectedWorkers[id] = until(id)
 		c.recordedWorkers[id], c.namedWorkers[id] = true, true
--- a/cell/speculative.go
+++ b/cell/speculative.go
@@ -56,6 +56,10 @@
 		if !slow && !first.stopRequested && !c.isSuspect(first.w) {
 			continue
 		}
+		if c.teamRoom(s) <= unplaced {
+			// The cap of its team leaves no room for another copy.
+			continue
+		}
 		w, ticket := c.bestWorker(s, t, advice != nil, now)
 		if w == nil || w == first.w {
 			unplaced++
@@ -64,7 +68,7 @@
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 	}
 	if unplaced > 0 {
-		c.requestAdvice(plan, s, advice, unplaced, now)
+		c.requestAdviceInRoom(plan, s, advice, unplaced, now)
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -120,6 +120,8 @@
 	lateAckUntil     time.Time
 	lateRenewalUntil time.Time
 	unknownRuns      map[runKey]time.Time
+	// hasDroppedRuns says that runs of jobs that are not known here were handed over; the next report lists those that are left.
+	hasDroppedRuns bool
 	// lastEndSeen is the number of the last end received, lastEndDurable that of the last end that is durable here, and
 	// lastAckSent that of the last acknowledged one.
 	lastEndSeen    uint64
@@ -281,6 +283,7 @@
 	t.step.occ.numPlaced++
 	w.used = w.used.Add(p.size)
 	w.placements[runKey{t.id, run}] = p
+	c.countPlaced(p)
 	if t.step.doc.Speculative && !t.step.doc.Gang && !t.step.doc.LongRunning {
 		c.speculativeSteps[t.step.id] = t.step
 	}
@@ -310,6 +313,7 @@
 	delete(c.stopRequested, p)
 	delete(c.throttlesToSend, p)
 	w.used = w.used.Sub(p.size)
+	c.countReleased(p)
 	c.countPreemptible(p, -1)
 	if p.stopRequested {
 		w.numStopping--
--- a/fakes/rules.go
+++ b/fakes/rules.go
@@ -60,7 +60,7 @@
 		size.CPUMilli = 0
 	}
 	rules := &stepRules{
-		size: size, speculative: doc.Speculative, label: doc.Label, maxPerWorker: doc.MaxPerWorker, needsTicket: needsTicket,
+		size: size, fullSize: doc.Size, speculative: doc.Speculative, label: doc.Label, maxPerWorker: doc.MaxPerWorker, needsTicket: needsTicket,
 		count: doc.Count, gang: doc.Gang, longRunning: doc.LongRunning, after: doc.After,
 	}
 	s.stepRules[id] = rules
@@ -126,9 +126,47 @@
 	return used
 }
 
+// TeamUse returns what the tasks of a team use on all workers, and the largest size of one of them in each dimension.
+func (s *WorkerSet) TeamUse(team string) (used, largest unit.Size) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.teamUse(team)
+}
+
+func (s *WorkerSet) teamUse(team string) (used, largest unit.Size) {
+	for _, ws := range s.workers {
+		s.expireRuns(ws)
+		for run := range ws.runs {
+			if name, _ := s.TeamOf(run.task.Job); name == team {
+				size := s.rulesOf(run.task.StepID).fullSize
+				used, largest = used.Add(size), largest.Max(size)
+			}
+		}
+	}
+	return used, largest
+}
+
+// checkTeam records a violation if a start makes a team exceed its cap by more than one task.
+func (s *WorkerSet) checkTeam(ws *workerState, key runKey) {
+	if s.TeamOf == nil {
+		return
+	}
+	team, limit := s.TeamOf(key.task.Job)
+	if team == "" {
+		return
+	}
+	used, largest := s.teamUse(team)
+	size := s.rulesOf(key.task.StepID).fullSize
+	used, allowed := used.Add(size), limit.Add(largest.Max(size))
+	if !used.Mask(limit.Min(size)).Fits(allowed) {
+		s.addViolation("%s run %d started on %s beyond the cap of team %s: %v of %v", key.task, key.run, ws.worker.ID, team, used, limit)
+	}
+}
+
 // checkStart records a start and the violations that it causes. late says that the worker carried out the order late.
 func (s *WorkerSet) checkStart(ws *workerState, key runKey, late bool) {
 	s.lastEvent++
+	s.checkTeam(ws, key)
 	s.starts[key.task] = append(s.starts[key.task], startRecord{worker: ws.worker.ID, run: key.run, event: s.lastEvent})
 	rules := s.rulesOf(key.task.StepID)
 	for _, end := range s.doneEnds[key.task] {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -22,6 +22,8 @@
 	StopGrace time.Duration
 	// MaxListedEnds limits the ended runs in a report; 0 means no limit.
 	MaxListedEnds int
+	// TeamOf returns the team of a job and the team's cap, against which starts are checked; nil checks none.
+	TeamOf func(job string) (team string, limit unit.Size)
 	// EnforceCapacity makes the workers reject runs that exceed their capacity.
 	EnforceCapacity bool
 
@@ -485,8 +487,8 @@
 
 // stepRules are the rules for the starts of a step.
 type stepRules struct {
-	// size is what each task allocates.
-	size unit.Size
+	// size is what each task allocates, and fullSize what it counts of its team's cap.
+	size, fullSize unit.Size
 	// speculative allows a task to have several runs at a time.
 	speculative  bool
 	label        string
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -85,6 +85,9 @@
 	Limits   Limits
 	// Teams are the teams whose keys are accepted; if there are none, no request needs a key.
 	Teams []Team
+	// DroppedTeams are the teams that an earlier configuration of this process names and this one does not, without their keys. Their caps still
+	// hold for the jobs that they have submitted.
+	DroppedTeams []Team
 }
 
 // Match returns the queue of host with the longest matching path prefix, and the rest of the path; nil if none matches.
@@ -126,6 +129,48 @@
 	return nil
 }
 
+// CappedTeams returns the teams with a cap, also those that were dropped.
+func (c *Config) CappedTeams() []*Team {
+	var capped []*Team
+	for _, list := range [][]Team{c.Teams, c.DroppedTeams} {
+		for i := range list {
+			if list[i].Cap != (unit.Size{}) {
+				capped = append(capped, &list[i])
+			}
+		}
+	}
+	return capped
+}
+
+// CapOf returns the cap of a team, also of one that was dropped; zero if it has none.
+func (c *Config) CapOf(name string) unit.Size {
+	for _, t := range c.CappedTeams() {
+		if t.Name == name {
+			return t.Cap
+		}
+	}
+	return unit.Size{}
+}
+
+// withDropped returns the configuration with the capped teams of an older one that it does not name.
+func (c *Config) withDropped(old *Config) *Config {
+	if old == nil {
+		return c
+	}
+	var dropped []Team
+	for _, t := range old.CappedTeams() {
+		if c.Team(t.Name) == nil {
+			dropped = append(dropped, Team{Name: t.Name, Weight: t.Weight, Cap: t.Cap, Priority: t.Priority})
+		}
+	}
+	if len(dropped) == 0 {
+		return c
+	}
+	next := *c
+	next.DroppedTeams = dropped
+	return &next
+}
+
 // Store holds the newest configuration that this process has received.
 type Store struct {
 	current atomic.Pointer[Config]
@@ -134,14 +179,14 @@
 // Current returns the current configuration, or nil before the first Install.
 func (s *Store) Current() *Config { return s.current.Load() }
 
-// Install makes c the current configuration if it is newer, and reports whether it did.
+// Install makes c the current configuration if it is newer, and reports whether it did. Teams that it drops keep their last caps.
 func (s *Store) Install(c *Config) bool {
 	for {
 		old := s.current.Load()
 		if old != nil && c.Version <= old.Version {
 			return false
 		}
-		if s.current.CompareAndSwap(old, c) {
+		if s.current.CompareAndSwap(old, c.withDropped(old)) {
 			return true
 		}
 	}
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -43,6 +43,9 @@
 			plan := r.cell.Plan(cfg, r.cfg.Advisors, now)
 			r.execute(ctx, plan)
 			r.wakeCommit()
+			if plan.TeamsHeld {
+				signal(r.sharesWake)
+			}
 			if !plan.NextPlanAt.IsZero() {
 				next = min(next, max(minPlanInterval, plan.NextPlanAt.Sub(now)))
 			}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -81,6 +81,7 @@
 	loaded     atomic.Bool
 	planWake   chan struct{}
 	commitWake chan struct{}
+	sharesWake chan struct{}
 	cancel     context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -104,7 +105,7 @@
 	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Group, "token": cfg.Epoch.Token})
 	r := &Runner{
-		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
+		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), sharesWake: make(chan struct{}, 1), polling: map[string]bool{},
 		orderSlots: map[string]chan struct{}{}, segments: map[string]int{},
 	}
 	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
@@ -175,6 +176,7 @@
 		eg.Go(func() error { return r.commitLoop(ctx) })
 		eg.Go(func() error { r.sweepLoop(ctx); return nil })
 		eg.Go(func() error { return r.recordLoop(ctx) })
+		eg.Go(func() error { return r.sharesLoop(ctx) })
 		eg.Go(func() error { return r.unrenewedLoop(ctx) })
 		eg.Go(func() error { r.awaitReports(ctx); return nil })
 		return nil
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -127,6 +127,8 @@
 	advisor runner.Advisors
 	// sinceBoot is the boot clock of the runners.
 	sinceBoot func() time.Duration
+	// service is that of the group, and team the team of all jobs.
+	service, team string
 }
 
 func newCluster(t *testing.T, numWorkers int, size unit.Size) *cluster {
@@ -134,6 +136,7 @@
 	s := &cluster{
 		c: qt.New(t), store: fakes.NewTable(), workers: fakes.NewWorkerSet(lease), configs: &queues.Store{}, startedAt: time.Now(),
 		registry: &staticRegistry{changes: make(chan func(func(order.Worker), func(string)))}, epoch: elect.Epoch{Group: service},
+		service: service,
 	}
 	s.store.Latency = 4 * time.Millisecond
 	s.orders, s.advisor = s.workers, &permissiveAdvisor{}
@@ -202,20 +205,20 @@
 // submit stores a job as the intake does.
 func (s *cluster) submit(id string, steps ...graph.Step) {
 	doc := &graph.Job{
-		ID: id, Queue: queue, Service: service, Steps: steps, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2,
+		ID: id, Queue: queue, Service: s.service, Team: s.team, Steps: steps, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2,
 	}
 	raw, err := doc.Encode()
 	s.c.Assert(err, qt.IsNil)
 	for i := range steps {
 		s.workers.SetStep(graph.StepID{Job: id, Step: i}, &steps[i], false)
 	}
-	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
+	key := table.Key{Table: runner.TableJobs(s.service), Partition: runner.JobPartition(s.service, id), Name: id}
 	_, err = s.store.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
 	s.c.Assert(err, qt.IsNil)
 }
 
 func (s *cluster) cancel(id string) {
-	key := runner.CancelKey(runner.JobKey(service, id))
+	key := runner.CancelKey(runner.JobKey(s.service, id))
 	_, err := s.store.Commit(context.Background(), table.Tx{Writes: []table.Write{{Key: key, Value: []byte("1")}}})
 	s.c.Assert(err, qt.IsNil)
 }
--- /dev/null
+++ b/runner/shares_test.go
@@ -0,0 +1,178 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/quota"
+	"github.com/corianderdrift/corianderdrift/runner"
+	"github.com/corianderdrift/corianderdrift/table"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+const teamName = "red"
+
+// teamGroups are two groups with workers of their own, whose jobs are of one team with a cap.
+type teamGroups struct {
+	c       *qt.C
+	groups  []*cluster
+	workers *fakes.WorkerSet
+	store   *fakes.Table
+	configs *queues.Store
+	// limit is the cap that the starts are checked against.
+	limit   unit.Size
+	version uint64
+}
+
+// newTeamGroups returns two groups that share a cap of some cores, each with numWorkers workers of 16 cores.
+func newTeamGroups(t *testing.T, numWorkers int, capCores int64) *teamGroups {
+	t.Helper()
+	g := &teamGroups{c: qt.New(t), configs: &queues.Store{}}
+	for i := range 2 {
+		s := newCluster(t, 0, unit.Size{})
+		s.service = []string{service, "second"}[i]
+		s.epoch.Group, s.team = s.service, teamName
+		if i == 0 {
+			g.store, g.workers = s.store, s.workers
+		}
+		s.store, s.workers, s.orders, s.configs = g.store, g.workers, g.workers, g.configs
+		for n := range numWorkers {
+			w := s.workers.Add(order.Worker{ID: fmt.Sprintf("%s-%d", s.service, n), Service: s.service, Capacity: bigWorker})
+			s.registry.workers = append(s.registry.workers, w)
+		}
+		g.groups = append(g.groups, s)
+	}
+	g.workers.TeamOf = func(string) (string, unit.Size) { return teamName, g.limit }
+	g.setCap(capCores)
+	return g
+}
+
+// setCap installs a configuration with another cap.
+func (g *teamGroups) setCap(capCores int64) {
+	g.version++
+	team := queues.Team{Name: teamName, Cap: unit.Size{CPUMilli: 1000 * capCores}}
+	g.limit = team.Cap
+	g.configs.Install(&queues.Config{
+		Version: g.version, Queues: []queues.Queue{{Name: queue, Service: service}},
+		Services: []queues.Service{{Name: service}, {Name: "second"}}, Teams: []queues.Team{team},
+	})
+}
+
+// used returns how many cores the team uses in all groups.
+func (g *teamGroups) used() int64 {
+	used, _ := g.workers.TeamUse(teamName)
+	return used.CPUMilli / 1000
+}
+
+// shares returns the stored entries of the team.
+func (g *teamGroups) shares() map[string]quota.GroupShare {
+	row, ok := g.store.Get(table.Key{Table: runner.TableShares, Partition: "shares", Name: teamName})
+	if !ok {
+		return nil
+	}
+	var shares quota.TeamShares
+	g.c.Assert(json.Unmarshal(row.Value, &shares), qt.IsNil)
+	return shares.Groups
+}
+
+func (g *teamGroups) assertNoFaults() {
+	g.c.Helper()
+	g.c.Assert(g.workers.Violations(), qt.HasLen, 0)
+}
+
+// average returns the average use over a period, in cores.
+func (g *teamGroups) average(period time.Duration) float64 {
+	sum, n := 0.0, 0
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		sum += float64(g.used())
+		n++
+	}
+	return sum / float64(n)
+}
+
+// Guards against groups that together run more than a team's cap, and against a cap that is left idle although tasks wait.
+func TestGroupsShareCapOfTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 4, 40)
+		g.workers.Outcome = fixedDuration(500 * time.Millisecond)
+		for i, s := range g.groups {
+			_, stop := s.runner()
+			defer stop()
+			s.submit(fmt.Sprintf("j%d", i), graph.Step{Count: 400, Size: cores(2)})
+		}
+		time.Sleep(2 * time.Second)
+		average := g.average(4 * time.Second)
+		g.c.Check(average > 34, qt.IsTrue, qt.Commentf("%.1f of 40 cores in use; shares %v", average, g.shares()))
+		g.assertNoFaults()
+	})
+}
+
+// Guards against a group that keeps the share that it does not use while another group needs it.
+func TestUnusedShareMovesToOtherGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 4, 40)
+		g.workers.Outcome = fixedDuration(300 * time.Millisecond)
+		for _, s := range g.groups {
+			_, stop := s.runner()
+			defer stop()
+		}
+		time.Sleep(time.Second)
+		for round := range 4 {
+			s := g.groups[round%2]
+			s.submit(fmt.Sprintf("j%d", round), graph.Step{Count: 200, Size: cores(2)})
+			time.Sleep(1500 * time.Millisecond)
+			average := g.average(600 * time.Millisecond)
+			g.c.Check(average > 34, qt.IsTrue, qt.Commentf("round %d: %.1f of 40 cores in use; shares %v", round, average, g.shares()))
+			time.Sleep(3 * time.Second)
+		}
+		g.assertNoFaults()
+	})
+}
+
+// Guards against a first start that waits for a commit: the floor share is taken at the take-over.
+func TestFirstJobOfTeamDoesNotWaitForCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 2, 40)
+		g.workers.Outcome = fixedDuration(100 * time.Millisecond)
+		s := g.groups[0]
+		r, stop := s.runner()
+		defer stop()
+		time.Sleep(time.Second)
+		g.store.SetFault(func(op string) fakes.TableFault { return fakes.TableOK })
+		before := g.store.NumCommits()
+		s.submit("j", graph.Step{Count: 4, Size: cores(2)})
+		for g.used() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		// The job itself and the record that it may start are the only commits before its first start.
+		g.c.Check(g.store.NumCommits()-before <= 3, qt.IsTrue, qt.Commentf("%d commits", g.store.NumCommits()-before))
+		s.awaitState(r, "j", graph.Completed, time.Second)
+		g.assertNoFaults()
+	})
+}
+
+// Guards against rows and reads where no team has a cap.
+func TestNoSharesWithoutCaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 2, 0)
+		g.store.SetFault(func(string) fakes.TableFault { return fakes.TableOK })
+		s := g.groups[0]
+		r, stop := s.runner()
+		defer stop()
+		s.submit("j", graph.Step{Count: 4, Size: cores(2)})
+		s.awaitState(r, "j", graph.Completed, 3*time.Second)
+		page, err := g.store.Read(context.Background(), table.Range{Table: runner.TableShares, Partition: "shares"})
+		g.c.Assert(err, qt.IsNil)
+		g.c.Check(page.Rows, qt.HasLen, 0)
+	})
+}
