--- a/intake/sequence_test.go
+++ b/intake/sequence_test.go
@@ -62,8 +62,8 @@
 	{"reference stored, late, cancelled", movedQueue, []fakes.TableFault{fakes.TableOK, fakes.TableLate}, true},
 }
 
-// prepare carries out the earlier request through a host.
-func (e *earlierRequest) prepare(host *intake.Intake, store *fakes.Table) {
+// prepare carries out the earlier request through a host, on behalf of a caller.
+func (e *earlierRequest) prepare(host *intake.Intake, store *fakes.Table, caller queues.Caller) {
 	if e.queue != nil {
 		n := 0
 		store.SetFault(func(op string) fakes.TableFault {
@@ -73,11 +73,11 @@
 			n++
 			return e.commitFaults[min(n, len(e.commitFaults))-1]
 		})
-		_ = host.Submit(context.Background(), e.queue, jobFor(e.queue), anyone)
+		_ = host.Submit(context.Background(), e.queue, jobOf(e.queue, caller), caller)
 		store.SetFault(nil)
 	}
 	if e.cancelled {
-		_ = host.Cancel(context.Background(), queue, id, anyone)
+		_ = host.Cancel(context.Background(), queue, id, caller)
 	}
 }
 
@@ -162,7 +162,7 @@
 			submitEarlier(c, in, each)
 		}
 		host, _ := newHost(store)
-		earlier.prepare(host, store)
+		earlier.prepare(host, store, anyone)
 		before := stateOf(store)
 		var calls []string
 		served := false
--- a/intake/team_test.go
+++ b/intake/team_test.go
@@ -219,3 +219,72 @@
 	g.callers = append(g.callers, caller)
 	return 0, true
 }
+
+// Guards against a request that changes the job of another team, or is answered as if that were its own, whatever becomes of its calls to the table.
+func TestOtherTeamChangesNothingInAnySequenceOfFaults(t *testing.T) {
+	const numFaults = 3
+	numSequences := 1
+	for range numFaults {
+		numSequences *= len(sequenceFaults)
+	}
+	for _, op := range []string{"submit", "cancel"} {
+		for _, q := range []*queues.Queue{queue, movedQueue} {
+			for _, earlier := range earlierRequests {
+				// Of the job of the other team, its row or a reference must be stored.
+				if earlier.queue == nil || earlier.cancelled || len(earlier.commitFaults) > 0 && earlier.commitFaults[0] != fakes.TableOK {
+					continue
+				}
+				t.Run(op+"/"+q.Name+"/"+earlier.name, func(t *testing.T) {
+					for n := range numSequences {
+						testOtherTeamSequence(t, op, q, earlier, n, numFaults)
+					}
+				})
+			}
+		}
+	}
+}
+
+// testOtherTeamSequence tests the nth sequence of faults of the request's calls to the table; the last fault of a sequence repeats.
+func testOtherTeamSequence(t *testing.T, op string, q *queues.Queue, earlier earlierRequest, n, numFaults int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), t.Context()
+		in, store, _ := newIntake()
+		for _, each := range []*queues.Queue{queue, movedQueue, q} {
+			submitEarlier(c, in, each)
+		}
+		host, _ := newHost(store)
+		earlier.prepare(host, store, teamA)
+		before := jobRowsOf(store)
+		c.Assert(len(before) > 0, qt.IsTrue)
+		calls := 0
+		store.SetFault(func(string) fakes.TableFault {
+			i := n
+			for range min(calls, numFaults-1) {
+				i /= len(sequenceFaults)
+			}
+			calls++
+			return sequenceFaults[i%len(sequenceFaults)].fault
+		})
+		var err error
+		if op == "submit" {
+			err = in.Submit(ctx, q, jobOf(q, teamB), teamB)
+		} else {
+			err = in.Cancel(ctx, q, id, teamB)
+		}
+		store.SetFault(nil)
+		time.Sleep(lateCommitsDone)
+		if intake.OutcomeOf(err) == intake.Done {
+			t.Errorf("sequence %d: done", n)
+		}
+		for key, row := range jobRowsOf(store) {
+			ref, err := graph.DecodeReference(row.Value)
+			if key.Name != id || err != nil || ref.Team != teamA.Team {
+				t.Errorf("sequence %d: row %v is %s", n, key, row.Value)
+			}
+			if old, ok := before[key]; ok && old.Version != row.Version {
+				t.Errorf("sequence %d: row %v was written again", n, key)
+			}
+		}
+	})
+}
