Let gangs larger than a group's part of a cap start in turn

A group that waits for such a start, and for a task that needs more than its part, now takes a turn in the row, and the others leave it what it needs, in the order of the turns.

--- a/cell/team.go
+++ b/cell/team.go
@@ -20,6 +20,8 @@
 	// unusedLimit is for how long a team may leave a part of its share unused while tasks wait: these wait for something else, so the rest of
 	// the share may be of use to other groups.
 	unusedLimit = 1500 * time.Millisecond
+	// unusedPause is for how long it does not ask for room for starts that are too large for its regular share then.
+	unusedPause = time.Second
 	// heldLogDelay is how long after tasks were last held back that is logged as over.
 	heldLogDelay = time.Second
 )
@@ -533,6 +535,10 @@
 		}
 		d.Want[i] = min(d.Want[i], max(d.Used[i], t.progressUsed[i])+need)
 	}
+	if now.Sub(t.progressAt) < unusedLimit+unusedPause {
+		// The share that these starts need is left to others for a while.
+		d.Starts = nil
+	}
 }
 
 // TeamStats is what the group uses of a team's cap.
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -35,6 +35,10 @@
 	Share Amount `json:"share"`
 	// Want is what the group would use if the cap allowed it, at most the cap.
 	Want Amount `json:"want"`
+	// Turn is the place in the order of the groups that wait for a start which their regular share never allows, as it is too large; 0 if the group
+	// waits for none. The other groups leave Need to the group that comes first.
+	Turn uint64 `json:"turn,omitempty"`
+	Need Amount `json:"need,omitzero"`
 	// Beat is counted up by a holder whose group the configuration no longer names, so that other groups can tell that there is a holder.
 	Beat uint64 `json:"beat,omitempty"`
 }
@@ -124,6 +128,8 @@
 	old := t.Groups[group]
 	others, otherWants := t.Others(group)
 	next = GroupShare{Token: token, Beat: old.Beat}
+	first, waits := t.firstTurn()
+	giveWay := waits && first != group
 	var desired Amount
 	for i := range numLimited {
 		if d.Cap[i] == 0 {
@@ -131,37 +137,60 @@
 		}
 		next.Want[i] = d.roundedWant(i)
 		desired[i] = d.desiredShare(i, next.Want[i], otherWants[i])
+		contended := next.Want[i]+otherWants[i] > d.Cap[i]
 		share := desired[i]
+		if giveWay {
+			need := t.Groups[first].Need[i]
+			contended = contended || need > 0
+			share = min(share, part(max(0, d.Cap[i]-need), next.Want[i], otherWants[i]-t.Groups[first].Want[i]))
+		}
 		if share > old.Share[i] {
 			share = max(old.Share[i], min(share, d.Cap[i]-others[i]))
 		}
 		limit[i] = share
-		if next.Want[i]+otherWants[i] <= d.Cap[i] {
+		if !contended {
 			limit[i] = max(share, old.Share[i])
 		}
 		next.Share[i] = max(share, d.Used[i])
 	}
 	for _, start := range d.Starts {
-		if needed, ok := d.beyond(start, others, desired); ok {
+		needed, ok := d.beyond(start, others, desired)
+		if ok && !giveWay {
 			for i := range numLimited {
 				limit[i], next.Share[i] = max(limit[i], needed[i]), max(next.Share[i], needed[i])
 			}
+		}
+		if need, ok := d.turnNeed(start, desired); ok && next.Turn == 0 && (old.Turn > 0 || giveWay || !d.allows(start, limit)) {
+			next.Turn, next.Need = old.Turn, need
+			if next.Turn == 0 {
+				next.Turn = t.lastTurn() + 1
+			}
+		}
+		if ok {
 			break
 		}
 	}
 	return next, limit
 }
 
+// part returns the part of an amount that a want has beside other wants.
+func part(amount, want, otherWants int64) int64 {
+	if want+otherWants <= amount {
+		return amount
+	}
+	return int64(float64(amount) * float64(want) / float64(want+otherWants))
+}
+
 // desiredShare returns the share that a group should have of a resource, whether or not that much is unallocated.
 func (d *Demand) desiredShare(i int, want, otherWants int64) int64 {
 	limit := d.Cap[i]
 	if want+otherWants > limit {
 		// In proportion to the wants; any want gives some share.
-		part := float64(limit) * float64(want) / float64(want+otherWants)
-		return max(min(1, want), int64(part))
+		return max(min(1, want), part(limit, want, otherWants))
 	}
-	floor := limit / int64(2*max(1, d.NumServices))
-	return max(want, min(floor, limit-otherWants))
+	n := int64(max(1, d.NumServices))
+	// Groups that want nothing leave together what the others want.
+	return max(want, min(limit/(2*n), (limit-otherWants)/n))
 }
 
 // beyond returns what the group needs to have for a start, if that may be taken although it may exceed the regular share.
@@ -178,6 +207,55 @@
 	return needed, true
 }
 
+// allows reports whether a start is within a limit.
+func (d *Demand) allows(start Start, limit Amount) bool {
+	for i, size := range start.Size {
+		if d.Cap[i] > 0 && size > 0 && d.Used[i]+start.Count*size > limit[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// turnNeed returns what the other groups have to leave to this one for a start that is too large for its regular share, if it uses little of that:
+// otherwise, tasks that it runs would take what the others leave.
+func (d *Demand) turnNeed(start Start, desired Amount) (need Amount, ok bool) {
+	for i, size := range start.Size {
+		if d.Cap[i] == 0 || size == 0 {
+			continue
+		}
+		if d.Used[i] > desired[i]/2 {
+			return Amount{}, false
+		}
+		ok = ok || d.Used[i]+start.Count*size > desired[i]
+		// All members but one, or less than the cap for a single task; see mayExceed.
+		need[i] = min(d.Cap[i], d.Used[i]+max(1, (start.Count-1)*size))
+	}
+	return need, ok
+}
+
+// firstTurn returns the group that comes first of those that wait for a turn.
+func (t TeamShares) firstTurn() (first string, waits bool) {
+	for group, entry := range t.Groups {
+		if entry.Turn == 0 {
+			continue
+		}
+		if turn := t.Groups[first].Turn; !waits || entry.Turn < turn || (entry.Turn == turn && group < first) {
+			first, waits = group, true
+		}
+	}
+	return first, waits
+}
+
+// lastTurn returns the last turn that a group waits for.
+func (t TeamShares) lastTurn() uint64 {
+	last := uint64(0)
+	for _, entry := range t.Groups {
+		last = max(last, entry.Turn)
+	}
+	return last
+}
+
 // mayExceed reports whether a task may be started while an amount is in use: that is below the cap. A gang may be started if all its members
 // but one fit.
 func mayExceed(used, size, count, limit int64) bool {
@@ -212,7 +290,7 @@
 
 // Matters reports whether an entry differs from the stored one by enough to be written.
 func (d *Demand) Matters(old, next GroupShare, otherWants Amount) bool {
-	if next.Token != old.Token || next.Beat != old.Beat {
+	if next.Token != old.Token || next.Beat != old.Beat || next.Turn != old.Turn || next.Need != old.Need {
 		return true
 	}
 	for i := range numLimited {
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -46,6 +46,8 @@
 	advisor   runner.Advisors
 	log       logrus.FieldLogger
 	startedAt time.Time
+	// group is the group whose lease the hosts compete for; empty for that of service.
+	group string
 
 	mu    sync.Mutex
 	hosts []*host
@@ -53,6 +55,16 @@
 	cuts []*cut
 }
 
+func (n *network) groupName() string {
+	if n.group == "" {
+		return service
+	}
+	return n.group
+}
+
+// hostName returns the name of the host with the given rank. Hosts of several networks can share a table.
+func (n *network) hostName(rank int) string { return fmt.Sprintf("%shost%d", n.group, rank) }
+
 // cut is a partition of the network; a nil function cuts nothing. Hosts are given by name, since a partition outlasts their processes.
 type cut struct {
 	// order returns the fault of an order from a host to a worker.
@@ -170,7 +182,7 @@
 func (n *network) startHost(rank int, process string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{
-		n: n, rank: rank, name: fmt.Sprintf("host%d", rank), process: process, view: elect.NewView(), ctx: ctx, cancel: cancel,
+		n: n, rank: rank, name: n.hostName(rank), process: process, view: elect.NewView(), ctx: ctx, cancel: cancel,
 		pathFaults: map[string]fakes.OrderFaultKind{}, conns: map[string]workerConn{}, handovers: map[uint64]cell.Handover{},
 	}
 	n.mu.Lock()
@@ -180,7 +192,7 @@
 	n.hosts[rank] = h
 	n.mu.Unlock()
 	f := table.Follower{
-		Store: &hostStore{h}, Table: elect.Table, Partitions: func() []string { return []string{service, hostsPartition} }, Load: h.applyLeases, Apply: h.applyLeases,
+		Store: &hostStore{h}, Table: elect.Table, Partitions: func() []string { return []string{n.groupName(), hostsPartition} }, Load: h.applyLeases, Apply: h.applyLeases,
 		OnAnswer: func() { h.view.TableAnswered(time.Now()) }, Pause: func() time.Duration { return leaseReadInterval }, Log: n.log,
 	}
 	h.goAsync(func() { f.Run(ctx) })
@@ -391,7 +403,7 @@
 		h.run(attempt)
 		return
 	}
-	previous, acquirable := h.view.Acquirable(service, time.Duration(h.rank)*rankDelay, time.Now())
+	previous, acquirable := h.view.Acquirable(h.n.groupName(), time.Duration(h.rank)*rankDelay, time.Now())
 	if !acquirable || h.holderConfirms(previous) {
 		return
 	}
@@ -409,7 +421,7 @@
 }
 
 func (h *host) holderConfirms(previous elect.Epoch) bool {
-	unrenewed, ok := h.view.UnresponsiveFor(service, time.Now())
+	unrenewed, ok := h.view.UnresponsiveFor(h.n.groupName(), time.Now())
 	if !ok || unrenewed > maxUnrenewed || previous.Holder == h.name {
 		return false
 	}
@@ -447,7 +459,7 @@
 	if !ok {
 		return cell.Handover{}, false
 	}
-	holder := h.n.findHost(fmt.Sprintf("host%d", address.Port()-1))
+	holder := h.n.findHost(h.n.hostName(int(address.Port()) - 1))
 	if holder == nil || !holder.isReachable() || !h.canCall(holder) {
 		return cell.Handover{}, false
 	}
@@ -534,7 +546,7 @@
 func (s *hostStore) loses(tx table.Tx) bool {
 	s.h.mu.Lock()
 	defer s.h.mu.Unlock()
-	renewal := elect.RenewWrite(service, 0).Key
+	renewal := elect.RenewWrite(s.h.n.groupName(), 0).Key
 	return slices.ContainsFunc(tx.Writes, func(w table.Write) bool {
 		return (w.Partition == hostsPartition && s.h.process == unannouncedProcess) || (w.Key == renewal && s.h.renewalsLost)
 	})
