Order work by the teams' parts when capacity is scarce

A team that sends many times its usual load delayed the other teams' jobs: steps were ordered by priority and deadline alone, in starts, advice, reservations of gangs and preemption.

The capacity of a group is divided among the teams that have demand by their weights, in the dimensions of which there is too little, where a team that wants less than its part leaves the rest to the others. Work of a team that has its part comes after that of teams below theirs, and jobs beyond the team's rate, a token bucket over acceptance times, come last, both after urgency and before the queue's priority. A team below its part may preempt runs of one above it at the same priority. A team's part is charged by priority, so that its own batches don't delay its urgent jobs.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
@@ -42,33 +43,37 @@
 
 // admit chooses which of the jobs that have not started are to meet their objectives, so that in an overload some are in time
 // instead of all being a little late. The others are deferred: they come after all jobs that can be in time.
-func (c *Cell) admit(now time.Time) {
+func (c *Cell) admit(cfg *queues.Config, now time.Time) {
 	if now.Sub(c.admittedAt) < admitInterval {
 		return
 	}
 	c.admittedAt = now
+	c.divide(cfg, now)
 	capacity := c.candidateIndex.capacity
-	byPriority := map[int]*load{}
-	loadOf := func(priority int) *load {
-		l, ok := byPriority[priority]
+	byPrecedence := map[precedence]*load{}
+	loadOf := func(p precedence) *load {
+		l, ok := byPrecedence[p]
 		if !ok {
 			l = &load{}
-			byPriority[priority] = l
+			byPrecedence[p] = l
 		}
 		return l
 	}
 	started, waiting := c.splitOccurrences(now)
 	for _, o := range started {
 		share, remaining := o.demand(capacity)
-		loadOf(o.job.doc.Priority).add(share, remaining)
+		p := precedence{withinPart, o.job.doc.Priority}
+		if o.occ.current().preemptible() {
+			p.standing = o.standing
+		}
+		loadOf(p).add(share, remaining)
 	}
-	slices.SortFunc(waiting, func(a, b rankedOccurrence) int {
-		return cmp.Or(cmp.Compare(a.job.doc.Priority, b.job.doc.Priority), a.deadline.Compare(b.deadline), cmp.Compare(a.job.doc.ID, b.job.doc.ID))
-	})
+	slices.SortFunc(waiting, compareOccurrences)
+	c.setOccurrenceStandings(waiting)
 	for _, o := range waiting {
 		ahead := load{}
-		for _, priority := range slices.Sorted(maps.Keys(byPriority)) {
-			if l := byPriority[priority]; priority <= o.job.doc.Priority {
+		for _, p := range slices.SortedFunc(maps.Keys(byPrecedence), precedence.compare) {
+			if l := byPrecedence[p]; p.compare(o.precedence) <= 0 {
 				ahead.share += l.share
 				ahead.shareSecond += l.shareSecond
 			}
@@ -77,8 +82,46 @@
 		slack := o.deadline.Sub(now) - o.occ.remaining
 		o.occ.deferred = slack < 0 || float64(ahead.wait(share)) > admitSlackShare*float64(slack)
 		if !o.occ.deferred {
-			loadOf(o.job.doc.Priority).add(share, remaining)
+			loadOf(o.precedence).add(share, remaining)
+		}
+	}
+}
+
+// precedence is the order in which jobs get room, apart from their deadlines.
+type precedence struct {
+	standing standing
+	priority int
+}
+
+func (p precedence) compare(other precedence) int {
+	return cmp.Or(cmp.Compare(p.standing, other.standing), cmp.Compare(p.priority, other.priority))
+}
+
+func compareOccurrences(a, b rankedOccurrence) int {
+	return cmp.Or(a.compare(b.precedence), a.deadline.Compare(b.deadline), cmp.Compare(a.job.doc.ID, b.job.doc.ID))
+}
+
+// setOccurrenceStandings does for occurrences what setStandings does for steps.
+func (c *Cell) setOccurrenceStandings(list []rankedOccurrence) {
+	if !c.fairness.enabled {
+		return
+	}
+	before := map[string]unit.Size{}
+	changed := false
+	for i := range list {
+		o := &list[i]
+		if o.standing > withinPart {
+			continue
+		}
+		s, team := o.occ.current(), o.job.doc.Team
+		if o.standing = c.standingOf(s, before[team]); o.standing > withinPart {
+			changed = true
+			continue
 		}
+		before[team] = before[team].Add(allocationOf(s.doc).Scale(float64(s.numUnfinished)))
+	}
+	if changed {
+		slices.SortFunc(list, compareOccurrences)
 	}
 }
 
@@ -87,6 +130,7 @@
 	job      *job
 	occ      *occurrence
 	deadline time.Time
+	precedence
 }
 
 // splitOccurrences returns the occurrences that are due, apart by whether tasks of them have been placed.
@@ -100,7 +144,8 @@
 			if occ.numUnfinished == 0 || now.Before(occ.due) {
 				continue
 			}
-			o := rankedOccurrence{j, occ, c.rank(occ.steps[0], now).deadline}
+			ranked := c.rank(occ.current(), now)
+			o := rankedOccurrence{j, occ, ranked.deadline, precedence{ranked.standing, j.doc.Priority}}
 			if occ.started() {
 				occ.deferred = false
 				started = append(started, o)
@@ -124,10 +169,16 @@
 
 // demand returns what share of the capacity the occurrence's present step needs, and how long the occurrence still takes.
 func (o *rankedOccurrence) demand(capacity unit.Size) (float64, time.Duration) {
-	for _, s := range o.occ.steps {
+	s := o.occ.current()
+	return float64(s.numUnfinished) * allocationOf(s.doc).Share(capacity), o.occ.remaining
+}
+
+// current returns the first step that isn't done, or the last step.
+func (o *occurrence) current() *step {
+	for _, s := range o.steps {
 		if s.numUnfinished > 0 {
-			return float64(s.numUnfinished) * allocationOf(s.doc).Share(capacity), o.occ.remaining
+			return s
 		}
 	}
-	return 0, 0
+	return o.steps[len(o.steps)-1]
 }
--- a/cell/backlog.go
+++ b/cell/backlog.go
@@ -25,6 +25,7 @@
 // the step itself.
 type requirements struct {
 	queue        string
+	team         string
 	priority     int
 	label        string
 	size         unit.Size
@@ -36,7 +37,7 @@
 
 func (s *step) requirements() requirements {
 	r := requirements{
-		queue: s.job.doc.Queue, priority: s.job.doc.Priority, label: s.doc.Label, size: allocationOf(s.doc), maxPerWorker: s.doc.MaxPerWorker,
+		queue: s.job.doc.Queue, team: s.job.doc.Team, priority: s.job.doc.Priority, label: s.doc.Label, size: allocationOf(s.doc), maxPerWorker: s.doc.MaxPerWorker,
 		unrecorded: s.job.version == 0,
 	}
 	if s.doc.Gang {
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -48,6 +48,8 @@
 	needsTickets bool
 	// idleSteps holds the steps whose tasks were found to be idle on several workers.
 	idleSteps map[int]bool
+	// beyondRate says that the job's team sent it beyond its rate.
+	beyondRate bool
 	// sensitive says that a delay of some hundred milliseconds may make the job miss its objective.
 	sensitive bool
 }
@@ -235,6 +237,9 @@
 	j := &job{doc: doc, state: graph.Queued, version: version, restored: progress != nil, longRunning: doc.LongRunning()}
 	j.sensitive = !j.longRunning && j.declaredSlack() < maxSensitiveSlack
 	c.jobs[doc.ID] = j
+	if doc.Team != "" {
+		c.fairness.newJobs = append(c.fairness.newJobs, j)
+	}
 	if progress != nil {
 		c.restore(j, progress, now)
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -81,7 +81,8 @@
 		return plan
 	}
 	c.candidateIndex.rebuild(c, now)
-	c.admit(now)
+	c.fairness.chargeRates(cfg)
+	c.admit(cfg, now)
 	ranked, lateGroups := c.rankedSteps(&plan, cfg, now)
 	for _, r := range ranked {
 		numStarts := len(plan.Starts)
@@ -210,7 +211,11 @@
 		t = s.task(i)
 		if c.needsHeadroom(s) {
 			plan.replanAt(now.Add(headroomRetryDelay))
-			return
+			if !c.mayPreemptTeams(s) {
+				return
+			}
+			waiting++
+			continue
 		}
 		if w == nil || t.avoidWorkers[w.info.ID] || c.fits(s, w, allocationOf(s.doc)) == 0 {
 			// The best worker remains the best with each task that it gets, since fuller workers are preferred.
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -25,7 +25,10 @@
 
 // mayPreempt reports whether a step may search for less urgent runs to preempt now, and if so records the search.
 func (c *Cell) mayPreempt(s *step, now time.Time) bool {
-	if c.preemptibleRuns[s.job.doc.Priority] == 0 || now.Before(s.preemptWaitUntil) || now.Sub(s.lastVictimSearchAt) < victimSearchInterval {
+	if c.preemptibleRuns[s.job.doc.Priority] == 0 && !c.mayPreemptTeams(s) {
+		return false
+	}
+	if now.Before(s.preemptWaitUntil) || now.Sub(s.lastVictimSearchAt) < victimSearchInterval {
 		return false
 	}
 	s.lastVictimSearchAt = now
@@ -142,10 +145,10 @@
 	}
 }
 
-// heldForOther reports whether a worker is held for another gang that is at least as urgent as a step, and that is expected to start
+// heldForOther reports whether a worker is held for another gang that comes before a step or is equal, and that is expected to start
 // before the step's tasks would end.
 func (c *Cell) heldForOther(w *worker, s *step, now time.Time) bool {
-	if w.heldFor == nil || w.heldFor == s || !now.Before(w.heldUntil) || w.heldFor.job.doc.Priority > s.job.doc.Priority {
+	if w.heldFor == nil || w.heldFor == s || !now.Before(w.heldUntil) || !c.precedes(w.heldFor, s) {
 		return false
 	}
 	return s.doc.LongRunning || now.Add(c.runTimes.estimate(s.job.doc.Queue, s.doc)).After(w.heldStart)
@@ -170,6 +173,10 @@
 		if freed >= maxTasks {
 			break
 		}
+		if freed > 0 && !c.mayPreemptRun(s, v.p, size.Scale(float64(freed)), now) {
+			// With the runs that are stopped already, a team's use has come to its part.
+			continue
+		}
 		free = free.Add(v.p.size)
 		chosen = append(chosen, v.p)
 		for freed < maxTasks && size.Fits(free) {
@@ -188,8 +195,7 @@
 func (c *Cell) victims(s *step, w *worker, now time.Time) []victim {
 	var list []victim
 	for _, p := range w.placements {
-		other := p.task.step
-		if other.job.doc.Priority <= s.job.doc.Priority || !other.preemptible() || now.Sub(p.sentAt) < minPreemptAge {
+		if now.Sub(p.sentAt) < minPreemptAge || !c.mayPreemptRun(s, p, unit.Size{}, now) {
 			continue
 		}
 		loss := now.Sub(p.sentAt)
@@ -212,6 +218,7 @@
 func (c *Cell) requestStop(p *placement) {
 	if !p.stopRequested {
 		p.w.numStopping++
+		c.fairness.countStopping(p)
 	}
 	p.stopRequested = true
 	c.stopRequested[p] = struct{}{}
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
 )
 
 // urgency says whether a job can still meet its objective.
@@ -30,7 +31,10 @@
 type rankedStep struct {
 	s        *step
 	urgency  urgency
-	deadline time.Time
+	standing standing
+	// teamPriority orders steps of teams that are beyond their parts.
+	teamPriority int
+	deadline     time.Time
 	// ticketed says that a late step has a ticket.
 	ticketed bool
 }
@@ -38,7 +42,8 @@
 // rankedSteps returns the steps that are tried in a plan, the most urgent first, and the groups of those that are late.
 //
 // Steps that can't meet their deadline come after all that can: otherwise all jobs would be late in a backlog after an outage. Overdue
-// steps come last. Otherwise the priority counts, and within a priority the earliest deadline comes first.
+// steps come last. Otherwise work of teams that are within their parts comes first, then the priority counts, and within a priority the
+// earliest deadline comes first.
 func (c *Cell) rankedSteps(plan *Plan, cfg *queues.Config, now time.Time) ([]rankedStep, []*lateGroup) {
 	var list, lateSteps []rankedStep
 	for _, s := range c.stepsToPlace {
@@ -73,12 +78,15 @@
 	}
 	list = append(list, lateSteps...)
 	slices.SortFunc(list, compareRanked)
+	c.setStandings(list)
 	return list, groups
 }
 
 func compareRanked(a, b rankedStep) int {
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.standing, b.standing),
+		cmp.Compare(a.teamPriority, b.teamPriority),
 		cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority),
 		a.deadline.Compare(b.deadline),
 		cmp.Compare(a.s.id.Job, b.s.id.Job),
@@ -94,6 +102,7 @@
 	}
 	objective := occ.objective
 	ranked := rankedStep{s: s, urgency: onTime, deadline: j.startTime(occ).Add(objective)}
+	c.setStanding(&ranked, unit.Size{})
 	if j.longRunning {
 		return ranked
 	}
--- a/cell/request.go
+++ b/cell/request.go
@@ -110,7 +110,8 @@
 }
 
 // sendRequests sends the wanted requests for advice as long as hosts are free. Each host goes to the queue whose calls take least of the
-// hosts' time: otherwise the long calls of one queue would take all hosts, while its steps may not even find capacity.
+// hosts' time: otherwise the long calls of one queue would take all hosts, while its steps may not even find capacity. Queues whose next
+// step is of a team beyond its part come last.
 func (c *Cell) sendRequests(plan *Plan, now time.Time) {
 	byQueue := map[string][]wantedAdvice{}
 	var queueNames []string
@@ -124,7 +125,10 @@
 	plan.wanted = nil
 	for len(queueNames) > 0 {
 		next := slices.MinFunc(queueNames, func(a, b string) int {
-			return cmp.Compare(c.weightedCalls(byQueue[a][0].s), c.weightedCalls(byQueue[b][0].s))
+			first, second := byQueue[a][0].s, byQueue[b][0].s
+			return cmp.Or(
+				cmp.Compare(c.standingOf(first, unit.Size{}), c.standingOf(second, unit.Size{})), cmp.Compare(c.weightedCalls(first), c.weightedCalls(second)),
+			)
 		})
 		wanted := byQueue[next][0]
 		byQueue[next] = byQueue[next][1:]
--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -147,7 +147,7 @@
 // expectedEnd returns when a run is expected to have ended, or to be stopped for a step.
 func (c *Cell) expectedEnd(p *placement, s *step, now time.Time) time.Time {
 	other := p.task.step
-	if p.stopRequested || (other.preemptible() && other.job.doc.Priority > s.job.doc.Priority) {
+	if p.stopRequested || c.mayPreemptRun(s, p, unit.Size{}, now) {
 		return now.Add(freedAfterStop)
 	}
 	end := p.sentAt.Add(c.runTimes.estimate(other.job.doc.Queue, other.doc))
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -285,6 +285,7 @@
 		c.speculativeSteps[t.step.id] = t.step
 	}
 	c.countPreemptible(p, 1)
+	c.fairness.countRun(p, 1)
 	if t.step.job.sensitive {
 		c.urgentDemand.record(p.size, 1)
 	}
@@ -311,6 +312,7 @@
 	delete(c.throttlesToSend, p)
 	w.used = w.used.Sub(p.size)
 	c.countPreemptible(p, -1)
+	c.fairness.countRun(p, -1)
 	if p.stopRequested {
 		w.numStopping--
 	}
--- a/emul/jobs.go
+++ b/emul/jobs.go
@@ -53,25 +53,37 @@
 func (s *Scenario) arrivals(rng *rand.Rand, start time.Time) []*job {
 	var list []*job
 	for i := range s.Classes {
-		c := &s.Classes[i]
-		classRNG := rand.New(rand.NewPCG(s.Seed, uint64(i)+1))
-		for at := time.Duration(0); ; {
-			rate := c.Rate
-			for _, b := range s.Bursts {
-				if b.Queue == c.Queue && at >= b.At && at < b.At+b.For {
-					rate *= b.Factor
-				}
-			}
-			at += time.Duration(classRNG.ExpFloat64() / rate * float64(time.Second))
-			if at >= s.Length {
-				break
-			}
-			list = append(list, c.newJob(classRNG, at, start, rng.Uint64()))
+		teams := s.Teams
+		if len(teams) == 0 {
+			teams = []Team{{Share: 1}}
+		}
+		for n, team := range teams {
+			list = append(list, s.arrivalsOf(&s.Classes[i], team, rand.New(rand.NewPCG(s.Seed, uint64(n*len(s.Classes)+i)+1)), rng, start)...)
 		}
 	}
 	return list
 }
 
+// arrivalsOf returns the jobs of a class that a team submits.
+func (s *Scenario) arrivalsOf(c *Class, team Team, classRNG, rng *rand.Rand, start time.Time) []*job {
+	var list []*job
+	for at := time.Duration(0); ; {
+		rate := c.Rate * team.Share
+		for i := range s.Bursts {
+			if s.Bursts[i].covers(c, team.Name, at) {
+				rate *= s.Bursts[i].Factor
+			}
+		}
+		at += time.Duration(classRNG.ExpFloat64() / rate * float64(time.Second))
+		if at >= s.Length {
+			return list
+		}
+		j := c.newJob(classRNG, at, start, rng.Uint64())
+		j.doc.Team = team.Name
+		list = append(list, j)
+	}
+}
+
 // adviceWorkers is the number of workers in a call to the advisor that counts towards a job's longest chain.
 const adviceWorkers = 30
 
--- a/emul/play.go
+++ b/emul/play.go
@@ -104,6 +104,9 @@
 			Name: c.Queue, Priority: c.Priority, MaxAttempts: c.MaxAttempts, Stretch: c.Stretch, Objective: c.Objective, Advice: c.Advice,
 		})
 	}
+	for _, team := range s.Teams {
+		p.cfg.Teams = append(p.cfg.Teams, queues.Team{Name: team.Name, Weight: team.Weight})
+	}
 	p.addWorkers()
 	p.arrived = s.arrivals(p.rng, p.start0)
 	for _, j := range p.arrived {
--- a/emul/result.go
+++ b/emul/result.go
@@ -28,6 +28,13 @@
 	LargestEarned float64
 }
 
+// TeamResult is what was served of a team.
+type TeamResult struct {
+	Name   string
+	Owed   float64
+	Earned float64
+}
+
 // WindowLength is the length of the windows in which worth is added up.
 const WindowLength = 2 * time.Second
 
@@ -39,6 +46,7 @@
 // Result is what a play served.
 type Result struct {
 	Classes []ClassResult
+	Teams   []TeamResult
 	// Bound is the most that the workers' CPU could have earned: the jobs of most worth a core-second first.
 	Bound float64
 	// Utilization is the share of the workers' CPU that ran tasks while jobs arrived.
@@ -80,6 +88,9 @@
 		fmt.Fprintf(&b, "%-8s %5d jobs, %5d in time, %5d late, earned %.3f of what is owed, the largest tenth %.3f\n",
 			c.Queue, c.Jobs, c.InTime, c.Late, c.Earned/c.Owed, c.LargestEarned/max(1e-9, c.LargestOwed))
 	}
+	for _, t := range r.Teams {
+		fmt.Fprintf(&b, "team %s earned %.3f of what is owed\n", t.Name, t.Earned/t.Owed)
+	}
 	fmt.Fprintf(&b, "earned %.3f of what is owed, %.3f of the bound; utilization %.3f; %d plans, %d polls, %d starts, %d calls to the advisor\n",
 		r.Earned()/r.Owed(), r.Earned()/r.Bound, r.Utilization, r.Plans, r.Polls, r.Starts, r.AdviceCalls)
 	return b.String()
--- a/emul/scenario.go
+++ b/emul/scenario.go
@@ -49,14 +49,27 @@
 	AllowedShare float64
 }
 
-// Burst multiplies the rate of a class for some time.
+// Burst multiplies a rate for some time: that of a class, of a team, or of a team in a class.
 type Burst struct {
 	Queue  string
+	Team   string
 	At     time.Duration
 	For    time.Duration
 	Factor float64
 }
 
+// Team sends a share of all jobs.
+type Team struct {
+	Name   string
+	Weight float64
+	Share  float64
+}
+
+// covers reports whether a burst applies to the jobs of a class that a team sends at a time.
+func (b *Burst) covers(c *Class, team string, at time.Duration) bool {
+	return (b.Queue == "" || b.Queue == c.Queue) && (b.Team == "" || b.Team == team) && at >= b.At && at < b.At+b.For
+}
+
 // Pause is a time in which the scheduler neither plans nor receives anything.
 type Pause struct {
 	At  time.Duration
@@ -77,8 +90,10 @@
 	ShortHosts int
 	LongHosts  int
 	Classes    []Class
-	Bursts     []Burst
-	Pauses     []Pause
+	// Teams send the jobs; if there are none, the jobs belong to no team.
+	Teams  []Team
+	Bursts []Burst
+	Pauses []Pause
 }
 
 // Demand returns the CPU time that the jobs of a second need on average, as a share of what the workers have.
--- a/emul/score.go
+++ b/emul/score.go
@@ -64,6 +64,16 @@
 		}
 		r.Classes = append(r.Classes, class)
 	}
+	for _, team := range s.Teams {
+		result := TeamResult{Name: team.Name}
+		for _, j := range p.arrived {
+			if j.doc.Team == team.Name {
+				result.Owed += j.worth
+				result.Earned += j.credit()
+			}
+		}
+		r.Teams = append(r.Teams, result)
+	}
 	r.Bound = p.bound()
 }
 
