--- a/cell/cell.go
+++ b/cell/cell.go
@@ -102,6 +102,8 @@
 	teamsFrom *queues.Config
 	// workersExpected says that the workers that an earlier scheduler used are known.
 	workersExpected bool
+	// fairness divides the capacity among teams.
+	fairness fairness
 	// renewingTickets says that a request that renews tickets is in flight.
 	renewingTickets bool
 	stats           Stats
@@ -136,7 +138,8 @@
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, activities: map[string]*activity{}, runTimes: newRunTimeEstimator(),
 		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, namedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
-		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, teams: map[string]*team{}, stats: Stats{Ends: map[order.EndKind]uint64{}},
+		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, teams: map[string]*team{},
+		fairness: newFairness(), stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -288,6 +288,7 @@
 		c.speculativeSteps[t.step.id] = t.step
 	}
 	c.countPreemptible(p, 1)
+	c.fairness.countRun(p, 1)
 	if t.step.job.sensitive {
 		c.urgentDemand.record(p.size, 1)
 	}
@@ -315,6 +316,7 @@
 	w.used = w.used.Sub(p.size)
 	c.countReleased(p)
 	c.countPreemptible(p, -1)
+	c.fairness.countRun(p, -1)
 	if p.stopRequested {
 		w.numStopping--
 	}
