--- a/cell/team_test.go
+++ b/cell/team_test.go
@@ -22,8 +22,8 @@
 	anyone = queues.Caller{AnyTeam: true}
 )
 
-// teamJob returns a job of a team.
-func teamJob(id, team string) *graph.Job {
+// jobOfTeam returns a job of a team.
+func jobOfTeam(id, team string) *graph.Job {
 	job := shortJob(id, 1)
 	job.Team = team
 	return job
@@ -47,7 +47,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, 1, 4)
-			h.add(teamJob("j", test.team))
+			h.add(jobOfTeam("j", test.team))
 			check := func(group *cell.Cell, pending int) {
 				_, known := group.State("j", "short", test.caller)
 				h.c.Assert(known, qt.Equals, test.known)
--- a/runner/caps_test.go
+++ b/runner/caps_test.go
@@ -164,7 +164,7 @@
 	net.mu.Unlock()
 	for _, h := range hosts {
 		if r := h.currentRunner(); r != nil && r.Ready() {
-			if state, ok := r.Cell().State(id, n.queue); ok {
+			if state, ok := r.Cell().State(id, n.queue, queues.Caller{AnyTeam: true}); ok {
 				return state
 			}
 		}
