Keep room in a team's cap for its quick jobs

A team's other tasks leave it the headroom that its latency-sensitive tasks have lately needed, at most 0.4 of the cap, so that a team under half of its cap is never held back; what its share lacks for that is wanted in advance. If the cap is full all the same, runs of the team's own batches with a checkpoint are preempted.

--- a/cell/headroom.go
+++ b/cell/headroom.go
@@ -49,9 +49,9 @@
 	d.peak = d.peak.Max(d.used)
 }
 
-// headroom returns the capacity that other work has to leave free: what latency-sensitive work may need beyond its current allocation.
-func (d *urgentDemand) headroom(capacity unit.Size) unit.Size {
-	return d.peak.Sub(d.used).Max(d.peak.Scale(headroomShare)).Min(capacity.Scale(maxHeadroomShare))
+// headroom returns what other work has to leave free, at most a limit: what latency-sensitive work may need beyond its current allocation.
+func (d *urgentDemand) headroom(limit unit.Size) unit.Size {
+	return d.peak.Sub(d.used).Max(d.peak.Scale(headroomShare)).Min(limit)
 }
 
 // needsHeadroom reports whether a task of a step would use headroom for latency-sensitive work.
--- a/cell/headroom_test.go
+++ b/cell/headroom_test.go
@@ -24,12 +24,12 @@
 		demand.decay(now)
 	}
 	capacity := unit.Size{CPUMilli: 1 << 30, Accelerators: 1 << 20}
-	headroom := demand.headroom(capacity)
+	headroom := demand.headroom(capacity.Scale(maxHeadroomShare))
 	c.Assert(headroom.Accelerators >= 25, qt.IsTrue, qt.Commentf("%v", headroom))
 	c.Assert(headroom.CPUMilli >= 25000, qt.IsTrue, qt.Commentf("%v", headroom))
 	for range 60 {
 		now = now.Add(2 * time.Second)
 		demand.decay(now)
 	}
-	c.Assert(demand.headroom(capacity).Accelerators, qt.Equals, int64(0))
+	c.Assert(demand.headroom(capacity.Scale(maxHeadroomShare)).Accelerators, qt.Equals, int64(0))
 }
--- a/cell/index.go
+++ b/cell/index.go
@@ -54,7 +54,7 @@
 		idx.free = idx.free.Add(w.info.Capacity.Sub(w.used).Max(unit.Size{}))
 	}
 	c.urgentDemand.decay(now)
-	idx.headroom = c.urgentDemand.headroom(idx.capacity)
+	idx.headroom = c.urgentDemand.headroom(idx.capacity.Scale(maxHeadroomShare))
 }
 
 func bucketOf(freeCPU int64) int {
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -198,22 +198,29 @@
 		if now.Sub(p.sentAt) < minPreemptAge || !c.mayPreemptRun(s, p, unit.Size{}, now) {
 			continue
 		}
-		loss := now.Sub(p.sentAt)
-		if !p.checkpointAt.IsZero() {
-			loss = now.Sub(p.checkpointAt)
-		}
-		list = append(list, victim{p, loss})
-	}
-	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(
-			cmp.Compare(b.p.task.step.job.doc.Priority, a.p.task.step.job.doc.Priority),
-			cmp.Compare(a.loss, b.loss),
-			a.p.task.id.Compare(b.p.task.id),
-		)
-	})
+		list = append(list, victim{p, p.lostWork(now)})
+	}
+	slices.SortFunc(list, compareVictims)
 	return list
 }
 
+// lostWork returns the work of a run that would be lost if it were stopped now.
+func (p *placement) lostWork(now time.Time) time.Duration {
+	if !p.checkpointAt.IsZero() {
+		return now.Sub(p.checkpointAt)
+	}
+	return now.Sub(p.sentAt)
+}
+
+// compareVictims orders runs by how little is lost if they are stopped.
+func compareVictims(a, b victim) int {
+	return cmp.Or(
+		cmp.Compare(b.p.task.step.job.doc.Priority, a.p.task.step.job.doc.Priority),
+		cmp.Compare(a.loss, b.loss),
+		a.p.task.id.Compare(b.p.task.id),
+	)
+}
+
 // requestStop marks a run to be stopped.
 func (c *Cell) requestStop(p *placement) {
 	if !p.stopRequested {
--- a/cell/team.go
+++ b/cell/team.go
@@ -41,6 +41,9 @@
 	cap  quota.Amount
 	// used is the full size of all placements of the team's tasks.
 	used unit.Size
+	// urgent is the demand of the team's latency-sensitive tasks, and preemptedAt when runs were last preempted for them.
+	urgent      urgentDemand
+	preemptedAt time.Time
 	// late holds the sizes of runs that have ended here, and whose start may still be carried out.
 	late map[lateRun]unit.Size
 	// unknown is what runs of earlier schedulers that are not known yet may use.
@@ -117,7 +120,7 @@
 	for _, w := range c.workers {
 		for _, p := range w.placements {
 			if p.task.step.job.doc.Team == name {
-				t.used = t.used.Add(p.task.step.doc.Size)
+				t.count(p, 1)
 			}
 		}
 	}
@@ -136,7 +139,7 @@
 // countPlaced counts a placement as used by its team.
 func (c *Cell) countPlaced(p *placement) {
 	if t := c.teamOf(p.task.step); t != nil {
-		t.used = t.used.Add(p.task.step.doc.Size)
+		t.count(p, 1)
 		delete(t.promises, p.task.step)
 	}
 }
@@ -147,7 +150,7 @@
 	if t == nil {
 		return
 	}
-	t.used = t.used.Sub(p.task.step.doc.Size)
+	t.count(p, -1)
 	c.countLate(p)
 }
 
@@ -177,6 +180,7 @@
 		adopted = c.adoptedSizes()
 	}
 	for _, t := range c.teams {
+		t.urgent.decay(now)
 		for run := range t.late {
 			if _, placed := run.w.placements[run.key]; placed || c.workers[run.w.info.ID] != run.w || !run.w.mayStillStart(run.key) {
 				delete(t.late, run)
@@ -262,7 +266,7 @@
 	if t == nil {
 		return unlimitedRoom
 	}
-	return t.room(s, t.inUse())
+	return t.room(s, t.inUseFor(s))
 }
 
 // teamRoomWithout returns how many tasks of a step may start once n of its running tasks have ended.
@@ -271,7 +275,7 @@
 	if t == nil {
 		return unlimitedRoom
 	}
-	used, size := t.inUse(), quota.AmountOf(s.doc.Size)
+	used, size := t.inUseFor(s), quota.AmountOf(s.doc.Size)
 	for i := range used {
 		used[i] -= int64(n) * size[i]
 	}
@@ -284,7 +288,7 @@
 	if t == nil || s.doc.Gang {
 		return n
 	}
-	used := t.inUse()
+	used := t.inUseFor(s)
 	for other, p := range t.promises {
 		if size := quota.AmountOf(p.size); other != s && now.Sub(p.since) < promiseTTL {
 			for i := range used {
@@ -324,8 +328,9 @@
 	if t == nil || c.awaitsReports(s) {
 		return false
 	}
-	room := t.room(s, t.inUse())
+	room := t.room(s, t.inUseFor(s))
 	if held := s.numWaiting - room; held > 0 {
+		c.preemptForTeam(plan, t, s, held, now)
 		plan.TeamsHeld = true
 		t.heldTasks += held
 		t.heldAt = now
@@ -475,7 +480,9 @@
 	if now.Sub(t.windowStart) >= wantWindow {
 		t.lastPeak, t.peak, t.windowStart = t.peak, quota.Amount{}, now
 	}
+	headroom := quota.AmountOf(t.headroom())
 	for i := range d.Want {
+		d.Want[i] += headroom[i]
 		t.peak[i] = max(t.peak[i], d.Want[i])
 		d.Want[i] = max(d.Want[i], t.lastPeak[i])
 	}
--- /dev/null
+++ b/cell/teamurgent.go
@@ -0,0 +1,116 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/quota"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// Parameters of a team's latency-sensitive tasks beside its other ones, within the team's cap.
+const (
+	// maxTeamHeadroomShare is the maximum headroom, as a share of the cap. It is below a half, so that no task of a team that uses less than half
+	// of its cap is held back.
+	maxTeamHeadroomShare = 0.4
+	// teamPreemptInterval is the minimum interval between searches for a team's runs to preempt, each of which scans all workers. It covers the
+	// time in which the runs of the last search stop.
+	teamPreemptInterval = 400 * time.Millisecond
+)
+
+// count adds a run to what the team uses, or removes it if sign is negative.
+func (t *team) count(p *placement, sign int64) {
+	size := p.task.step.doc.Size
+	if sign > 0 {
+		t.used = t.used.Add(size)
+	} else {
+		t.used = t.used.Sub(size)
+	}
+	if p.task.step.job.sensitive {
+		t.urgent.record(size, sign)
+	}
+}
+
+// headroom returns the part of the cap that the team's other tasks leave to its latency-sensitive ones: a batch that fills the cap would
+// delay these by its whole run time.
+func (t *team) headroom() unit.Size {
+	return t.urgent.headroom(t.cap.Size().Scale(maxTeamHeadroomShare)).Max(unit.Size{})
+}
+
+// inUseFor returns what is in use, or kept for other tasks, if a step's tasks are to start.
+func (t *team) inUseFor(s *step) quota.Amount {
+	used := t.inUse()
+	if s.job.sensitive || s.doc.LongRunning || s.doc.Gang {
+		return used
+	}
+	for i, kept := range quota.AmountOf(t.headroom()) {
+		used[i] += kept
+	}
+	return used
+}
+
+// preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start.
+func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, n int, now time.Time) {
+	if !s.job.sensitive || now.Sub(t.preemptedAt) < teamPreemptInterval {
+		return
+	}
+	t.preemptedAt = now
+	missing, size := t.missing(s, n), quota.AmountOf(s.doc.Size)
+	for _, v := range c.teamVictims(t, s, now) {
+		freed := quota.AmountOf(v.p.task.step.doc.Size)
+		if !exceeds(missing, quota.Amount{}) {
+			break
+		}
+		useful := false
+		for i := range missing {
+			useful = useful || (missing[i] > 0 && size[i] > 0 && freed[i] > 0)
+		}
+		if !useful {
+			continue
+		}
+		c.evict(v.p, "more urgent work of its team", now)
+		for i := range missing {
+			missing[i] -= freed[i]
+		}
+	}
+	c.planStops(plan, now)
+}
+
+// missing returns by how much the team would exceed its cap with n more tasks of a step.
+func (t *team) missing(s *step, n int) quota.Amount {
+	var missing quota.Amount
+	used, size := t.inUse(), quota.AmountOf(s.doc.Size)
+	for i := range missing {
+		if t.cap[i] > 0 && size[i] > 0 {
+			missing[i] = used[i] + t.others[i] + int64(n)*size[i] - t.cap[i]
+		}
+	}
+	return missing
+}
+
+// exceeds reports whether an amount is larger than another in any dimension.
+func exceeds(a, b quota.Amount) bool {
+	for i := range a {
+		if a[i] > b[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// teamVictims returns the team's runs that may be preempted for one of its steps, the cheapest first.
+func (c *Cell) teamVictims(t *team, s *step, now time.Time) []victim {
+	var list []victim
+	for _, w := range c.sortedWorkers() {
+		for _, p := range w.placements {
+			other := p.task.step
+			if other.job.doc.Team != t.name || p.stopRequested || !other.preemptible() || other.job.doc.Priority <= s.job.doc.Priority ||
+				now.Sub(p.sentAt) < minPreemptAge {
+				continue
+			}
+			list = append(list, victim{p, p.lostWork(now)})
+		}
+	}
+	slices.SortFunc(list, compareVictims)
+	return list
+}
--- /dev/null
+++ b/cell/teamurgent_test.go
@@ -0,0 +1,87 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/quota"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// newCappedHarness returns a harness with room for 64 tasks of one core, of which the team a may run 20.
+func newCappedHarness(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness(t, 4, 16)
+	h.cfg.Teams = []queues.Team{{Name: "a", Weight: 100, Cap: unit.Size{CPUMilli: 20_000}}}
+	h.cell.SetTeams(h.cfg)
+	h.cell.SetTeamShares([]cell.TeamShare{{Team: "a", Share: quota.Amount{20_000}}})
+	return h
+}
+
+// urgentJob returns a latency-sensitive job of short tasks of one core.
+func urgentJob(id string, count int) *graph.Job {
+	return &graph.Job{ID: id, Queue: "short", Team: "a", Steps: []graph.Step{{
+		Count: count, Size: unit.Size{CPUMilli: 1000}, Estimate: 300 * time.Millisecond, MaxUnavailable: -1,
+	}}}
+}
+
+// finishJob ends all runs of a job.
+func (h *harness) finishJob(job string) {
+	for id, runs := range h.running {
+		for _, r := range append([]order.Run(nil), runs...) {
+			if r.Task.Job == job {
+				h.finish(id, r.Task, order.EndDone)
+			}
+		}
+	}
+}
+
+// Load: a team sends quick jobs again and again, and beside them a batch that is wider than the rest of its cap. Guards against a batch that fills
+// the cap, so that the quick jobs wait for as long as its tasks run.
+func TestBatchLeavesHeadroomInCapOfItsTeam(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(urgentJob("urgent-1", 6))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 6)
+	h.finishJob("urgent-1")
+	h.advance(300 * time.Millisecond)
+	h.add(teamJob("a", "batch", 2, 20))
+	started := len(h.plan().Starts)
+	h.c.Assert(started >= 12 && started <= 15, qt.IsTrue, qt.Commentf("%d tasks of the batch", started))
+	h.add(urgentJob("urgent-2", 6))
+	h.c.Assert(startedJobs(h.plan()), qt.DeepEquals, []string{"urgent-2", "urgent-2", "urgent-2", "urgent-2", "urgent-2", "urgent-2"})
+}
+
+// Load: a batch has filled its team's cap before a quick job comes. Guards against a quick job that waits for the batch's tasks, though there is room on
+// the workers.
+func TestUrgentWorkPreemptsBatchOfItsTeamWithinCap(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	h.add(urgentJob("urgent", 6))
+	plan := h.plan()
+	h.c.Assert(plan.Starts, qt.HasLen, 0)
+	h.c.Assert(plan.Stops, qt.HasLen, 6)
+	for _, stop := range plan.Stops {
+		h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+	}
+	h.advance(100 * time.Millisecond)
+	h.c.Assert(startedJobs(h.plan()), qt.DeepEquals, []string{"urgent", "urgent", "urgent", "urgent", "urgent", "urgent"})
+}
+
+// A team that uses less than half of its cap is never held back, whatever its quick jobs have used before.
+func TestHeadroomOfTeamDoesNotHoldBackHalfOfItsCap(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(urgentJob("urgent-1", 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.finishJob("urgent-1")
+	h.advance(300 * time.Millisecond)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(len(h.plan().Starts) >= 10, qt.IsTrue)
+}
