--- a/cell/team.go
+++ b/cell/team.go
@@ -521,7 +521,7 @@
 			}
 		}
 	}
-	if grown || !unused {
+	if grown || !unused || t.progressAt.IsZero() {
 		t.progressUsed, t.progressAt = d.Used, now
 		return
 	}
