--- a/cell/team.go
+++ b/cell/team.go
@@ -528,7 +528,7 @@
 			}
 		}
 	}
-	if grown || !unused {
+	if grown || !unused || t.progressAt.IsZero() {
 		t.progressUsed, t.progressAt = d.Used, now
 		return
 	}
