Starts under a stale lease wait for old connections

Callers saw tasks not started, and a host busy with the log, while the table was unavailable: from a lease age of 1.7 s on, a start needs a connection from before, failed at once if polls and other starts used them all, and was placed again every 50 ms (45,590 lines in 5 s).

A start now waits for such a connection while one is in use, and what permits it is checked again before it is sent. The cell plans nothing on workers without one until the lease is renewed, polls leave the connections free, and starts that are not sent are taken back without a line each.

The fake hosts of package runner have several connections to a worker now, each for one order at a time, as package platform has.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -22,6 +22,9 @@
 	LeaseAge func() time.Duration
 	// ExclusiveFor is the age of the group's lease up to which no other scheduler can have acquired it.
 	ExclusiveFor time.Duration
+	// OldestConn returns for how long the oldest connection to a worker has been open; ok is false if there is none. nil means that every
+	// worker has one that is old enough for any order.
+	OldestConn func(w *order.Worker) (age time.Duration, ok bool)
 	// RecordsSince is the token since which all schedulers have recorded on which worker a lasting task is before they started it; 0 if none
 	// of the earlier ones did.
 	RecordsSince uint64
@@ -91,6 +94,8 @@
 	adviceRates map[string]*adviceRate
 	// callsInFlight holds the expected duration of each queue's calls to the advisor that have not been answered.
 	callsInFlight map[string]time.Duration
+	// staleLease is what is kept while the group's lease is so old that starts are sent over old connections only.
+	staleLease staleLease
 	// admittedAt is when the jobs that are to meet their objectives were last chosen.
 	admittedAt time.Time
 	// renewingTickets says that a request that renews tickets is in flight.
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -147,3 +147,14 @@
 	o.p.w.noteRenewal(now)
 	return o.p.w.leaseEnd(now, c.settings.Lease), true
 }
+
+// MaySendStart reports whether a start that has waited for a connection may still be sent, under the lease that StartLease returned.
+func (c *Cell) MaySendStart(o StartOrder, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.abandoned(o.p) {
+		return false
+	}
+	o.p.sentAt = now
+	return true
+}
--- a/cell/index.go
+++ b/cell/index.go
@@ -33,19 +33,25 @@
 	capacity unit.Size
 	free     unit.Size
 	headroom unit.Size
+	// withoutOldConn counts the workers that are left out because no connection to them is old enough.
+	withoutOldConn int
 }
 
-func (idx *candidateIndex) rebuild(c *Cell, now time.Time) {
+func (idx *candidateIndex) rebuild(c *Cell, minConnAge time.Duration, now time.Time) {
 	idx.planNumber++
 	idx.workers = idx.workers[:0]
 	for i := range idx.buckets {
 		idx.buckets[i] = idx.buckets[i][:0]
 	}
-	idx.capacity, idx.free = unit.Size{}, unit.Size{}
+	idx.capacity, idx.free, idx.withoutOldConn = unit.Size{}, unit.Size{}, 0
 	for _, w := range c.sortedWorkers() {
 		if !c.mayGetWork(w, now) {
 			continue
 		}
+		if !c.hasOldConn(w, minConnAge) {
+			idx.withoutOldConn++
+			continue
+		}
 		w.lastPlanNumber, w.plannedFreeCPU = idx.planNumber, w.freeCPU()
 		bucket := bucketOf(w.plannedFreeCPU)
 		idx.workers = append(idx.workers, w)
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -56,6 +56,12 @@
 		p.confirm(now)
 		return
 	}
+	if res.Unanswered == 0 && lacksOldConn(res.Err) {
+		// The task is placed again by the plan after the lease's renewal, or elsewhere.
+		c.staleLease.takenBack++
+		c.release(p, order.EndStopped, "", now)
+		return
+	}
 	c.log.WithError(res.Err).WithFields(logrus.Fields{
 		fieldJob: p.task.id.Job, fieldTask: p.task.id.String(), fieldRun: p.run, fieldWorker: w.info.ID, "unanswered": res.Unanswered,
 	}).Warn("start failed")
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -80,7 +80,9 @@
 	if len(c.stepsToPlace) == 0 && len(c.speculativeSteps) == 0 && !c.hasUnresponsiveWorker() {
 		return plan
 	}
-	c.candidateIndex.rebuild(c, now)
+	minConnAge := c.minConnAge(leaseAge)
+	c.candidateIndex.rebuild(c, minConnAge, now)
+	c.updateStaleLease(minConnAge, now)
 	c.admit(now)
 	ranked, lateGroups := c.rankedSteps(&plan, cfg, now)
 	for _, r := range ranked {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -48,9 +48,10 @@
 		return next
 	}
 	next.Needed = w.needsPoll()
-	if w.polled && w.reportAwaited == nil && w.lastEndSeen > w.lastEndDurable && now.Sub(w.lastResponseAt) < unackedPollDelay {
+	if delay := c.unackedPollDelay(leaseAge); w.polled && w.reportAwaited == nil && w.lastEndSeen > w.lastEndDurable &&
+		now.Sub(w.lastResponseAt) < delay {
 		// The worker would report the unacknowledged end again at once.
-		next.Needed, next.IdleTimeout = false, unackedPollDelay
+		next.Needed, next.IdleTimeout = false, delay
 	}
 	next.Order = order.Poll{Token: c.token}
 	if w.lastEndDurable > w.lastAckSent {
@@ -83,6 +84,9 @@
 	case w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now):
 		next.Order.Wait = c.pollWaitFor(w)
 	}
+	if maxWait, gap := c.pollTiming(w, leaseAge, now); w.polled {
+		next.Order.Wait, next.Delay = min(next.Order.Wait, maxWait), max(next.Delay, gap)
+	}
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
 		next.Order.Wait, next.Delay = 0, absenceGrace
 	}
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -446,6 +447,11 @@
 	return pollReply{rep, ws.changed, ws.crashed, ws}, nil
 }
 
+// OldestConn implements order.Workers: there is always a connection.
+func (s *WorkerSet) OldestConn(*order.Worker) (age time.Duration, ok bool) {
+	return math.MaxInt64, true
+}
+
 // Forget implements order.Workers.
 func (s *WorkerSet) Forget(*order.Worker) {}
 
--- a/order/order.go
+++ b/order/order.go
@@ -59,6 +59,9 @@
 	// MinConnAge returns how long the connection has to have been open; nil and 0 permit a new one. It is called once there is a
 	// connection, so that a pause before that counts.
 	MinConnAge func() time.Duration
+	// BeforeSend is called once there is a connection, before MinConnAge is called for the last time, and reports whether the order may still be
+	// sent: a start may have waited for the connection. nil permits it.
+	BeforeSend func() bool
 }
 
 // Stop is an order to stop a run; if its start has not arrived yet, the worker will reject it.
@@ -145,6 +148,8 @@
 	Stop(ctx context.Context, w *Worker, o Stop) (time.Duration, error)
 	Throttle(ctx context.Context, w *Worker, o Throttle) (time.Duration, error)
 	Poll(ctx context.Context, w *Worker, o Poll) (Report, error)
+	// OldestConn returns for how long the oldest connection to a worker has been open; ok is false if there is none.
+	OldestConn(w *Worker) (age time.Duration, ok bool)
 	// Forget closes the connections to a worker.
 	Forget(w *Worker)
 }
@@ -213,6 +218,17 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// NoOldConnError says that a start found no connection that had been open for long enough; it is the cause of a *NotSentError.
+type NoOldConnError struct {
+	// Waited is for how long the start waited for one that was in use.
+	Waited time.Duration
+}
+
+// Error tells how long the start waited.
+func (e *NoOldConnError) Error() string {
+	return fmt.Sprintf("no connection has been open for long enough (waited %v)", e.Waited.Round(time.Millisecond))
+}
+
 // UnansweredError says that there was no usable reply; the order may have been carried out, or may still be.
 type UnansweredError struct {
 	Worker string
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -33,8 +33,8 @@
 )
 
 var (
-	errHostDead     = errors.New("host is dead")
-	errConnTooYoung = errors.New("connection is too young")
+	errHostDead       = errors.New("host is dead")
+	errNoLongerWanted = errors.New("the order is no longer wanted")
 )
 
 // network is a set of hosts that compete for the lease of one group.
@@ -154,8 +154,11 @@
 	isolated bool
 	// pathFaults holds the faults of the paths to workers.
 	pathFaults map[string]fakes.OrderFaultKind
-	// conns holds the oldest open connection to each worker.
-	conns       map[string]workerConn
+	// conns holds the open connections to each worker, and numNotSent counts the starts for which none was old enough.
+	conns      map[string][]*workerConn
+	numNotSent int
+	// numStarted counts the starts that each worker has carried out.
+	numStarted  map[string]int
 	stopping    bool
 	stopRunner  context.CancelFunc
 	runner      *runner.Runner
@@ -171,7 +174,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{
 		n: n, rank: rank, name: fmt.Sprintf("host%d", rank), process: process, view: elect.NewView(), ctx: ctx, cancel: cancel,
-		pathFaults: map[string]fakes.OrderFaultKind{}, conns: map[string]workerConn{}, handovers: map[uint64]cell.Handover{},
+		pathFaults: map[string]fakes.OrderFaultKind{}, conns: map[string][]*workerConn{}, numStarted: map[string]int{}, handovers: map[uint64]cell.Handover{},
 	}
 	n.mu.Lock()
 	for len(n.hosts) <= rank {
@@ -582,32 +585,77 @@
 	h *host
 }
 
-// workerConn is a connection to an incarnation of a worker, which closes it as it ends.
+// workerConn is a connection to an incarnation of a worker, which closes it as it ends. One order uses it at a time.
 type workerConn struct {
 	incarnation order.Incarnation
 	openedAt    time.Time
+	inUse       bool
 }
 
-// connect opens a connection to a worker, unless there is one that has been open for minAge; nil permits any.
-func (h *host) connect(worker string, minAge func() time.Duration) error {
+// takeConn returns a free connection to a worker that has been open for minAge; a new one if minAge is 0. If there is none, wait tells whether
+// one that is in use is old enough.
+func (h *host) takeConn(worker string, minAge time.Duration) (conn *workerConn, wait bool) {
 	w := h.n.workers.Worker(worker)
+	incarnation := w.Incarnation()
 	h.mu.Lock()
-	conn := h.conns[worker]
-	if conn.incarnation != w.Incarnation() {
-		conn = workerConn{w.Incarnation(), time.Now()}
+	defer h.mu.Unlock()
+	h.conns[worker] = slices.DeleteFunc(h.conns[worker], func(c *workerConn) bool { return c.incarnation != incarnation })
+	for _, c := range h.conns[worker] {
+		switch {
+		case time.Since(c.openedAt) < minAge:
+		case !c.inUse:
+			c.inUse = true
+			return c, false
+		default:
+			wait = true
+		}
 	}
-	h.conns[worker] = conn
-	h.mu.Unlock()
-	if minAge != nil && time.Since(conn.openedAt) < minAge() {
-		return &order.NotSentError{Worker: worker, Err: errConnTooYoung}
+	if minAge > 0 {
+		return nil, wait
+	}
+	conn = &workerConn{incarnation, time.Now(), true}
+	h.conns[worker] = append(h.conns[worker], conn)
+	return conn, false
+}
+
+func (h *host) releaseConn(conn *workerConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	conn.inUse = false
+}
+
+// connect returns a connection to a worker that has been open for as long as a start demands, as package platform does.
+func (h *host) connect(ctx context.Context, worker string, o order.Start) (*workerConn, error) {
+	minAge := func() time.Duration {
+		if o.MinConnAge == nil {
+			return 0
+		}
+		return o.MinConnAge()
+	}
+	for startedAt := time.Now(); ; {
+		conn, wait := h.takeConn(worker, minAge())
+		switch {
+		case conn == nil && wait && clock.Pause(ctx, time.Millisecond):
+			continue
+		case conn == nil:
+			h.mu.Lock()
+			h.numNotSent++
+			h.mu.Unlock()
+			return nil, &order.NotSentError{Worker: worker, Err: &order.NoOldConnError{Waited: time.Since(startedAt)}}
+		case o.BeforeSend != nil && !o.BeforeSend():
+			h.releaseConn(conn)
+			return nil, &order.NotSentError{Worker: worker, Err: errNoLongerWanted}
+		case time.Since(conn.openedAt) >= minAge():
+			return conn, nil
+		}
+		h.releaseConn(conn)
 	}
-	return nil
 }
 
 // sendOrder sends an order over the path to a worker. An order that is about to be sent when the host freezes is sent when it
 // runs again.
 func sendOrder[T any](
-	ctx context.Context, h *host, call fakes.OrderCall, minConnAge func() time.Duration, do func(ctx context.Context) (T, error),
+	ctx context.Context, h *host, call fakes.OrderCall, start order.Start, do func(ctx context.Context) (T, error),
 ) (T, error) {
 	var none T
 	worker := call.Worker
@@ -626,9 +674,11 @@
 	if err := fault.ConnError(worker); err != nil {
 		return none, err
 	}
-	if err := h.connect(worker, minConnAge); err != nil {
+	conn, err := h.connect(ctx, worker, start)
+	if err != nil {
 		return none, err
 	}
+	defer h.releaseConn(conn)
 	reply, err := do(ctx)
 	if call.Op == fakes.OpStart {
 		h.freezeOnce(&h.freezeAfterStart)
@@ -648,27 +698,47 @@
 // Start implements order.Workers.
 func (s *hostWorkers) Start(ctx context.Context, w *order.Worker, o order.Start) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpStart, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, o.MinConnAge, func(ctx context.Context) (time.Duration, error) {
-		return s.h.n.workers.Start(ctx, w, o)
+	return sendOrder(ctx, s.h, call, o, func(ctx context.Context) (time.Duration, error) {
+		at, err := s.h.n.workers.Start(ctx, w, o)
+		if err == nil {
+			s.h.mu.Lock()
+			s.h.numStarted[w.ID]++
+			s.h.mu.Unlock()
+		}
+		return at, err
 	})
 }
 
 // Stop implements order.Workers.
 func (s *hostWorkers) Stop(ctx context.Context, w *order.Worker, o order.Stop) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpStop, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, order.Start{}, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Stop(ctx, w, o) })
 }
 
 // Throttle implements order.Workers.
 func (s *hostWorkers) Throttle(ctx context.Context, w *order.Worker, o order.Throttle) (time.Duration, error) {
 	call := fakes.OrderCall{Op: fakes.OpThrottle, Worker: w.ID, Task: o.Task, Run: o.Run}
-	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, order.Start{}, func(ctx context.Context) (time.Duration, error) { return s.h.n.workers.Throttle(ctx, w, o) })
 }
 
 // Poll implements order.Workers.
 func (s *hostWorkers) Poll(ctx context.Context, w *order.Worker, o order.Poll) (order.Report, error) {
 	call := fakes.OrderCall{Op: fakes.OpPoll, Worker: w.ID}
-	return sendOrder(ctx, s.h, call, nil, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
+	return sendOrder(ctx, s.h, call, order.Start{}, func(ctx context.Context) (order.Report, error) { return s.h.n.workers.Poll(ctx, w, o) })
+}
+
+// OldestConn implements order.Workers.
+func (s *hostWorkers) OldestConn(w *order.Worker) (age time.Duration, ok bool) {
+	current := s.h.n.workers.Worker(w.ID)
+	incarnation := current.Incarnation()
+	s.h.mu.Lock()
+	defer s.h.mu.Unlock()
+	for _, c := range s.h.conns[w.ID] {
+		if c.incarnation == incarnation {
+			age, ok = max(age, time.Since(c.openedAt)), true
+		}
+	}
+	return age, ok
 }
 
 // Forget implements order.Workers.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -110,6 +110,9 @@
 	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
 	r.unrenewed.key = elect.UnrenewedKey(cfg.Epoch.Group)
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
+	if cfg.Workers != nil {
+		cfg.Settings.OldestConn = cfg.Workers.OldestConn
+	}
 	cfg.Settings.RecordsSince = cfg.Epoch.RecordsSince
 	r.cell = cell.New(cfg.Settings, cfg.Epoch.Token, log)
 	var unrenewed []string
@@ -354,12 +357,16 @@
 // noteRenewal records that a renewal sent at the given time took effect. A write that only checks the lease does not prolong it: the next
 // holder counts from the last renewal that it has seen.
 func (r *Runner) noteRenewal(sent time.Duration) {
-	if !r.holds() {
+	wasStale, held := r.minConnAge() > 0, r.holds()
+	r.renewalFails.Store(false)
+	r.renewedAt.Store(max(r.renewedAt.Load(), int64(sent)))
+	if !held {
 		r.log.Info("lease confirmed; orders can be sent again")
+	}
+	if wasStale {
+		// Starts that no connection was old enough for can be sent.
 		r.wakePlan()
 	}
-	r.renewalFails.Store(false)
-	r.renewedAt.Store(max(r.renewedAt.Load(), int64(sent)))
 }
 
 // renewLoop renews the lease until ctx is done or the lease is lost.
--- /dev/null
+++ b/runner/table_outage_test.go
@@ -0,0 +1,113 @@
+package runner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/runner"
+	"github.com/corianderdrift/corianderdrift/table"
+)
+
+// submitTasks accepts a job of many equal tasks.
+func (n *network) submitTasks(t *testing.T, id string, count int, cpus int64) {
+	t.Helper()
+	step := graph.Step{Count: count, Size: cores(cpus)}
+	doc := &graph.Job{
+		ID: id, Queue: queue, Service: service, Steps: []graph.Step{step}, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2,
+	}
+	raw, err := doc.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	n.workers.SetStep(graph.StepID{Job: id}, &step, false)
+	key := table.Key{Table: runner.TableJobs(service), Partition: runner.JobPartition(service, id), Name: id}
+	_, err = n.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func (h *host) notSent() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.numNotSent
+}
+
+// While the table is unavailable, polls and starts share the connections from before. Starts that found none free used to fail and to be
+// placed again every 50 ms, thousands of times a second. Load: 600 tasks of 0.3 s, four at a time on each of two workers.
+func TestStartsWaitForOldConnectionsWhileLeaseIsStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		n.workers.Outcome = fixedDuration(shortRun)
+		h := n.findHost("host0")
+		n.submitTasks(t, longJob, 600, 4)
+		for n.workers.NumStarts() < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		h.setTableFault(fakes.TableUnavailable)
+		time.Sleep(elect.FreshTimeout + 100*time.Millisecond)
+		h.keepConns(1)
+		before, notSent := n.workers.NumStarts(), h.notSent()
+		const stale = 3 * time.Second
+		time.Sleep(stale)
+		started := n.workers.NumStarts() - before
+		notSent = h.notSent() - notSent
+		t.Logf("%d starts, %d not sent", started, notSent)
+		qt.Check(t, notSent <= 5, qt.IsTrue, qt.Commentf("%d starts were not sent", notSent))
+		qt.Check(t, started >= 50, qt.IsTrue, qt.Commentf("only %d tasks were started", started))
+		h.setTableFault(fakes.TableOK)
+		n.checkNoTaskRunsTwice(t, h)
+	})
+}
+
+// A worker without any connection from before must get no starts until the lease is renewed, instead of one attempt every 50 ms for each
+// task, and must get them at once after that. Load: 600 tasks of 0.3 s on two workers, one of which has lost its connections.
+func TestWorkerWithoutOldConnectionGetsNoStartsWhileLeaseIsStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		n.workers.Outcome = fixedDuration(shortRun)
+		h := n.findHost("host0")
+		n.submitTasks(t, longJob, 600, 4)
+		for n.workers.NumStarts() < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		h.setTableFault(fakes.TableUnavailable)
+		time.Sleep(elect.FreshTimeout + 100*time.Millisecond)
+		h.closeConns("w1")
+		time.Sleep(shortRun)
+		starts := h.startedOn("w1")
+		notSent := h.notSent()
+		time.Sleep(2 * time.Second)
+		qt.Check(t, h.startedOn("w1"), qt.Equals, starts)
+		qt.Check(t, h.notSent()-notSent <= 5, qt.IsTrue, qt.Commentf("%d starts were not sent", h.notSent()-notSent))
+		h.setTableFault(fakes.TableOK)
+		time.Sleep(400 * time.Millisecond)
+		qt.Check(t, h.startedOn("w1") > starts, qt.IsTrue)
+		n.checkNoTaskRunsTwice(t, h)
+	})
+}
+
+// keepConns closes all but the first n connections to each worker.
+func (h *host) keepConns(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for worker, list := range h.conns {
+		h.conns[worker] = list[:min(n, len(list))]
+	}
+}
+
+// closeConns closes the connections to a worker.
+func (h *host) closeConns(worker string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.conns, worker)
+}
+
+// startedOn returns how many starts a worker has carried out.
+func (h *host) startedOn(worker string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.numStarted[worker]
+}
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -26,6 +26,8 @@
 	maxStartAttempts = 3
 	// maxOrdersPerWorker limits the orders in flight to one worker, and with them its connections.
 	maxOrdersPerWorker = 3
+	// maxUncheckedDelay is how long after its permission was checked a start may be sent without another check.
+	maxUncheckedDelay = 20 * time.Millisecond
 	// startRecordTimeout is how long a start may wait for the record of its task's location, and startRecordInterval how often it looks.
 	startRecordTimeout  = 1200 * time.Millisecond
 	startRecordInterval = 2 * time.Millisecond
@@ -238,23 +240,7 @@
 	defer func() { <-slot }()
 	var res cell.StartResult
 	for range maxStartAttempts {
-		now, allowed := r.orderTime()
-		if !ready || ctx.Err() != nil || !allowed {
-			break
-		}
-		until, ok := r.cell.StartLease(o, now)
-		if !ok {
-			break
-		}
-		o.Order.LeaseUntil, o.Order.MinConnAge = until, r.minConnAge
-		res.Sent = time.Now()
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		stopTimer := r.watchResponse(o.Worker.ID, 0, res.Sent)
-		res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
-		stopTimer()
-		cancel()
-		var unanswered *order.UnansweredError
-		if !errors.As(res.Err, &unanswered) {
+		if !ready || ctx.Err() != nil || !r.attemptStart(ctx, o, &res) {
 			break
 		}
 		res.Unanswered++
@@ -269,6 +255,43 @@
 	}
 }
 
+// attemptStart sends a start once, if it may be sent, and reports whether it got no answer. A start that may only use old connections may wait
+// for one: that doesn't count as time without an answer, and what permits the start is checked again after it.
+func (r *Runner) attemptStart(ctx context.Context, o cell.StartOrder, res *cell.StartResult) (unanswered bool) {
+	now, allowed := r.orderTime()
+	if !allowed {
+		return false
+	}
+	until, ok := r.cell.StartLease(o, now)
+	if !ok {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	res.Sent = time.Now()
+	stopWatch := func() {}
+	if r.minConnAge() == 0 {
+		stopWatch = r.watchResponse(o.Worker.ID, 0, res.Sent)
+	}
+	o.Order.LeaseUntil, o.Order.MinConnAge = until, r.minConnAge
+	o.Order.BeforeSend = func() bool {
+		if r.minConnAge() == 0 && time.Since(now) < maxUncheckedDelay {
+			return true
+		}
+		if sentAt, allowed := r.orderTime(); !allowed || !r.cell.MaySendStart(o, sentAt) {
+			return false
+		}
+		stopWatch()
+		res.Sent = time.Now()
+		stopWatch = r.watchResponse(o.Worker.ID, 0, res.Sent)
+		return true
+	}
+	res.Clock, res.Err = r.cfg.Workers.Start(call, &o.Worker, o.Order)
+	stopWatch()
+	var noAnswer *order.UnansweredError
+	return errors.As(res.Err, &noAnswer)
+}
+
 func (r *Runner) sendStop(ctx context.Context, o cell.StopOrder) {
 	slot := r.orderSlot(o.Worker.ID)
 	slot <- struct{}{}
