Refuse jobs whose gangs can never run within their team's cap

Such a job would wait forever. The check is quota.CheckGangs; it takes effect once the front sets the job's team.

--- a/queues/queues_test.go
+++ b/queues/queues_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
 )
 
 func TestInstallNeverReplacesNewerVersion(t *testing.T) {
@@ -44,3 +45,24 @@
 		})
 	}
 }
+
+// Guards against a team that loses its cap, or keeps its keys, when a configuration drops it.
+func TestDroppedTeamKeepsItsCapWithoutKeys(t *testing.T) {
+	c := qt.New(t)
+	var s queues.Store
+	limit := unit.Size{CPUMilli: 4000}
+	s.Install(&queues.Config{Version: 1, Teams: []queues.Team{
+		{Name: "red", Keys: []queues.KeyDigest{{1}}, Cap: limit}, {Name: "blue", Keys: []queues.KeyDigest{{2}}}, {Name: "green", Cap: limit},
+	}})
+	s.Install(&queues.Config{Version: 2, Teams: []queues.Team{{Name: "green"}}})
+	cfg := s.Current()
+	c.Check(cfg.Teams, qt.HasLen, 1)
+	c.Check(cfg.DroppedTeams, qt.DeepEquals, []queues.Team{{Name: "red", Cap: limit}})
+	c.Check(cfg.CapOf("red"), qt.Equals, limit)
+	c.Check(cfg.CapOf("green"), qt.Equals, unit.Size{})
+	s.Install(&queues.Config{Version: 3})
+	c.Check(s.Current().Teams, qt.HasLen, 0)
+	c.Check(s.Current().CapOf("red"), qt.Equals, limit)
+	s.Install(&queues.Config{Version: 4, Teams: []queues.Team{{Name: "red"}}})
+	c.Check(s.Current().CappedTeams(), qt.HasLen, 0)
+}
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -6,7 +6,6 @@
 	"maps"
 
 	"github.com/corianderdrift/corianderdrift/graph"
-	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
@@ -331,30 +330,29 @@
 	Team string
 	// Resource is one of unit.Names.
 	Resource string
-	// Needed is what all members but one need, which exceeds Cap.
-	Needed, Cap int64
+	// Size is that of each of Count members, all of which but one exceed Cap.
+	Size  int64
+	Count int
+	Cap   int64
 }
 
 // Error names the step and the resource.
 func (e *GangCapError) Error() string {
-	return fmt.Sprintf("steps[%d]: all members of the gang but one need %d of %s, the cap of team %s is %d", e.Step, e.Needed, e.Resource, e.Team, e.Cap)
+	return fmt.Sprintf("steps[%d]: %d members of %d %s each exceed the cap %d of team %s", e.Step, e.Count, e.Size, e.Resource, e.Cap, e.Team)
 }
 
-// CheckGangs returns a *GangCapError if the job has a gang of which all members but one exceed its team's cap; team is nil if the job has none.
-func CheckGangs(job *graph.Job, team *queues.Team) error {
-	if team == nil {
-		return nil
-	}
-	limit := AmountOf(team.Cap)
+// CheckGangs returns a *GangCapError if the job has a gang of which all members but one exceed the cap of its team.
+func CheckGangs(job *graph.Job, teamCap unit.Size) error {
+	limit := AmountOf(teamCap)
 	for n := range job.Steps {
 		s := &job.Steps[n]
 		if !s.Gang || s.Count < 2 {
 			continue
 		}
 		for i, size := range AmountOf(s.Size) {
-			// Without a product, which could overflow.
+			// A product could overflow.
 			if limit[i] > 0 && size > limit[i]/int64(s.Count-1) {
-				return &GangCapError{n, team.Name, unit.Names[i], size * int64(s.Count-1), limit[i]}
+				return &GangCapError{n, job.Team, unit.Names[i], size, s.Count, limit[i]}
 			}
 		}
 	}
