--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -43,6 +43,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 9),
 	}, []string{"call"})
 	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations)
+	m.registry.MustRegister(newTeamCollector(a))
 	m.registerGauges(a)
 	m.handler = promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 	return m
--- a/fakes/rules.go
+++ b/fakes/rules.go
@@ -126,6 +126,19 @@
 	return used
 }
 
+// FreeCPU returns the CPU of a worker that no run allocates.
+func (s *WorkerSet) FreeCPU(id string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws := s.workers[id]
+	s.expireRuns(ws)
+	free := ws.worker.Capacity.CPUMilli
+	for run := range ws.runs {
+		free -= s.rulesOf(run.task.StepID).size.CPUMilli
+	}
+	return free
+}
+
 // TeamUse returns what the tasks of a team use on all workers, and the largest size of one of them in each dimension.
 func (s *WorkerSet) TeamUse(team string) (used, largest unit.Size) {
 	s.mu.Lock()
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -129,14 +129,21 @@
 	return nil
 }
 
-// CappedTeams returns the teams with a cap, also those that were dropped.
+// CappedTeams returns the teams with a cap, also those that were dropped. Of several with one name, the first counts.
 func (c *Config) CappedTeams() []*Team {
 	var capped []*Team
+	var seen map[string]bool
 	for _, list := range [][]Team{c.Teams, c.DroppedTeams} {
 		for i := range list {
-			if list[i].Cap != (unit.Size{}) {
-				capped = append(capped, &list[i])
+			t := &list[i]
+			if t.Cap == (unit.Size{}) || t.Name == "" || seen[t.Name] {
+				continue
 			}
+			if seen == nil {
+				seen = map[string]bool{}
+			}
+			seen[t.Name] = true
+			capped = append(capped, t)
 		}
 	}
 	return capped
--- a/quota/shares_test.go
+++ b/quota/shares_test.go
@@ -49,14 +49,22 @@
 		{name: "floor is left to who needs it", row: map[string]quota.GroupShare{
 			"a": {Token: 7, Share: quota.Amount{4000}}, "b": {Token: 1, Share: quota.Amount{12_000}, Want: quota.Amount{16_000}},
 		}, share: 0, limit: 4000},
-		{name: "one task beyond the cap", used: 15_000, want: 16_000, starts: []quota.Start{{Size: quota.Amount{3000}, Count: 1}},
-			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{16_000}, Want: quota.Amount{16_000}}}, share: 18_000, limit: 18_000},
-		{name: "no second task beyond the cap", used: 16_000, want: 16_000, starts: []quota.Start{{Size: quota.Amount{3000}, Count: 1}},
-			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{16_000}, Want: quota.Amount{16_000}}}, share: 16_000, limit: 16_000},
-		{name: "a gang of which all members but one fit", want: 16_000, starts: []quota.Start{{Size: quota.Amount{8000}, Count: 3}},
-			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{4000}}}, share: 24_000, limit: 24_000},
-		{name: "a gang of which two members do not fit", want: 16_000, starts: []quota.Start{{Size: quota.Amount{8000}, Count: 4}},
-			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{4000}}}, share: 16_000, limit: 16_000},
+		{
+			name: "one task beyond the cap", used: 15_000, want: 16_000, starts: []quota.Start{{Size: quota.Amount{3000}, Count: 1}},
+			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{16_000}, Want: quota.Amount{16_000}}}, share: 18_000, limit: 18_000,
+		},
+		{
+			name: "no second task beyond the cap", used: 16_000, want: 16_000, starts: []quota.Start{{Size: quota.Amount{3000}, Count: 1}},
+			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{16_000}, Want: quota.Amount{16_000}}}, share: 16_000, limit: 16_000,
+		},
+		{
+			name: "a gang of which all members but one fit", want: 16_000, starts: []quota.Start{{Size: quota.Amount{8000}, Count: 3}},
+			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{4000}}}, share: 24_000, limit: 24_000,
+		},
+		{
+			name: "a gang of which two members do not fit", want: 16_000, starts: []quota.Start{{Size: quota.Amount{8000}, Count: 4}},
+			row: map[string]quota.GroupShare{"a": {Token: 7, Share: quota.Amount{4000}}}, share: 16_000, limit: 16_000,
+		},
 		{name: "never below what is in use", used: 9000, want: 9000, row: map[string]quota.GroupShare{
 			"a": {Token: 7, Share: quota.Amount{9000}}, "b": {Token: 1, Share: quota.Amount{16_000}, Want: quota.Amount{16_000}},
 		}, share: 9000, limit: 5760},
--- a/runner/caps_test.go
+++ b/runner/caps_test.go
@@ -138,7 +138,7 @@
 }
 
 // submit makes a job of a team durable in one of the groups.
-func (n *capNet) submit(group int, team string, priority int, steps ...graph.Step) string {
+func (n *capNet) submit(group int, team string, priority int, steps ...graph.Step) {
 	net := n.nets[group]
 	id := fmt.Sprintf("%d%015x", group, len(n.jobs[group]))
 	doc := &graph.Job{
@@ -154,7 +154,6 @@
 	_, err = n.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
 	n.c.Assert(err, qt.IsNil)
 	n.jobs[group] = append(n.jobs[group], id)
-	return id
 }
 
 // state returns the state of a job at the holder of its group.
@@ -216,17 +215,17 @@
 	return shares.Groups[capServices[group]].Share[0]
 }
 
-// usedCores returns how many cores a team uses.
-func (n *capNet) usedCores(team string) int64 {
-	used, _ := n.workers.TeamUse(team)
+// usedCores returns how many cores the team with teamName uses.
+func (n *capNet) usedCores() int64 {
+	used, _ := n.workers.TeamUse(teamName)
 	return used.CPUMilli / 1000
 }
 
-// average returns the average number of cores that a team uses over a period.
-func (n *capNet) average(team string, period time.Duration) float64 {
+// average returns the average number of cores that the team with teamName uses over a period.
+func (n *capNet) average(period time.Duration) float64 {
 	sum, count := 0.0, 0
 	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		sum += float64(n.usedCores(team))
+		sum += float64(n.usedCores())
 		count++
 	}
 	return sum / float64(count)
@@ -304,21 +303,21 @@
 			n.submit(group, teamName, 0, graph.Step{Count: 150, Size: cores(2)})
 		}
 		time.Sleep(5 * time.Second)
-		n.c.Assert(n.usedCores(teamName) > 50, qt.IsTrue)
+		n.c.Assert(n.usedCores() > 50, qt.IsTrue)
 		// Orders that were about to be sent arrive within this time.
 		const settled = 100 * time.Millisecond
 		n.setCap(teamName, unit.Size{CPUMilli: 20_000}, settled)
 		before := n.workers.NumStarts()
 		time.Sleep(settled)
-		for used := n.usedCores(teamName); used > 20; used = n.usedCores(teamName) {
+		for used := n.usedCores(); used > 20; used = n.usedCores() {
 			time.Sleep(10 * time.Millisecond)
-			n.c.Assert(n.usedCores(teamName) <= used, qt.IsTrue)
+			n.c.Assert(n.usedCores() <= used, qt.IsTrue)
 		}
 		n.c.Check(n.workers.NumStarts()-before < 10, qt.IsTrue)
-		n.c.Check(n.average(teamName, 3*time.Second) > 16, qt.IsTrue)
+		n.c.Check(n.average(3*time.Second) > 16, qt.IsTrue)
 		n.setCap(teamName, unit.Size{CPUMilli: 60_000}, 0)
 		time.Sleep(time.Second)
-		n.c.Check(n.average(teamName, 2*time.Second) > 50, qt.IsTrue)
+		n.c.Check(n.average(2*time.Second) > 50, qt.IsTrue)
 		n.awaitJobs(time.Minute)
 		n.close(false)
 	})
@@ -335,10 +334,10 @@
 			n.submit(group, teamName, 0, graph.Step{Count: 500, Size: cores(2)})
 		}
 		time.Sleep(2 * time.Second)
-		before := n.average(teamName, 2*time.Second)
+		before := n.average(2 * time.Second)
 		h := n.holder(0)
 		h.setTableFault(fakes.TableNoReply)
-		average := n.average(teamName, time.Second)
+		average := n.average(time.Second)
 		// Without the table, ends are noticed up to 0.5 s later.
 		n.c.Check(average > 0.75*before, qt.IsTrue, qt.Commentf("%.1f cores in use, %.1f before", average, before))
 		time.Sleep(12 * time.Second)
@@ -414,7 +413,7 @@
 					n.submit(group, teamName, 0, graph.Step{Count: test.count, Size: cores(test.size)})
 				}
 				time.Sleep(1500 * time.Millisecond)
-				average := n.average(teamName, 3*time.Second)
+				average := n.average(3 * time.Second)
 				n.c.Check(average > 0.75*float64(test.capCores), qt.IsTrue, qt.Commentf("%.1f cores in use", average))
 				n.awaitJobs(time.Minute)
 				n.close(false)
@@ -592,3 +591,129 @@
 	}
 	return fakes.OrderFault{}
 }
+
+// Guards against shares that are lost with a service that the configuration no longer names, and against the removal of those of a group that a
+// holder still runs.
+func TestSharesOfRemovedServiceAreFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newCapNet(t, 2, 1, 4, guardedQueue, capOf(40))
+		n.workers.Outcome = fixedDuration(10 * time.Minute)
+		n.holder(0)
+		h := n.holder(1)
+		n.submit(1, teamName, 0, graph.Step{Count: 15, Size: cores(2)})
+		time.Sleep(2 * time.Second)
+		n.c.Assert(n.share(1) >= 30_000, qt.IsTrue)
+		// The configuration names the first service only; the holder of the second one still runs its tasks.
+		n.jobs = n.jobs[:1]
+		n.install()
+		n.submit(0, teamName, 0, graph.Step{Count: 20, Size: cores(2)})
+		time.Sleep(2 * time.Minute)
+		n.c.Check(n.share(1) >= 30_000, qt.IsTrue)
+		n.c.Check(n.usedCores(), qt.Equals, int64(40))
+		h.kill()
+		time.Sleep(30 * time.Second)
+		n.c.Check(n.share(1) >= 30_000, qt.IsTrue)
+		time.Sleep(30 * time.Second)
+		n.c.Check(n.share(1), qt.Equals, int64(0))
+		n.c.Check(n.usedCores(), qt.Equals, int64(40))
+		n.close(false)
+	})
+}
+
+// idleLimit is how long tasks may be held back although their team uses less than half of its cap and there is room for them.
+const idleLimit = 3 * time.Second
+
+// Guards against a cap that leaves capacity idle: tasks that are held back for three seconds while their team uses less than half of its cap and its
+// group has free workers.
+func TestCapLeavesNoCapacityIdle(t *testing.T) {
+	for _, seed := range seedRange(qt.New(t), capSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testIdleCap(t, seed) })
+		})
+	}
+}
+
+func testIdleCap(t *testing.T, seed uint64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 11))
+	caps := map[string]unit.Size{
+		"red":  {CPUMilli: 1000 * (8 + rng.Int64N(60))},
+		"blue": {CPUMilli: 1000 * (4 + rng.Int64N(30)), MemoryMiB: 300 + rng.Int64N(2000)},
+	}
+	numGroups := 2 + rng.IntN(2)
+	n := newCapNet(t, numGroups, 1, 6, guardedQueue, caps)
+	n.workers.Outcome = func(_ string, task graph.TaskID, run int) (time.Duration, order.EndKind) {
+		x := task.Index*37 + run*91 + task.Step*53 + len(task.Job)
+		return time.Duration(100+x*61%2500) * time.Millisecond, order.EndDone
+	}
+	for group := range numGroups {
+		n.holder(group)
+	}
+	heldSince := map[string]time.Time{}
+	busy := make([]bool, numGroups)
+	for end, nextJob := time.Now().Add(40*time.Second), time.Now(); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if !time.Now().Before(nextJob) {
+			nextJob = time.Now().Add(time.Duration(100+rng.Int64N(900)) * time.Millisecond)
+			if rng.IntN(8) == 0 {
+				busy[rng.IntN(numGroups)] = rng.IntN(2) == 0
+			}
+			group := rng.IntN(numGroups)
+			for range 3 {
+				if !busy[group] {
+					group = rng.IntN(numGroups)
+				}
+			}
+			n.submitSized(rng, group)
+		}
+		for group := range numGroups {
+			n.checkIdle(group, heldSince)
+		}
+	}
+	n.awaitJobs(3 * time.Minute)
+	n.close(false)
+}
+
+// submitSized submits tasks, or a gang of at most half of its team's cap.
+func (n *capNet) submitSized(rng *rand.Rand, group int) {
+	team := []string{"red", "blue"}[rng.IntN(2)]
+	step := graph.Step{Count: 1 + rng.IntN(24), Size: cores(1 + rng.Int64N(4))}
+	if rng.IntN(6) == 0 {
+		step.Gang, step.Count = true, 2
+		step.Size = cores(max(1, n.caps[team].CPUMilli/4000))
+		step.Size.CPUMilli = min(step.Size.CPUMilli, 12_000)
+	}
+	n.submit(group, team, rng.IntN(3), step)
+}
+
+// checkIdle checks whether a group holds back tasks of a team for too long; heldSince holds since when it does.
+func (n *capNet) checkIdle(group int, heldSince map[string]time.Time) {
+	r := n.holder(group).currentRunner()
+	for _, stats := range r.Cell().TeamStats() {
+		key := fmt.Sprintf("%s/%s", r.Group(), stats.Team)
+		used, _ := n.workers.TeamUse(stats.Team)
+		half := n.caps[stats.Team].Scale(0.5)
+		if stats.HeldBack == 0 || used.CPUMilli >= half.CPUMilli || (half.MemoryMiB > 0 && used.MemoryMiB >= half.MemoryMiB) || n.isFull(r.Group()) {
+			delete(heldSince, key)
+			continue
+		}
+		since, ok := heldSince[key]
+		if !ok {
+			heldSince[key] = time.Now()
+		} else if time.Since(since) > idleLimit {
+			row, _ := n.store.Get(table.Key{Table: runner.TableShares, Partition: "shares", Name: stats.Team})
+			n.t.Errorf("group %s holds back %d tasks of team %s, which uses %v of %v: %s, demand %+v", r.Group(), stats.HeldBack, stats.Team, used,
+				n.caps[stats.Team], row.Value, r.Cell().TeamDemands(time.Now())[stats.Team])
+			delete(heldSince, key)
+		}
+	}
+}
+
+// isFull reports whether no worker of a group has half of its processors free.
+func (n *capNet) isFull(group string) bool {
+	for k := range 6 {
+		if n.workers.FreeCPU(fmt.Sprintf("%s-%d", group, k)) >= bigWorker.CPUMilli/2 {
+			return false
+		}
+	}
+	return true
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -126,6 +126,9 @@
 	return r.cfg.SinceBoot() - time.Duration(r.renewedAt.Load())
 }
 
+// Group returns the name of the group.
+func (r *Runner) Group() string { return r.cfg.Epoch.Group }
+
 // Cell returns the group's state.
 func (r *Runner) Cell() *cell.Cell { return r.cell }
 
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -72,6 +72,8 @@
 	beatAt    time.Time
 	// beat is due with the next comparison.
 	beat bool
+	// callFails says that the last call to the table failed, which is logged once.
+	callFails bool
 }
 
 // sharesLoop keeps the group's shares of the teams' caps. Without a team that has a cap it reads and writes nothing.
@@ -184,14 +186,11 @@
 	sentAt := time.Now()
 	rows, _, err := table.ReadAll(call, r.cfg.Store, table.Range{Table: TableShares, Partition: sharesPartition})
 	if err != nil {
-		if ctx.Err() == nil {
-			r.log.WithError(err).Warn("shares of the teams can't be read")
-			clock.Pause(ctx, tableRetryDelay)
-		}
+		r.shareCallFailed(ctx, s, err)
 		// What is known of the shares still holds, but nothing is written.
 		return false
 	}
-	s.readAt, s.readAgain = sentAt, false
+	s.readAt, s.readAgain, s.callFails = sentAt, false, false
 	found := map[string]bool{}
 	for _, stored := range rows {
 		found[stored.Name] = true
@@ -381,6 +380,7 @@
 	var refused *table.RefusedError
 	switch {
 	case err == nil:
+		s.callFails = false
 		for i := range changes {
 			c := &changes[i]
 			row := s.rows[c.team]
@@ -390,19 +390,29 @@
 	case errors.As(err, &conflict):
 		s.readAgain = true
 	case errors.As(err, &refused):
-		r.log.WithError(err).Warn("shares of the teams can't be written")
-		clock.Pause(ctx, tableRetryDelay)
+		r.shareCallFailed(ctx, s, err)
 	default:
-		r.log.WithError(err).Warn("the outcome of a write of the teams' shares is unknown")
 		for i := range changes {
 			s.rows[changes[i].team].loseWrite(changes[i].shares.Groups[group].Share)
 		}
 		s.readAgain = true
-		clock.Pause(ctx, tableRetryDelay)
+		r.shareCallFailed(ctx, s, err)
 	}
 	return false
 }
 
+// shareCallFailed waits after a failed call to the table. The shares stay as they are.
+func (r *Runner) shareCallFailed(ctx context.Context, s *teamShares, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !s.callFails {
+		s.callFails = true
+		r.log.WithError(err).Warn("shares of the teams can't be read or written")
+	}
+	clock.Pause(ctx, tableRetryDelay)
+}
+
 // loseWrite records that a write of a share got no answer.
 func (row *shareRow) loseWrite(share quota.Amount) {
 	if row.lost != nil {
