--- a/runner/shares.go
+++ b/runner/shares.go
@@ -215,6 +215,9 @@
 		return
 	}
 	shares, err := quota.DecodeTeamShares(stored.Value)
+	if err != nil && row.unreadable {
+		return
+	}
 	row.unreadable = err != nil
 	if err != nil {
 		r.log.WithError(err).WithField("team", stored.Name).Error("row of a team's shares is invalid")
