--- a/runner/caps_test.go
+++ b/runner/caps_test.go
@@ -466,6 +466,7 @@
 		"red": {CPUMilli: 1000 * (10 + rng.Int64N(50))}, "blue": {CPUMilli: 1000 * (6 + rng.Int64N(20)), MemoryMiB: 400 + rng.Int64N(1000)},
 	}
 	n := newCapNet(t, 2+int(seed%3)/2, 2, 3, queueName, caps)
+	n.store.BareConflicts = seed%4 < 2
 	n.workers.StopGrace = time.Duration(rng.Int64N(400)) * time.Millisecond
 	n.workers.Outcome = func(_ string, task graph.TaskID, run int) (time.Duration, order.EndKind) {
 		x := task.Index*37 + run*91 + task.Step*53
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,6 +30,8 @@
 	sharesInterval = 100 * time.Millisecond
 	// minSharesInterval is the minimum interval between two of them, and thus between two writes.
 	minSharesInterval = 50 * time.Millisecond
+	// maxConflictDelay limits the delay after a write that met a row which another group had changed.
+	maxConflictDelay = 30 * time.Millisecond
 	// shortReadInterval is the interval between reads of the rows while a team is short of its share, and longReadInterval that while none is.
 	shortReadInterval = 250 * time.Millisecond
 	longReadInterval  = 700 * time.Millisecond
@@ -72,6 +75,8 @@
 	beatAt    time.Time
 	// beat is due with the next comparison.
 	beat bool
+	// conflict says that the last write met a row that another group had changed.
+	conflict bool
 	// callFails says that the last call to the table failed, which is logged once.
 	callFails bool
 }
@@ -93,7 +98,13 @@
 				if err := r.updateShares(ctx, shares, cfg, teams); err != nil {
 					return err
 				}
-				clock.Pause(ctx, minSharesInterval)
+				if shares.conflict {
+					// Groups that have met each other try again at different times.
+					clock.Pause(ctx, rand.N(maxConflictDelay))
+					signal(r.sharesWake)
+				} else {
+					clock.Pause(ctx, minSharesInterval)
+				}
 			}
 		}
 		timer.Reset(sharesInterval)
@@ -114,13 +125,14 @@
 func (r *Runner) updateShares(ctx context.Context, s *teamShares, cfg *queues.Config, teams []string) error {
 	r.cell.SetTeams(cfg)
 	now := time.Now()
+	s.conflict = false
 	if s.readDue(r.cfg.Epoch.Group, cfg, teams, now) {
 		if !r.readShares(ctx, s) {
 			return nil
 		}
-		if err := r.checkShareTokens(s); err != nil {
-			return err
-		}
+	}
+	if err := r.checkShareTokens(s); err != nil {
+		return err
 	}
 	r.inheritShares(s, cfg, teams)
 	demands := r.cell.TeamDemands(now)
@@ -141,7 +153,7 @@
 			break
 		}
 	}
-	if s.beat && !s.readAgain {
+	if s.beat && !s.readAgain && !s.conflict {
 		s.beatAt = now
 	}
 	r.applyShares(s, teams)
@@ -391,7 +403,7 @@
 		}
 		return true
 	case errors.As(err, &conflict):
-		s.readAgain = true
+		r.adoptConflict(s, conflict)
 	case errors.As(err, &refused):
 		r.shareCallFailed(ctx, s, err)
 	default:
@@ -404,6 +416,20 @@
 	return false
 }
 
+// adoptConflict adopts the rows that other groups have written. Some tables don't list their values.
+func (r *Runner) adoptConflict(s *teamShares, conflict *table.ConflictError) {
+	s.conflict = true
+	for i := range conflict.Rows {
+		stored := &conflict.Rows[i]
+		row, ok := s.rows[stored.Name]
+		if !ok || (stored.Value == nil && stored.Version != 0) {
+			s.readAgain = true
+			continue
+		}
+		r.setShareRow(row, stored)
+	}
+}
+
 // shareCallFailed waits after a failed call to the table. The shares stay as they are.
 func (r *Runner) shareCallFailed(ctx context.Context, s *teamShares, err error) {
 	if ctx.Err() != nil {
