--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -54,7 +54,7 @@
 		Namespace: namespace, Name: "call_seconds", Help: "Times of requests, table calls, orders and advice.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 9),
 	}, []string{"call"})
-	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations, m.submitted, m.finished)
+	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations, m.submitted, m.finished, newTeamCollector(a))
 	m.registerGauges(a)
 	m.handler = promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 	return m
