Notice lost polls and starts sooner

A lost poll hid all ends on its worker for 1.95 s (16 ends at once in the log), and a lost start was repeated after 0.7 s.

The first attempt to send a start is repeated after 250 ms, a single missed poll after 30 ms, and polls of workers with latency-sensitive tasks wait 0.5 s for ends and 0.3 s more for the answer; once two orders were lost within 5 s to workers that then answered, they wait 0.15 s.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -100,6 +100,8 @@
 	callsInFlight map[string]time.Duration
 	// staleLease is what is kept while the group's lease is so old that starts are sent over old connections only.
 	staleLease staleLease
+	// losses tells whether orders to workers get lost.
+	losses lossMeter
 	// admittedAt is when the jobs that are to meet their objectives were last chosen.
 	admittedAt time.Time
 	// teams holds the teams that have a cap, and teamsFrom the configuration that names them.
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -55,6 +55,9 @@
 		w.updateClock(res.Clock, res.Sent, now)
 		c.recordResponse(w, now)
 		p.confirm(now)
+		if res.Unanswered > 0 {
+			c.losses.record(now)
+		}
 		return
 	}
 	if res.Unanswered == 0 && lacksOldConn(res.Err) {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -20,6 +20,8 @@
 	Delay time.Duration
 	// Gone says that the worker is neither listed nor holds any runs.
 	Gone bool
+	// Timeout is how long the answer may take.
+	Timeout time.Duration
 	// IdleTimeout is how long to wait for Wake if no poll is needed.
 	IdleTimeout time.Duration
 	Wake        <-chan struct{}
@@ -62,7 +64,10 @@
 			next.Delay = ackPollDelay
 		}
 	}
-	if w.missedPolls > 0 {
+	switch {
+	case w.missedPolls == 1:
+		next.Delay = max(next.Delay, repeatedPollDelay)
+	case w.missedPolls > 1:
 		next.Delay = max(next.Delay, missedPollDelay)
 	}
 	if !w.polled {
@@ -77,12 +82,13 @@
 	if !w.silent && !unrenewed {
 		next.Order.LeaseUntil = w.leaseEnd(now, c.settings.Lease)
 	}
+	wait, slack := c.pollTimes(w, now)
 	switch {
 	case !w.polled || w.missedPolls > 0:
 	case unrenewed:
 		next.Delay = max(next.Delay, unrenewedPollDelay)
 	case w.lastEndDurable <= w.lastAckSent && w.isReportRecent(now):
-		next.Order.Wait = c.pollWaitFor(w)
+		next.Order.Wait = wait
 	}
 	if maxWait, gap := c.pollTiming(w, leaseAge, now); w.polled {
 		next.Order.Wait, next.Delay = min(next.Order.Wait, maxWait), max(next.Delay, gap)
@@ -90,6 +96,10 @@
 	if now.Sub(w.restartedAt) < 2*absenceGrace {
 		next.Order.Wait, next.Delay = 0, absenceGrace
 	}
+	next.Timeout = next.Order.Wait + slack
+	if next.First {
+		next.Timeout = firstPollTimeout
+	}
 	next.ToFence = c.runsToFence(w)
 	return next
 }
@@ -107,21 +117,16 @@
 	}
 }
 
-// missedPollDelay is the delay between polls of a worker that does not answer, and firstPollDelay that between first polls.
+// Delays and timeouts of polls.
 const (
+	// missedPollDelay is the delay between polls of a worker that does not answer, and firstPollDelay that between first polls.
 	missedPollDelay = 250 * time.Millisecond
 	firstPollDelay  = 50 * time.Millisecond
+	// firstPollTimeout limits the first poll of a worker: with hundreds of new connections some SYN packets are lost, and
+	// another attempt succeeds sooner than their retransmission.
+	firstPollTimeout = 400 * time.Millisecond
 )
 
-func (c *Cell) pollWaitFor(w *worker) time.Duration {
-	for _, p := range w.placements {
-		if p.task.step.doc.LatencyTarget > 0 || p.task.step.doc.Backfill {
-			return pollWaitServing
-		}
-	}
-	return pollWait
-}
-
 // PollSent records that a poll is about to be sent.
 func (c *Cell) PollSent(id string, o order.Poll, now time.Time) {
 	c.mu.Lock()
@@ -198,6 +203,9 @@
 		c.log.WithFields(logrus.Fields{fieldWorker: id, "away": now.Sub(w.unresponsiveSince).Round(time.Millisecond).String()}).Info("worker answers again")
 	}
 	w.updateClock(report.Clock, sent, now)
+	if w.missedPolls > 0 && w.silent {
+		c.losses.record(now)
+	}
 	w.missedPolls, w.silent, w.mayHaveRestarted = 0, false, false
 	w.recordReport(now)
 	c.recordResponse(w, now)
--- a/cell/team.go
+++ b/cell/team.go
@@ -480,7 +480,11 @@
 	if now.Sub(t.windowStart) >= wantWindow {
 		t.lastPeak, t.peak, t.windowStart = t.peak, quota.Amount{}, now
 	}
-	headroom := quota.AmountOf(t.headroom())
+	var headroom quota.Amount
+	if used != (quota.Amount{}) || w != nil {
+		// A group that has no work of the team leaves the headroom to those that have some.
+		headroom = quota.AmountOf(t.headroom())
+	}
 	for i := range d.Want {
 		d.Want[i] += headroom[i]
 		t.peak[i] = max(t.peak[i], d.Want[i])
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -14,14 +14,12 @@
 const (
 	// orderTimeout limits one attempt to send an order.
 	orderTimeout = 700 * time.Millisecond
+	// startTimeout limits the first attempt to send a start: orders may be lost on their way to workers that are alive, and a task should not wait
+	// long for the next attempt. It is several times the round trip between data centres.
+	startTimeout = 250 * time.Millisecond
 	// suspectAfter is how long a reply that is due immediately may take before the worker gets no new work: several times the
 	// round trip between data centres.
 	suspectAfter = 250 * time.Millisecond
-	// pollSlack is added to the wait of a poll to get its timeout.
-	pollSlack = 700 * time.Millisecond
-	// firstPollTimeout limits the first poll of a worker: with hundreds of new connections some SYN packets are lost, and
-	// another attempt succeeds sooner than their retransmission.
-	firstPollTimeout = 400 * time.Millisecond
 	// maxStartAttempts is how often a start is sent before its run is fenced.
 	maxStartAttempts = 3
 	// maxOrdersPerWorker limits the orders in flight to one worker, and with them its connections.
@@ -131,11 +129,7 @@
 }
 
 func (r *Runner) pollOnce(ctx context.Context, id string, next cell.NextPoll) {
-	timeout := next.Order.Wait + pollSlack
-	if next.First {
-		timeout = firstPollTimeout
-	}
-	call, cancel := context.WithTimeout(ctx, timeout)
+	call, cancel := context.WithTimeout(ctx, next.Timeout)
 	defer cancel()
 	sent := time.Now()
 	r.cell.PollSent(id, next.Order, sent)
@@ -266,7 +260,11 @@
 	if !ok {
 		return false
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	timeout := orderTimeout
+	if res.Unanswered == 0 && r.minConnAge() == 0 {
+		timeout = startTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	res.Sent = time.Now()
 	stopWatch := func() {}
