Bound what clients can take: limits while bytes arrive, a budget, deadlines

Misbehaving clients made hosts run out of memory and descriptors: nbhttp reads heads and bodies without limits or deadlines, ignores its parser's errors in blocking mode, and a job was decoded however many steps it named.

Package guard stands between the sockets and nbhttp. It follows the framing of requests, enforces the limits of the configuration in force as they are passed, charges what requests take to a budget that follows from the settings' memory, and bounds the connections at each address. Incomplete requests give way first, the slowest and largest of them; a complete one is never refused by it. Jobs with too many steps are refused before they are decoded.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	go test -run '^$$' -fuzz FuzzAnswers -fuzztime 30s ./worker
 	go test -run '^$$' -fuzz FuzzHeaders -fuzztime 30s ./front
 	go test -run '^$$' -fuzz FuzzReadTrace -fuzztime 30s ./loads
+	go test -run '^$$' -fuzz FuzzScanner -fuzztime 30s ./guard
 	go test -run '^$$' -fuzz FuzzDecoders -fuzztime 30s ./platform
 
 # Needs protoc, protoc-gen-go and protoc-gen-go-grpc; what it makes is committed.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,7 @@
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/elect"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/intake"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/platform"
@@ -33,13 +34,8 @@
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
-// Limits of client connections.
 const (
-	maxConnections = 3000
-	maxBodyBytes   = 4 << 20
-	maxHeaderBytes = 64 << 10
-	idleTimeout    = 60 * time.Second
-	metricsPath    = "/metrics"
+	metricsPath = "/metrics"
 	// gcPercent is below Go's default, so that the heap grows less between collections: memory is charged for, CPU time
 	// hardly. See docs/POLICY.md.
 	gcPercent = 40
@@ -84,6 +80,7 @@
 	groups     *groups
 	front      *platform.Front
 	engine     *nbhttp.Engine
+	guard      *guard.Guard
 	grpcServer *grpc.Server
 
 	inFlight atomic.Int64
@@ -104,6 +101,7 @@
 	a.advisor = newAdvisorQueue(platform.NewAdvisor(s.Advisor), s.Name)
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
+	a.newGuard()
 	a.direct = table.NewHealth(&instrumentedStore{platform.NewStore(s.Table), a.metrics})
 	a.relay = &table.Relay{
 		Direct: a.direct, Fallbacks: a.relayStores, Probe: table.Range{Table: elect.Table, Partition: hostsPartition, Limit: 1}, Log: log,
@@ -115,7 +113,7 @@
 	a.advisors = newAdvisorBalancer(s.Name, a.advisor, a.hosts)
 	a.front = &platform.Front{
 		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
-		Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes,
+		Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes, Reserve: a.guard.Budget().Reserve,
 		OnRefusal: func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() }, Log: log,
 	}
 	return a
@@ -139,6 +137,7 @@
 // Run serves until ctx is done and then shuts down gracefully; cancelling abort ends the shutdown at once.
 func (a *Agent) Run(ctx, abort context.Context) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(a.sizes().GoBytes)
 	a.log.WithFields(logrus.Fields{
 		"data-center": a.settings.DataCenter, "hosts": a.peerAddress(), "metrics": a.metricsAddress(), "life": a.incarnation,
 	}).Info("host started")
@@ -173,7 +172,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for peer hosts: %w", err)
 	}
-	a.grpcServer = grpc.NewServer(grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
+	l = a.guard.ListenPeers(l, a.sizes().SideConnections)
+	a.grpcServer = grpc.NewServer(append(a.guard.PeerServerOptions(),
+		grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	cellpb.RegisterCellsServer(a.grpcServer, &peerServer{a: a})
 	cellpb.RegisterRowsServer(a.grpcServer, &rowServer{direct: a.direct})
 	go func() {
@@ -181,12 +182,13 @@
 			a.log.WithError(err).Error("server for peer hosts failed")
 		}
 	}()
-	a.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Handler: a,
-		Addrs:   []string{a.settings.Front.String(), a.settings.Ready.String(), a.metricsAddress().String()},
-		MaxLoad: maxConnections, KeepaliveTime: idleTimeout, ReadLimit: maxBodyBytes + maxHeaderBytes, MaxHTTPBodySize: maxBodyBytes,
-		IOMod: nbhttp.IOModMixed, MaxBlockingOnline: maxConnections, ServerExecutor: func(f func()) { go f() },
-	})
+	engineConfig := nbhttp.Config{
+		Network: "tcp", Handler: a, ServerExecutor: func(f func()) { go f() },
+		Addrs: []string{a.settings.Front.String(), a.settings.Ready.String(), a.metricsAddress().String()},
+	}
+	a.guard.Apply(&engineConfig)
+	a.engine = nbhttp.NewEngine(engineConfig)
+	a.engine.OnOpen(a.guard.OnOpen)
 	if err := a.engine.Start(); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
@@ -220,6 +222,7 @@
 func (a *Agent) followConfig(ctx context.Context) {
 	a.config.Follow(ctx, func(c *queues.Config) {
 		if a.queues.Install(c) {
+			a.applyLimits(c.Limits)
 			a.log.WithFields(logrus.Fields{
 				"version": c.Version, "queues": len(c.Queues), "services": len(c.Services),
 			}).Info("configuration applied")
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -23,6 +24,7 @@
 	refusals   *prometheus.CounterVec
 	tableCalls *prometheus.CounterVec
 	durations  *prometheus.HistogramVec
+	ends       *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	handler    http.Handler
 }
@@ -42,7 +44,10 @@
 		Namespace: namespace, Name: "call_seconds", Help: "Times of requests, table calls, orders and advice.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 9),
 	}, []string{"call"})
-	m.registry.MustRegister(m.refusals, m.tableCalls, m.orders, m.durations)
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "guard_ends_total", Help: "Requests refused and connections closed by the limits of connections, by cause.",
+	}, []string{"cause"})
+	m.registry.MustRegister(m.ends, m.refusals, m.tableCalls, m.orders, m.durations)
 	m.registerGauges(a)
 	m.handler = promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 	return m
@@ -103,6 +108,28 @@
 	})
 }
 
+// countEnd counts a request that was refused, or a connection that was closed, by the guard.
+func (m *metrics) countEnd(cause guard.Cause) { m.ends.WithLabelValues(string(cause)).Inc() }
+
+// registerGuard registers the gauges of the guard.
+func (m *metrics) registerGuard(g *guard.Guard) {
+	gauge := func(name, help string, labels prometheus.Labels, read func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: name, Help: help, ConstLabels: labels,
+		}, read))
+	}
+	gauge("guard_budget_bytes", "Memory for requests that are incomplete or being handled.", nil,
+		func() float64 { return float64(g.Budget().Total()) })
+	gauge("guard_budget_used_bytes", "Part of the memory for requests that is in use.", nil,
+		func() float64 { return float64(g.Budget().Used()) })
+	for _, place := range []string{frontPlace, readyPlace, metricsPlace} {
+		gauge("guard_connections", "Open connections, by address.", prometheus.Labels{"address": place},
+			func() float64 { return float64(g.Open(place)) })
+	}
+	gauge("guard_connections", "Open connections, by address.", prometheus.Labels{"address": peersPlace},
+		func() float64 { return float64(g.PeersOpen()) })
+}
+
 // ServeHTTP writes the metrics in one piece, since the server needs the content length.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	buf := &responseBuffer{header: w.Header()}
--- /dev/null
+++ b/guard/limits.go
@@ -0,0 +1,123 @@
+package guard
+
+import "time"
+
+// Limits restrict the requests and the connections of clients.
+type Limits struct {
+	// HeadBytes bounds the request line and the header lines, with the empty line at their end.
+	HeadBytes int
+	BodyBytes int
+	// HeadTimeout bounds the time from the first byte of a request to the end of its head.
+	HeadTimeout time.Duration
+	// IdleTimeout bounds the time between requests.
+	IdleTimeout time.Duration
+}
+
+// Defaults of the limits, which are those of the deployments.
+const (
+	DefaultHeadBytes   = 16 << 10
+	DefaultBodyBytes   = 256 << 10
+	DefaultHeadTimeout = 3 * time.Second
+	DefaultIdleTimeout = 15 * time.Second
+)
+
+// withDefaults replaces limits that are not set.
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		HeadBytes: orDefault(l.HeadBytes, DefaultHeadBytes), BodyBytes: orDefault(l.BodyBytes, DefaultBodyBytes),
+		HeadTimeout: orDefault(l.HeadTimeout, DefaultHeadTimeout), IdleTimeout: orDefault(l.IdleTimeout, DefaultIdleTimeout),
+	}
+}
+
+func orDefault[T int | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// Bounds of the time that a body may take: a start-up time and a minimum rate, up to an absolute maximum. A body of the default size may take
+// 42 s; callers give up after a few seconds.
+const (
+	bodyGrace       = 10 * time.Second
+	minBodyRate     = 8 << 10
+	maxBodyDuration = 10 * time.Minute
+)
+
+// bodyDeadline returns until when more of a body must have arrived, and its end.
+func bodyDeadline(began time.Time, received int) time.Time {
+	allowed := bodyGrace + time.Duration(received)*time.Second/minBodyRate
+	return began.Add(min(allowed, maxBodyDuration))
+}
+
+// Costs of requests in bytes of memory.
+const (
+	// headByteCost covers the bytes of a head in the parser's buffer, and as strings.
+	headByteCost = 3
+	// lineCost covers the strings and the map entry of a header line, whatever its length.
+	lineCost = 200
+	// bodyByteCost covers a body in the parser's buffer, which grows by doubling, in the request, in the handler's buffer, and decoded.
+	bodyByteCost = 8
+	// connCost covers what a connection takes beside its account: a goroutine, buffers, and a request of up to freeCharge.
+	connCost = 16 << 10
+	// freeCharge is the cost of a request that needs no account: about 1 kB of head with 20 lines, or less head and some body.
+	freeCharge = 8 << 10
+)
+
+// requestCost returns what a request takes from its first byte until its response is written.
+func requestCost(s *Scanner) int64 {
+	// Chunks of a few bytes each are buffered together, so what surrounds them isn't kept.
+	return int64(s.HeadBytes()*headByteCost + s.Lines()*lineCost + s.BodyBytes()*bodyByteCost)
+}
+
+// Sizes are the bounds of a process that follow from the resources of its host.
+type Sizes struct {
+	// BudgetBytes bounds what requests take together.
+	BudgetBytes int64
+	// Connections bounds the clients' connections, and SideConnections those at each of the addresses for metrics, readiness checks and
+	// peers.
+	Connections     int
+	SideConnections int
+	// GoBytes is the soft limit of the Go runtime's memory.
+	GoBytes int64
+}
+
+// Defaults of hosts whose resources are not known.
+const (
+	DefaultMemoryBytes = 512 << 20
+	DefaultDescriptors = 4096
+)
+
+// SizesOf returns the sizes for a host with the given memory and file descriptors; 0 stands for the default.
+func SizesOf(memoryBytes int64, descriptors int) Sizes {
+	const (
+		// ownBytes is what the program takes without clients on the largest deployment: 60 to 80 MB were measured.
+		ownBytes = 80 << 20
+		// minSpare is the part of the memory that is left for clients on smaller hosts.
+		minSpare = 4
+		// A quarter of what is spare is for connections. The rest is for requests, with 40 parts of garbage to 100 parts in use, which is
+		// what the collector allows.
+		connPart             = 4
+		inUse, withGarbage   = 10, 14
+		goNumerator, goParts = 5, 8
+		// Half of the descriptors are for workers, peers and the platform.
+		descriptorPart                 = 2
+		sidePart                       = 16
+		minSideConns, maxSideConns     = 16, 128
+		minConns                   int = 64
+	)
+	if memoryBytes <= 0 {
+		memoryBytes = DefaultMemoryBytes
+	}
+	if descriptors <= 0 {
+		descriptors = DefaultDescriptors
+	}
+	spare := max(memoryBytes-ownBytes, memoryBytes/minSpare)
+	conns := int(spare / connPart / connCost)
+	return Sizes{
+		BudgetBytes:     (spare - spare/connPart) * inUse / withGarbage,
+		Connections:     max(minConns, min(conns, descriptors/descriptorPart)),
+		SideConnections: min(max(minSideConns, descriptors/sidePart), maxSideConns),
+		GoBytes:         memoryBytes / goParts * goNumerator,
+	}
+}
--- /dev/null
+++ b/guard/peer.go
@@ -0,0 +1,230 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+)
+
+// Limits of the connections of peer hosts, which call each other's unary methods only.
+const (
+	peerStreams       = 256
+	peerMessageBytes  = 4 << 20
+	peerHeaderBytes   = 16 << 10
+	peerHandshakeTime = 5 * time.Second
+	peerIdleTime      = 5 * time.Minute
+	// peerWindowBytes bounds what a peer may send on a connection before the server has read it.
+	peerWindowBytes = 1 << 20
+	// peerFreeBytes is what a connection may hold without a charge, and peerByteCost what a byte of a message costs until its call ends: the
+	// buffers of the transport, and the decoded message.
+	peerFreeBytes = 64 << 10
+	peerByteCost  = 3
+)
+
+// PeerServerOptions returns options that bound what peers' connections may take. The bytes of their calls count towards the budget from their
+// arrival to the end of the call.
+func (g *Guard) PeerServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxConcurrentStreams(peerStreams), grpc.MaxRecvMsgSize(peerMessageBytes), grpc.MaxHeaderListSize(peerHeaderBytes),
+		grpc.ConnectionTimeout(peerHandshakeTime), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: peerIdleTime}),
+		grpc.InitialConnWindowSize(peerWindowBytes), grpc.StatsHandler(&peerCalls{g: g}),
+	}
+}
+
+// ListenPeers bounds the number of connections that are accepted from l, and charges for what they hold.
+func (g *Guard) ListenPeers(l net.Listener, maxConns int) net.Listener {
+	p := &peerListener{Listener: l, g: g, maxConns: maxConns, conns: map[string]*peerConn{}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = append(g.peers, p)
+	return p
+}
+
+type peerListener struct {
+	net.Listener
+	g        *Guard
+	maxConns int
+	mu       sync.Mutex
+	conns    map[string]*peerConn
+}
+
+// Accept implements net.Listener. If there are too many connections, it closes the one without calls that was opened first, or the new one.
+func (l *peerListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &peerConn{Conn: nc, l: l, opened: time.Now()}
+		c.account.evict = func() {
+			c.l.g.onEnd(CauseMemory)
+			_ = c.Conn.Close()
+		}
+		if l.admit(c) {
+			return c, nil
+		}
+		l.g.onEnd(CauseConnections)
+		l.g.noteRefusal()
+		_ = nc.Close()
+	}
+}
+
+func (l *peerListener) admit(c *peerConn) bool {
+	var victim *peerConn
+	l.mu.Lock()
+	if len(l.conns) >= l.maxConns {
+		for _, x := range l.conns {
+			if x.calls.Load() == 0 && (victim == nil || x.opened.Before(victim.opened)) {
+				victim = x
+			}
+		}
+		if victim == nil {
+			l.mu.Unlock()
+			return false
+		}
+		delete(l.conns, victim.RemoteAddr().String())
+	}
+	l.conns[c.RemoteAddr().String()] = c
+	l.mu.Unlock()
+	if victim != nil {
+		l.g.onEnd(CauseConnections)
+		_ = victim.Close()
+	}
+	return true
+}
+
+func (l *peerListener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *peerListener) find(remote string) *peerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[remote]
+}
+
+// peerConn is the connection of a peer host.
+type peerConn struct {
+	net.Conn
+	l      *peerListener
+	opened time.Time
+	calls  atomic.Int64
+	// held is the number of bytes that have arrived and don't belong to a call that has ended.
+	held    atomic.Int64
+	mu      sync.Mutex
+	charged bool
+	account account
+}
+
+// Read counts the bytes that arrive.
+func (c *peerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if held := c.held.Add(int64(n)); held > peerFreeBytes && !c.charge(held) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *peerConn) charge(held int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.charged {
+		c.charged = true
+		c.account.started = now
+	}
+	return c.l.g.budget.grow(&c.account, held*peerByteCost, now)
+}
+
+// release takes back the bytes of a call that has ended, or all bytes if there are no more calls.
+func (c *peerConn) release(bytes int64) {
+	if c.calls.Add(-1) == 0 {
+		c.held.Store(0)
+	} else {
+		c.held.Add(-bytes)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.charged {
+		c.charged = false
+		c.l.g.budget.release(&c.account)
+	}
+}
+
+// Close closes the connection and returns its charge.
+func (c *peerConn) Close() error {
+	err := c.Conn.Close()
+	c.l.mu.Lock()
+	if key := c.RemoteAddr().String(); c.l.conns[key] == c {
+		delete(c.l.conns, key)
+	}
+	c.l.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.charged = false
+	c.l.g.budget.release(&c.account)
+	return err
+}
+
+// peerCalls follows the calls on the connections of peers.
+type peerCalls struct{ g *Guard }
+
+type (
+	connKey struct{}
+	callKey struct{}
+)
+
+// call is a call on a connection of a peer, with the bytes of its messages.
+type call struct {
+	conn  *peerConn
+	bytes int64
+}
+
+// TagConn implements stats.Handler.
+func (h *peerCalls) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	for _, l := range h.g.peers {
+		if c := l.find(info.RemoteAddr.String()); c != nil {
+			return context.WithValue(ctx, connKey{}, c)
+		}
+	}
+	return ctx
+}
+
+// HandleConn implements stats.Handler.
+func (h *peerCalls) HandleConn(context.Context, stats.ConnStats) {}
+
+// TagRPC implements stats.Handler.
+func (h *peerCalls) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
+	c, ok := ctx.Value(connKey{}).(*peerConn)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(ctx, callKey{}, &call{conn: c})
+}
+
+// HandleRPC implements stats.Handler.
+func (h *peerCalls) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	c, ok := ctx.Value(callKey{}).(*call)
+	if !ok {
+		return
+	}
+	switch s := s.(type) {
+	case *stats.Begin:
+		// Calls of unknown methods have neither a beginning nor an end.
+		c.conn.calls.Add(1)
+	case *stats.InPayload:
+		c.bytes += int64(s.WireLength)
+	case *stats.End:
+		c.conn.release(c.bytes)
+	}
+}
