Guard: give a place up only before its request is handed over

A connection that was to give its place up could reach the handler in the same moment, and the listener would have waited for the handler. The change of its stage now decides which comes first.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -81,13 +81,23 @@
 	}
 }
 
-// expel makes the connection's goroutine refuse the request, unless it is complete already. Any goroutine may call it.
-func (c *conn) expel(err *RequestError) {
-	c.expelled.CompareAndSwap(nil, err)
-	if err == errConnections {
-		c.unwanted.Store(true)
+// evict makes the connection's goroutine refuse its request for lack of memory. Any goroutine may call it.
+func (c *conn) evict() {
+	c.expelled.CompareAndSwap(nil, errMemory)
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// expel makes the connection's goroutine give its place up within a moment, and reports false if a request is being handled. Any goroutine
+// may call it.
+func (c *conn) expel() bool {
+	if !c.stage.CompareAndSwap(stageIdle, stageRefused) && !c.stage.CompareAndSwap(stageArriving, stageRefused) &&
+		c.stage.Load() != stageRefused {
+		return false
 	}
+	c.expelled.CompareAndSwap(nil, errConnections)
+	c.unwanted.Store(true)
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
 
 // SetReadDeadline does nothing, since the connection sets its own deadlines.
@@ -158,7 +168,7 @@
 		return n, nil
 	}
 	_ = c.TCPConn.SetReadDeadline(c.deadline())
-	// The deadline that expel sets may have been overwritten.
+	// The deadline that evict and expel set may have been overwritten.
 	if c.expelled.Load() != nil {
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -211,7 +221,9 @@
 	if !c.scanner.Started() {
 		now = time.Now()
 		c.since.Store(now.UnixNano())
-		c.stage.Store(stageArriving)
+		if !c.stage.CompareAndSwap(stageIdle, stageArriving) {
+			return 0, errConnections
+		}
 	}
 	if skipped > 0 {
 		p = p[:copy(p, p[skipped:])]
@@ -273,8 +285,10 @@
 	if c.charged && !c.g.budget.completed(&c.account) {
 		return errMemory
 	}
-	c.stage.Store(stageHandling)
-	return c.expelled.Load()
+	if !c.stage.CompareAndSwap(stageArriving, stageHandling) {
+		return errConnections
+	}
+	return nil
 }
 
 // refuse answers the current request, which has not reached the handler, and closes the connection.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -171,7 +171,7 @@
 		if err != nil {
 			l.g.mu.Lock()
 			if victim := l.g.mostDispensable(l.place); victim != nil {
-				victim.expel(errConnections)
+				victim.expel()
 			}
 			l.g.mu.Unlock()
 			time.Sleep(acceptPause)
@@ -196,8 +196,8 @@
 		if victim == nil {
 			return false
 		}
-		victim.expel(errConnections)
-		for !victim.gone {
+		// A request that has just become complete is not refused.
+		for expelled := victim.expel(); expelled && !victim.gone; {
 			g.closed.Wait()
 		}
 	}
@@ -207,7 +207,7 @@
 	}
 	p.open++
 	c := &conn{TCPConn: tcp, g: g, place: p}
-	c.account.evict = func() { c.expel(errMemory) }
+	c.account.evict = c.evict
 	c.since.Store(time.Now().UnixNano())
 	g.conns[nc] = c
 	return true
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -219,6 +219,7 @@
 	s := startServer(t, roomySizes, Limits{}, false, func(c *conn) {
 		// The scanner takes the request for complete, the parser for malformed.
 		c.scanner.phase, c.scanner.left, c.bodyBegan = phaseBody, 4, time.Now()
+		c.stage.Store(stageArriving)
 	})
 	conn, in := s.dial()
 	_, err := io.WriteString(conn, "\x00\x00\x00\x00")
