--- a/agent/caller_test.go
+++ b/agent/caller_test.go
@@ -131,6 +131,7 @@
 	a := newTestAgent("host")
 	a.log, a.queues, a.health = log, &queues.Store{}, table.NewHealth(fakes.NewTable())
 	a.metrics = newMetrics(a)
+	a.newGuard()
 	teams := func(names ...string) (list []queues.Team) {
 		for _, name := range names {
 			list = append(list, queues.Team{Name: name})
