Hosts notice at once that the table answers again

Callers that came back after an outage of the table were refused again, for up to 250 ms until the next probe and then for up to a second until a call for changes was answered; the lease was renewed up to 150 ms, and progress stored up to 100 ms, later than that.

A caller that finds the table unreachable now waits for a probe (at most 50 ms, one probe per 20 ms and host), probes come each 100 ms and don't wait for an unanswered one, and an answered probe counts for the host, wakes the renewal of leases, and a renewal wakes the commits. Commits take records that starts wait for first, then ended jobs.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -109,12 +109,13 @@
 		Direct: a.direct, Fallbacks: a.relayStores, Probe: table.Range{Table: elect.Table, Partition: hostsPartition, Limit: 1}, Log: log,
 	}
 	a.health = table.NewHealth(a.relay)
+	a.relay.OnAnswer = a.tableAnswered
 	a.store, a.workers = a.health, &instrumentedWorkers{platform.NewWorkers(), a.metrics}
 	a.registry = &platform.Registry{Store: a.store, Log: log}
 	a.config = &platform.ConfigFollower{Store: a.store, Log: log}
 	a.advisors = newAdvisorBalancer(s.Name, a.advisor, a.hosts)
 	a.front = &platform.Front{
-		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Groups: a.groups, Log: log},
+		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Recheck: a.relay.Check, Groups: a.groups, Log: log},
 		Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes,
 		OnRefusal: func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() }, Log: log,
 	}
@@ -131,6 +132,14 @@
 	return netip.AddrPortFrom(a.settings.IP, a.settings.FirstPort)
 }
 
+// tableAnswered is called when the table answers again. Calls that wait for changes would show it up to a second later.
+func (a *Agent) tableAnswered() {
+	a.health.Answered(time.Now())
+	for _, r := range a.groups.runners() {
+		r.TableAnswers()
+	}
+}
+
 // ready is the readiness check: without a configuration or the table, the host could only refuse requests.
 func (a *Agent) ready() bool {
 	return !a.stopping.Load() && a.queues.Current() != nil && a.health.Reachable(time.Now())
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -85,27 +85,45 @@
 	}
 }
 
-// Collect returns at most n changes, ended jobs first.
+// Collect returns at most n changes: first those that starts wait for, then ended jobs, and then the others.
 func (c *Cell) Collect(n int) Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var b Batch
 	ids := slices.Sorted(maps.Keys(c.dirty))
-	collect := func(terminal bool) {
+	for class := range numCommitClasses {
 		for _, id := range ids {
 			if len(b.Changes) >= n {
-				return
+				return b
 			}
-			if j := c.dirty[id]; !j.setAside && j.state.Terminal() == terminal {
+			if j := c.dirty[id]; !j.setAside && j.commitClass() == class {
 				b.Changes = append(b.Changes, Change{id, j.progress(c.token), j.version, j.revision})
 			}
 		}
 	}
-	collect(true)
-	collect(false)
 	return b
 }
 
+// The classes of progress, in the order of their commits. After an outage of the table there are hundreds of changes, of which a commit takes
+// some fifty.
+const (
+	commitForStart = iota
+	commitEnded
+	commitOther
+	numCommitClasses
+)
+
+func (j *job) commitClass() int {
+	switch {
+	case j.state.Terminal():
+		return commitEnded
+	case j.version == 0 || j.awaitsRecord:
+		return commitForStart
+	default:
+		return commitOther
+	}
+}
+
 // Committed records that a batch is durable at a version.
 func (c *Cell) Committed(b Batch, version uint64, now time.Time) {
 	c.mu.Lock()
--- a/cell/stalelease_test.go
+++ b/cell/stalelease_test.go
@@ -102,3 +102,41 @@
 		c.Check(next.Delay > 0, qt.Equals, test.gap, qt.Commentf("%v: %v", test, next.Delay))
 	}
 }
+
+// After an outage of the table hundreds of jobs have progress to store. New jobs, which can't start before they have a record, came last, and a
+// commit takes some fifty. Load: three jobs with an end each, one of which is over, and a new one.
+func TestRecordsThatStartsWaitForAreStoredFirst(t *testing.T) {
+	c := qt.New(t)
+	g := newStaleGroup()
+	add := func(id string, count int) {
+		g.cell.Add(&graph.Job{
+			ID: id, Queue: "short", Steps: []graph.Step{{Count: count, Size: unit.Size{CPUMilli: 1000}}}, AcceptedAt: g.now, MaxAttempts: 3, Stretch: 2,
+		}, nil, 0, g.now)
+	}
+	add("a", 2)
+	add("b", 1)
+	add("c", 2)
+	g.plan()
+	g.cell.Committed(g.cell.Collect(10), 1, g.now)
+	ended := map[string]uint64{}
+	for _, o := range g.plan().Starts {
+		g.cell.Started(o, cell.StartResult{Sent: g.now, Clock: time.Minute}, g.now)
+		if o.Order.Task.Index > 0 {
+			continue
+		}
+		w := o.Worker.ID
+		ended[w]++
+		g.cell.Polled(w, order.Report{
+			Clock: time.Minute, StartedAt: startTime.Add(-time.Minute),
+			Ended: []order.End{{Number: ended[w], Task: o.Order.Task, Run: o.Order.Run, Kind: order.EndDone}},
+		}, 0, g.now, g.now)
+	}
+	add("z", 1)
+	g.plan()
+	var ids []string
+	for _, ch := range g.cell.Collect(10).Changes {
+		ids = append(ids, ch.Job)
+	}
+	c.Assert(ids, qt.DeepEquals, []string{"z", "b", "a", "c"})
+	c.Assert(g.cell.Collect(1).Changes[0].Job, qt.Equals, "z")
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -82,8 +82,10 @@
 type Intake struct {
 	Store  table.Store
 	Health *table.Health
-	Groups Groups
-	Log    logrus.FieldLogger
+	// Recheck reports whether a table that did not answer does so by now; nil means that it is not known. It takes at most a fraction of a second.
+	Recheck func(ctx context.Context) bool
+	Groups  Groups
+	Log     logrus.FieldLogger
 
 	endpoints endpoints
 }
@@ -267,7 +269,7 @@
 
 // checkWritable returns the refusal of a call that is known not to be able to change the table in time, or nil.
 func (i *Intake) checkWritable(ctx context.Context) error {
-	if !i.Health.Reachable(time.Now()) {
+	if !i.Health.Reachable(time.Now()) && (i.Recheck == nil || !i.Recheck(ctx)) {
 		return i.unreachableError(&table.RefusedError{Op: "commit"})
 	}
 	return i.slowTableError(ctx)
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -253,6 +253,7 @@
 func (r *Runner) commitOnce(ctx context.Context) (pause time.Duration, err error) {
 	failing, limit := false, maxCommitJobs
 	for ctx.Err() == nil {
+		drain(r.retryWake)
 		batch := r.cell.Collect(limit)
 		if len(batch.Changes) == 0 {
 			return 0, nil
@@ -298,7 +299,7 @@
 			r.log.WithError(err).WithField("jobs", len(batch.Changes)).Warn("progress of jobs can't be written")
 			failing = true
 		}
-		clock.Pause(ctx, tableRetryDelay)
+		waitForWake(ctx, r.retryWake, tableRetryDelay)
 	}
 	return 0, ctx.Err()
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -81,7 +81,10 @@
 	loaded     atomic.Bool
 	planWake   chan struct{}
 	commitWake chan struct{}
-	cancel     context.CancelCauseFunc
+	// renewWake and retryWake end the pauses after a failed renewal and a failed commit.
+	renewWake chan struct{}
+	retryWake chan struct{}
+	cancel    context.CancelCauseFunc
 
 	mu sync.Mutex
 	// polling holds the workers that have a poll loop.
@@ -104,7 +107,8 @@
 	}
 	log := cfg.Log.WithFields(logrus.Fields{"group": cfg.Epoch.Group, "token": cfg.Epoch.Token})
 	r := &Runner{
-		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), polling: map[string]bool{},
+		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewWake: make(chan struct{}, 1), retryWake: make(chan struct{}, 1),
+		polling:    map[string]bool{},
 		orderSlots: map[string]chan struct{}{}, segments: map[string]int{},
 	}
 	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
@@ -363,6 +367,7 @@
 	if !held {
 		r.log.Info("lease confirmed; orders can be sent again")
 	}
+	signal(r.retryWake)
 	if wasStale {
 		// Starts that no connection was old enough for can be sent.
 		r.wakePlan()
@@ -376,6 +381,7 @@
 			clock.Pause(ctx, due)
 			continue
 		}
+		drain(r.renewWake)
 		sent := r.cfg.SinceBoot()
 		err := elect.Renew(ctx, r.cfg.Store, r.cfg.Epoch, r.heldFor())
 		if lost, ok := asLostError(err); ok {
@@ -389,11 +395,14 @@
 		if ctx.Err() == nil && !r.renewalFails.Swap(true) {
 			r.log.WithError(err).Warn("lease can't be renewed")
 		}
-		clock.Pause(ctx, renewRetryDelay)
+		waitForWake(ctx, r.renewWake, renewRetryDelay)
 	}
 	return nil
 }
 
+// TableAnswers tells the runner that the table answers again: the lease is renewed at once, and then progress is stored.
+func (r *Runner) TableAnswers() { signal(r.renewWake) }
+
 // nextRenewal returns when the lease has to be renewed by a write of its own. A commit in flight may renew it too, and where
 // the table is slow, the two writes would wait for each other.
 func (r *Runner) nextRenewal() time.Duration {
@@ -412,6 +421,14 @@
 	}
 }
 
+// drain removes a signal that was sent before.
+func drain(ch chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
 func (r *Runner) wakePlan()   { signal(r.planWake) }
 func (r *Runner) wakeCommit() { signal(r.commitWake) }
 
--- a/runner/table_outage_test.go
+++ b/runner/table_outage_test.go
@@ -111,3 +111,33 @@
 	defer h.mu.Unlock()
 	return h.numStarted[worker]
 }
+
+// After an outage the lease has to be renewed before it expires at 6 s, while every other call is sent too. The next attempt used to come up to
+// 150 ms after the table had answered a probe, and that of a commit up to 100 ms after the renewal. Load: 600 tasks of 0.3 s, an outage of 4 s.
+func TestLeaseIsRenewedAsSoonAsTableAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		n.workers.Outcome = fixedDuration(shortRun)
+		h := n.findHost("host0")
+		n.submitTasks(t, longJob, 600, 4)
+		for n.workers.NumStarts() < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		h.setTableFault(fakes.TableUnavailable)
+		for i := range 10 {
+			time.Sleep(4*time.Second + time.Duration(i)*17*time.Millisecond)
+			r := h.currentRunner()
+			commits := n.store.NumCommits()
+			dirty, _ := r.Cell().Dirty()
+			h.setTableFault(fakes.TableOK)
+			r.TableAnswers()
+			time.Sleep(10 * time.Millisecond)
+			qt.Check(t, r.LeaseAge() <= 10*time.Millisecond, qt.IsTrue, qt.Commentf("the lease is %v old", r.LeaseAge()))
+			time.Sleep(10 * time.Millisecond)
+			qt.Check(t, !dirty || n.store.NumCommits()-commits >= 2, qt.IsTrue, qt.Commentf("progress is not stored"))
+			h.setTableFault(fakes.TableUnavailable)
+		}
+		h.setTableFault(fakes.TableOK)
+		n.checkNoTaskRunsTwice(t, h)
+	})
+}
--- a/table/health.go
+++ b/table/health.go
@@ -113,6 +113,13 @@
 	h.lastSuccess = now
 }
 
+// Answered records that the table has answered a call that was not made through h.
+func (h *Health) Answered(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastSuccess = now
+}
+
 // Commit implements Store.
 func (h *Health) Commit(ctx context.Context, tx Tx) (uint64, error) {
 	sentAt := time.Now()
--- a/table/relay.go
+++ b/table/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,10 +15,14 @@
 const (
 	// maxRelayHosts is how many other hosts a call is sent to in turn, as long as each proves that it had no effect.
 	maxRelayHosts = 3
-	// probeInterval is how often a table that does not answer directly is probed.
-	probeInterval = 250 * time.Millisecond
-	// probeTimeout bounds a probe.
+	// probeInterval is how often a table that does not answer directly is probed: with 43 hosts by 430 of the 6,000 reads a second that the
+	// platform allows. minProbeInterval limits the probes that calls ask for.
+	probeInterval    = 100 * time.Millisecond
+	minProbeInterval = 20 * time.Millisecond
+	// probeTimeout bounds a probe. A later one does not wait for it.
 	probeTimeout = 400 * time.Millisecond
+	// checkTimeout is how long a call waits for a probe.
+	checkTimeout = 50 * time.Millisecond
 )
 
 // Relay is a Store that sends calls through other hosts while the table does not answer this one. A call is retried over the next
@@ -28,7 +33,19 @@
 	Fallbacks func() []Store
 	// Probe is a range that can be read at any time.
 	Probe Range
-	Log   logrus.FieldLogger
+	// OnAnswer, if set, is called after each probe that the table has answered.
+	OnAnswer func()
+	Log      logrus.FieldLogger
+
+	mu sync.Mutex
+	// lastProbe is the probe that was sent last.
+	lastProbe probe
+}
+
+// probe is a read that tells whether the table answers this host directly; done is closed after it.
+type probe struct {
+	sentAt time.Time
+	done   chan struct{}
 }
 
 // Run probes the direct path while it fails, until ctx is done.
@@ -43,11 +60,58 @@
 		if reachable {
 			continue
 		}
+		r.startProbe(ctx, probeInterval/2)
+	}
+}
+
+// startProbe sends a probe, unless one was sent less than minInterval ago, and returns the last one.
+func (r *Relay) startProbe(ctx context.Context, minInterval time.Duration) probe {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.lastProbe.done != nil && now.Sub(r.lastProbe.sentAt) < minInterval {
+		return r.lastProbe
+	}
+	p := probe{now, make(chan struct{})}
+	r.lastProbe = p
+	go func() {
+		defer close(p.done)
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
 		if _, err := r.Direct.Read(call, r.Probe); err != nil {
 			r.Log.WithError(err).Debug("probe of the direct path to the table failed")
+			return
+		}
+		if r.OnAnswer != nil {
+			r.OnAnswer()
+		}
+	}()
+	return p
+}
+
+// Check reports whether the table answers directly. If it did not answer before, a probe is sent, and waited for a short time: a caller that
+// comes back after an outage must not be refused because of an earlier call.
+func (r *Relay) Check(ctx context.Context) bool {
+	if r.Direct.Reachable(time.Now()) {
+		return true
+	}
+	startedAt := time.Now()
+	call, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	for {
+		p := r.startProbe(context.WithoutCancel(ctx), minProbeInterval)
+		select {
+		case <-p.done:
+		case <-call.Done():
+		}
+		switch {
+		case r.Direct.Reachable(time.Now()):
+			return true
+		case call.Err() != nil, !p.sentAt.Before(startedAt):
+			return false
 		}
-		cancel()
+		// The probe was sent before the call.
+		clock.Pause(call, time.Until(p.sentAt.Add(minProbeInterval)))
 	}
 }
 
--- a/table/relay_test.go
+++ b/table/relay_test.go
@@ -184,3 +184,66 @@
 		c.Assert(err, qt.IsNil)
 	})
 }
+
+// After an outage callers used to be refused for up to 250 ms more, until the next probe.
+func TestCallFindsThatTableAnswersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		direct := newPath(fakes.NewTable(), fakes.TableUnavailable)
+		relay := newRelay(direct, newPath(fakes.NewTable(), fakes.TableUnavailable))
+		answered := 0
+		relay.OnAnswer = func() { answered++ }
+		_, err := relay.Commit(t.Context(), create("a"))
+		c.Assert(err, qt.IsNotNil)
+		time.Sleep(time.Second)
+		c.Assert(relay.Check(t.Context()), qt.IsFalse)
+		time.Sleep(time.Second)
+		direct.fault.Store(int32(fakes.TableOK))
+		startedAt := time.Now()
+		c.Assert(relay.Check(t.Context()), qt.IsTrue)
+		c.Assert(time.Since(startedAt) < 10*time.Millisecond, qt.IsTrue)
+		c.Assert(answered, qt.Equals, 1)
+	})
+}
+
+// countingReads counts the reads of a table that does not answer.
+type countingReads struct {
+	*fakes.Table
+	reads atomic.Int32
+}
+
+// Read implements table.Store.
+func (s *countingReads) Read(ctx context.Context, r table.Range) (table.Page, error) {
+	s.reads.Add(1)
+	return s.Table.Read(ctx, r)
+}
+
+// Probes are charged for, and all hosts send them at once: callers must not multiply them. A table that does not answer at all must be probed
+// as often as one that refuses, or its return is noticed late. Load: a call each millisecond for two seconds.
+func TestProbesDuringOutageAreBounded(t *testing.T) {
+	for _, fault := range []fakes.TableFault{fakes.TableUnavailable, fakes.TableNoReply} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := &countingReads{Table: fakes.NewTable()}
+			store.SetFault(func(string) fakes.TableFault { return fault })
+			relay := newRelay(newPath(fakes.NewTable(), fakes.TableOK), newPath(fakes.NewTable(), fakes.TableUnavailable))
+			relay.Direct = table.NewHealth(store)
+			ctx, cancel := context.WithCancel(t.Context())
+			call, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+			_, _ = relay.Direct.Read(call, relay.Probe)
+			stop()
+			go relay.Run(ctx)
+			store.reads.Store(0)
+			time.Sleep(2050 * time.Millisecond)
+			c.Check(store.reads.Load() >= 19 && store.reads.Load() <= 21, qt.IsTrue, qt.Commentf("%d probes without calls", store.reads.Load()))
+			store.reads.Store(0)
+			for range 2000 {
+				go relay.Check(ctx)
+				time.Sleep(time.Millisecond)
+			}
+			c.Check(store.reads.Load() <= 101, qt.IsTrue, qt.Commentf("%d probes", store.reads.Load()))
+			cancel()
+			time.Sleep(time.Second)
+		})
+	}
+}
