A host that is busy with advice for other groups says so at once

The holder leaves the host out until then and asks another one in the next plan, which follows at once, or after 50 ms if no host is free.

--- a/agent/advise.go
+++ b/agent/advise.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/graph"
@@ -29,6 +26,9 @@
 	adviseSlack = 300 * time.Millisecond
 	// overheadWeight is the weight of a new call in a host's moving mean overhead.
 	overheadWeight = 0.2
+	// minBusyTime and maxBusyTime limit for how long a host that is busy with calls of other groups is not asked.
+	minBusyTime = 20 * time.Millisecond
+	maxBusyTime = 5 * time.Second
 	// remoteOverhead is assumed of a host in another data centre until calls through it have been measured.
 	remoteOverhead = 8 * time.Millisecond
 )
@@ -40,11 +40,16 @@
 	backlog time.Duration
 	// answers says that the last call through the host was answered.
 	answers bool
+	// busyUntil is until when the host is busy with calls of other groups.
+	busyUntil time.Time
 	// overhead is the moving mean of the time that short calls take beyond the expected duration of the backlog; negative if it
 	// is not known yet.
 	overhead time.Duration
 }
 
+// isBusy reports whether the host is known to be busy with calls of other groups.
+func (l *hostLoad) isBusy(now time.Time) bool { return now.Before(l.busyUntil) }
+
 // advisorBalancer distributes calls to the advisor over the hosts, since the advisor processes one at a time from each.
 type advisorBalancer struct {
 	self    string
@@ -101,8 +106,8 @@
 // isBusy reports whether a call failed since its host, or the advisor, is busy with others.
 func isBusy(err error) bool {
 	var busy *order.AdvisorBusyError
-	var queueTimeout *queueTimeoutError
-	return errors.As(err, &busy) || errors.As(err, &queueTimeout) || status.Code(err) == codes.Aborted
+	var hostBusy *order.HostBusyError
+	return errors.As(err, &busy) || errors.As(err, &hostBusy)
 }
 
 // backlog returns the expected duration of the calls in flight through a host.
@@ -120,6 +125,10 @@
 	l.inFlight--
 	l.backlog -= req.Cost
 	l.answers = err == nil || isBusy(err)
+	var busy *order.HostBusyError
+	if errors.As(err, &busy) {
+		l.busyUntil = time.Now().Add(max(minBusyTime, min(busy.For, maxBusyTime)))
+	}
 	if err != nil || req.Cost > maxShortCallDuration {
 		return
 	}
@@ -157,14 +166,15 @@
 func (b *advisorBalancer) pickHost(cost time.Duration, now time.Time) (string, bool) {
 	fastPath, rest := b.hosts.splitFastPath(now)
 	if len(fastPath)+len(rest) == 0 {
-		return b.self, b.load(b.self).inFlight == 0
+		l := b.load(b.self)
+		return b.self, l.inFlight == 0 && !l.isBusy(now)
 	}
 	if b.hosts.anyInBackoff(now) {
-		if name, ok := b.pickOf(b.answering(fastPath), b.answering(rest), cost); ok {
+		if name, ok := b.pickOf(b.answering(fastPath), b.answering(rest), cost, now); ok {
 			return name, true
 		}
 	}
-	return b.pickOf(fastPath, rest, cost)
+	return b.pickOf(fastPath, rest, cost, now)
 }
 
 // answering returns this host, if it is in the list, and those that answered the last call.
@@ -180,19 +190,19 @@
 
 // pickOf returns one of some hosts for a call. Short calls share the fast-path hosts, and long ones the others, one at a time, so that neither
 // kind waits for the other; a kind without usable hosts uses those of the other.
-func (b *advisorBalancer) pickOf(fastPath, rest []host, cost time.Duration) (string, bool) {
+func (b *advisorBalancer) pickOf(fastPath, rest []host, cost time.Duration, now time.Time) (string, bool) {
 	switch {
 	case cost <= maxShortCallDuration && len(fastPath) > 0:
-		if name, ok := b.pickFastest(fastPath); ok {
+		if name, ok := b.pickFastest(fastPath, now); ok {
 			return name, true
 		}
-		return b.overflow(rest, len(fastPath))
+		return b.overflow(rest, len(fastPath), now)
 	case len(rest) == 0:
 		rest = fastPath
 	}
 	for i := range rest {
 		h := rest[(b.nextHost+i)%len(rest)]
-		if b.load(h.Name).inFlight == 0 {
+		if l := b.load(h.Name); l.inFlight == 0 && !l.isBusy(now) {
 			b.nextHost = (b.nextHost + i + 1) % len(rest)
 			return h.Name, true
 		}
@@ -201,12 +211,12 @@
 }
 
 // overflow returns one of the other hosts for a short call, unless n of them make short calls already.
-func (b *advisorBalancer) overflow(rest []host, n int) (string, bool) {
+func (b *advisorBalancer) overflow(rest []host, n int, now time.Time) (string, bool) {
 	name := ""
 	for _, h := range rest {
 		l := b.load(h.Name)
 		switch {
-		case l.inFlight == 0 && name == "":
+		case l.inFlight == 0 && name == "" && !l.isBusy(now):
 			name = h.Name
 		case l.inFlight > 0 && l.backlog <= maxShortCallDuration:
 			n--
@@ -216,11 +226,11 @@
 }
 
 // pickFastest returns the host through which a short call is expected to be answered first, unless all have too many in flight.
-func (b *advisorBalancer) pickFastest(list []host) (string, bool) {
+func (b *advisorBalancer) pickFastest(list []host, now time.Time) (string, bool) {
 	name, soonest := "", time.Duration(0)
 	for _, h := range list {
 		l := b.load(h.Name)
-		if l.inFlight >= maxShortInFlight || l.backlog >= max(maxShortBacklog, l.overhead) {
+		if l.isBusy(now) || l.inFlight >= maxShortInFlight || l.backlog >= max(maxShortBacklog, l.overhead) {
 			continue
 		}
 		expected := l.backlog + l.overhead
@@ -246,7 +256,7 @@
 		Job: req.Step.Job, Occurrence: int32(req.Step.Occurrence), Step: int32(req.Step.Step), Workers: req.Workers,
 	})
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, busyError(h.Name, err)
 	}
 	permits := make([]order.Permit, len(reply.GetPermits()))
 	for i, p := range reply.GetPermits() {
--- a/agent/advisor_queue_test.go
+++ b/agent/advisor_queue_test.go
@@ -134,3 +134,71 @@
 	c.Assert(status.Code(err), qt.Equals, codes.Unavailable)
 	c.Assert(b.hosts.usable(sent), qt.HasLen, len(b.hosts.known)-1)
 }
+
+// A group doesn't know the calls of others through the same host. Its own used to wait there for 200 ms and then fail, one after the other, for as
+// long as a long call took: 600 times on a heavy day. Load: another group makes calls of 1.6 s through the only host, this one calls of 190 ms.
+func TestHostTellsHowLongItIsBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const longCall, shortCall = 1600 * time.Millisecond, 190 * time.Millisecond
+		b := newLongCallBalancer(&serialAdvisor{costs: map[string]time.Duration{"long": longCall, "short": shortCall}})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		longAnswered, answered, failed := 0, 0, 0
+		var otherGroup sync.WaitGroup
+		otherGroup.Go(func() {
+			for clock.Pause(ctx, retryDelay) {
+				call, cancel := context.WithTimeout(ctx, longCall+adviseSlack)
+				if _, _, err := b.advisor.Advise(call, graph.StepID{Job: "long"}, nil); err == nil {
+					longAnswered++
+				}
+				cancel()
+			}
+		})
+		for clock.Pause(ctx, retryDelay) {
+			name, ok := b.Reserve(shortCall)
+			if !ok {
+				continue
+			}
+			_, _, err := b.Advise(ctx, cell.AdviceRequest{Step: graph.StepID{Job: "short"}, Host: name, Cost: shortCall})
+			if err == nil {
+				answered++
+			} else {
+				failed++
+			}
+		}
+		otherGroup.Wait()
+		t.Logf("%d long calls, %d short ones, %d failed", longAnswered, answered, failed)
+		c.Check(failed <= longAnswered+2, qt.IsTrue, qt.Commentf("%d calls failed", failed))
+		c.Check(answered >= longAnswered-1, qt.IsTrue, qt.Commentf("%d calls were answered, and %d long ones", answered, longAnswered))
+		c.Check(longAnswered >= 12, qt.IsTrue, qt.Commentf("%d long calls were answered", longAnswered))
+	})
+}
+
+// A host that another one has told that it is busy used to be asked again at once. It must be left out until it is free, and the other hosts that
+// make long calls be used, but not those for short calls.
+func TestHostThatIsBusyWithOtherGroupsIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const cost = time.Second
+		b := newTestBalancer(3)
+		busy := busyError("x", busyStatus(&order.HostBusyError{Host: "x", For: 700 * time.Millisecond}).Err())
+		numLong := 0
+		for {
+			name, ok := b.Reserve(cost)
+			if !ok {
+				break
+			}
+			numLong++
+			c.Assert(b.hosts.fastPath[name], qt.IsFalse)
+			b.finish(cell.AdviceRequest{Host: name, Cost: cost}, cost, time.Millisecond, busy)
+		}
+		c.Assert(numLong, qt.Equals, len(b.hosts.known)-len(b.hosts.fastPath))
+		c.Assert(b.hosts.anyInBackoff(time.Now()), qt.IsFalse)
+		time.Sleep(690 * time.Millisecond)
+		c.Assert(b.HasSlot(cost), qt.IsFalse)
+		c.Assert(b.HasSlot(10*time.Millisecond), qt.IsTrue)
+		time.Sleep(10 * time.Millisecond)
+		c.Assert(b.HasSlot(cost), qt.IsTrue)
+	})
+}
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -6,8 +6,10 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
+	"github.com/corianderdrift/corianderdrift/order"
 )
 
 // peerServer implements the Cells service for other hosts.
@@ -49,9 +51,9 @@
 // Advise implements cellpb.CellsServer.
 func (p *peerServer) Advise(ctx context.Context, r *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
 	permits, validity, err := p.a.advisor.Advise(ctx, stepFromProto(r), r.GetWorkers())
-	var queueTimeout *queueTimeoutError
-	if errors.As(err, &queueTimeout) {
-		return nil, status.Error(codes.Aborted, err.Error())
+	var busy *order.HostBusyError
+	if errors.As(err, &busy) {
+		return nil, busyStatus(busy).Err()
 	}
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
@@ -62,3 +64,27 @@
 	}
 	return reply, nil
 }
+
+// busyStatus returns the status of a call to a host that is busy with others. Hosts of earlier versions ignore the details.
+func busyStatus(busy *order.HostBusyError) *status.Status {
+	s := status.New(codes.Aborted, busy.Error())
+	if detailed, err := s.WithDetails(durationpb.New(busy.For)); err == nil {
+		return detailed
+	}
+	return s
+}
+
+// busyError returns the error that busyStatus has described, or the given one if it is another.
+func busyError(host string, err error) error {
+	s, ok := status.FromError(err)
+	if !ok || s.Code() != codes.Aborted {
+		return err
+	}
+	busy := &order.HostBusyError{Host: host, Err: err}
+	for _, detail := range s.Details() {
+		if d, ok := detail.(*durationpb.Duration); ok {
+			busy.For = d.AsDuration()
+		}
+	}
+	return busy
+}
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -298,6 +298,14 @@
 		if errors.As(err, &busy) {
 			s.nextAdviceAt = now.Add(adviceBusyDelay)
 		}
+		var hostBusy *order.HostBusyError
+		if errors.As(err, &hostBusy) {
+			// Another host is asked at once. The step was not kept waiting, so this is no failure.
+			s.numFailedRequests--
+			s.nextAdviceAt = time.Time{}
+			c.log.WithError(err).WithFields(request.logFields(now)).Debug("host is busy with advice for other groups")
+			return
+		}
 		c.log.WithError(err).WithFields(request.logFields(now)).Warn("advice request failed")
 		return
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -52,7 +52,7 @@
 
 // hasSlot reports whether a host could call the advisor. Once none could, the hosts are not checked again for that duration
 // in this plan.
-func (p *Plan) hasSlot(cost time.Duration) bool {
+func (p *Plan) hasSlot(cost time.Duration, now time.Time) bool {
 	if p.noSlot[cost] {
 		return false
 	}
@@ -63,6 +63,8 @@
 		p.noSlot = map[time.Duration]bool{}
 	}
 	p.noSlot[cost] = true
+	// No event tells when a host is free that is busy with calls of other groups.
+	p.replanAt(now.Add(slotRetryDelay))
 	return false
 }
 
@@ -239,6 +241,8 @@
 
 // Intervals between attempts to place a step's tasks.
 const (
+	// slotRetryDelay is the delay until the next plan if no host was free for a request for advice.
+	slotRetryDelay = 50 * time.Millisecond
 	// headroomRetryDelay is the delay until the next plan if a step would use the headroom for urgent work.
 	headroomRetryDelay = 100 * time.Millisecond
 	// blockedRetryDelay is the delay after an attempt that has placed nothing, if the step has time: in a backlog, hundreds of
--- a/cell/request.go
+++ b/cell/request.go
@@ -86,7 +86,7 @@
 	if advice == nil {
 		return false
 	}
-	if s.numRequests > 0 || !plan.hasSlot(advice.Cost(1)) {
+	if s.numRequests > 0 || !plan.hasSlot(advice.Cost(1), now) {
 		return true
 	}
 	if now.Before(s.nextAdviceAt) {
@@ -140,7 +140,7 @@
 
 // sendRequest sends a request for advice, and returns how many tasks it is expected to let start; false if no host is free.
 func (c *Cell) sendRequest(plan *Plan, wanted wantedAdvice, now time.Time) (expected float64, ok bool) {
-	if !plan.hasSlot(wanted.advice.Cost(1)) {
+	if !plan.hasSlot(wanted.advice.Cost(1), now) {
 		return 0, false
 	}
 	request, ok := c.newAdviceRequest(wanted.s, wanted.advice, wanted.waiting, wanted.minFreeCPU, now, wanted.capacity)
--- a/order/order.go
+++ b/order/order.go
@@ -271,3 +271,20 @@
 func (e *AdvisorBusyError) Error() string {
 	return fmt.Sprintf("advisor refused with status %d", e.Status)
 }
+
+// HostBusyError says that a host did not send a request to the advisor, since its other calls take too long.
+type HostBusyError struct {
+	Host string
+	// For is after how long another request to the host has a chance; 0 if that is not known.
+	For time.Duration
+	// Err is the answer of the host, if it is another one.
+	Err error
+}
+
+// Unwrap returns the host's answer.
+func (e *HostBusyError) Unwrap() error { return e.Err }
+
+// Error names the host.
+func (e *HostBusyError) Error() string {
+	return fmt.Sprintf("host %s is busy with other calls to the advisor for %v", e.Host, e.For.Round(time.Millisecond))
+}
