--- a/cell/hostbusy_test.go
+++ b/cell/hostbusy_test.go
@@ -6,27 +6,12 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
-// fewHosts has a number of free hosts.
-type fewHosts struct {
-	free int
-}
-
-// HasSlot implements cell.AdvisorSlots.
-func (s *fewHosts) HasSlot(time.Duration) bool { return s.free > 0 }
-
-// Reserve implements cell.AdvisorSlots.
-func (s *fewHosts) Reserve(time.Duration) (string, bool) {
-	s.free--
-	return "host", s.free >= 0
-}
-
 // A request for advice whose host turned out to be busy with other groups' calls used to be tried again after a delay, and a step for which no
 // host was free waited for an event that never came if other groups occupied the hosts. Load: one task that needs a ticket.
 func TestRequestIsSentThroughAnotherHostAtOnce(t *testing.T) {
@@ -38,7 +23,7 @@
 	g.cell.Add(&graph.Job{
 		ID: "j", Queue: "short", Steps: []graph.Step{{Count: 1, Size: unit.Size{CPUMilli: 1000}}}, AcceptedAt: g.now, MaxAttempts: 3, Stretch: 2,
 	}, nil, 0, g.now)
-	slots := &fewHosts{free: 2}
+	slots := &limitedSlots{free: 2}
 	for range 2 {
 		plan := g.cell.Plan(cfg, slots, g.now)
 		c.Assert(plan.AdviceRequests, qt.HasLen, 1)
@@ -48,5 +33,3 @@
 	c.Assert(plan.AdviceRequests, qt.HasLen, 0)
 	c.Assert(plan.NextPlanAt.After(g.now) && plan.NextPlanAt.Sub(g.now) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", plan.NextPlanAt.Sub(g.now)))
 }
-
-var _ cell.AdvisorSlots = (*fewHosts)(nil)
