Copies of stragglers go to other workers, and speeds are forgotten with the kind

A straggler whose own worker was the best one for a copy, as full workers are preferred, got none. A worker that started again as another kind kept the learned speed, so that urgent work avoided it. Copies now leave out the worker of the first run, and a change of kind or capacity clears what was learned.

--- a/cell/plan.go
+++ b/cell/plan.go
@@ -218,7 +218,7 @@
 		}
 		if w == nil || t.avoidWorkers[w.info.ID] || c.fits(s, w, allocationOf(s.doc)) == 0 {
 			// The best worker remains the best with each task that it gets, since fuller workers are preferred.
-			w, ticket = c.bestWorker(s, t, advice != nil, now)
+			w, ticket = c.bestWorker(s, t, nil, advice != nil, now)
 		}
 		if w == nil {
 			waiting++
@@ -262,13 +262,14 @@
 	}
 }
 
-func (c *Cell) bestWorker(s *step, t *task, needsTicket bool, now time.Time) (*worker, string) {
+// bestWorker returns the best worker for a task, except one on which a copy of it runs; nil excepts none.
+func (c *Cell) bestWorker(s *step, t *task, except *worker, needsTicket bool, now time.Time) (*worker, string) {
 	size := allocationOf(s.doc)
 	var best *worker
 	var bestTicket string
 	var bestScore float64
 	for w, ticket := range c.eligibleWorkers(s, needsTicket, size.CPUMilli, now) {
-		if c.fits(s, w, size) == 0 {
+		if w == except || c.fits(s, w, size) == 0 {
 			continue
 		}
 		score := c.score(s, w, size, now)
--- a/cell/speculative.go
+++ b/cell/speculative.go
@@ -56,8 +56,8 @@
 		if !slow && !first.stopRequested && !c.isSuspect(first.w) {
 			continue
 		}
-		w, ticket := c.bestWorker(s, t, advice != nil, now)
-		if w == nil || w == first.w {
+		w, ticket := c.bestWorker(s, t, first.w, advice != nil, now)
+		if w == nil {
 			unplaced++
 			continue
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -258,6 +258,9 @@
 			fieldWorker: info.ID, "draining": info.Draining, "remaining": info.Remaining.String(), fieldPlaced: len(w.placements),
 		}).Info("worker's drain state changed")
 	}
+	if info.Kind != w.info.Kind || info.Capacity != w.info.Capacity {
+		w.relativeSlowness, w.slowRuns = 0, 0
+	}
 	w.info, w.listed, w.listedStart = info, true, info.StartedAt
 	w.center = c.dataCenter(w)
 	w.updateDrain(now)
