--- a/cell/plan.go
+++ b/cell/plan.go
@@ -54,7 +54,7 @@
 
 // hasSlot reports whether a host could call the advisor. Once none could, the hosts are not checked again for that duration
 // in this plan.
-func (p *Plan) hasSlot(cost time.Duration) bool {
+func (p *Plan) hasSlot(cost time.Duration, now time.Time) bool {
 	if p.noSlot[cost] {
 		return false
 	}
@@ -65,6 +65,8 @@
 		p.noSlot = map[time.Duration]bool{}
 	}
 	p.noSlot[cost] = true
+	// No event tells when a host is free that is busy with calls of other groups.
+	p.replanAt(now.Add(slotRetryDelay))
 	return false
 }
 
@@ -234,7 +236,7 @@
 		}
 		if w == nil || t.avoidWorkers[w.info.ID] || c.fits(s, w, allocationOf(s.doc)) == 0 {
 			// The best worker remains the best with each task that it gets, since fuller workers are preferred.
-			w, ticket = c.bestWorker(s, t, advice != nil, now)
+			w, ticket = c.bestWorker(s, t, nil, advice != nil, now)
 		}
 		if w == nil {
 			waiting++
@@ -259,6 +261,8 @@
 
 // Intervals between attempts to place a step's tasks.
 const (
+	// slotRetryDelay is the delay until the next plan if no host was free for a request for advice.
+	slotRetryDelay = 50 * time.Millisecond
 	// headroomRetryDelay is the delay until the next plan if a step would use the headroom for urgent work.
 	headroomRetryDelay = 100 * time.Millisecond
 	// blockedRetryDelay is the delay after an attempt that has placed nothing, if the step has time: in a backlog, hundreds of
@@ -278,13 +282,14 @@
 	}
 }
 
-func (c *Cell) bestWorker(s *step, t *task, needsTicket bool, now time.Time) (*worker, string) {
+// bestWorker returns the best worker for a task, except one on which a copy of it runs; nil excepts none.
+func (c *Cell) bestWorker(s *step, t *task, except *worker, needsTicket bool, now time.Time) (*worker, string) {
 	size := allocationOf(s.doc)
 	var best *worker
 	var bestTicket string
 	var bestScore float64
 	for w, ticket := range c.eligibleWorkers(s, needsTicket, size.CPUMilli, now) {
-		if c.fits(s, w, size) == 0 {
+		if w == except || c.fits(s, w, size) == 0 {
 			continue
 		}
 		score := c.score(s, w, size, now)
--- a/cell/speculative.go
+++ b/cell/speculative.go
@@ -60,8 +60,8 @@
 			// The cap of its team leaves no room for another copy.
 			continue
 		}
-		w, ticket := c.bestWorker(s, t, advice != nil, now)
-		if w == nil || w == first.w {
+		w, ticket := c.bestWorker(s, t, first.w, advice != nil, now)
+		if w == nil {
 			unplaced++
 			continue
 		}
