--- a/conf/conf.go
+++ b/conf/conf.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,6 +48,25 @@
 	AllowPlainText bool
 	TLS            TLS
 	TraceFile      string
+	Guard          Guard
+}
+
+// Guard holds the limits of callers' connections.
+type Guard struct {
+	// MemoryMiB is the memory of the machine that the host may use, or 0 if that isn't known.
+	MemoryMiB      int
+	MaxConnections int
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// DefaultGuard returns the limits of callers' connections that apply without flags.
+func DefaultGuard() Guard {
+	return Guard{
+		MaxConnections: 20000, MaxHeaderBytes: 64 << 10, MaxBodyBytes: 8 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+	}
 }
 
 // TLS names the files with certificates and keys; an empty certificate name means plain text.
@@ -108,6 +128,13 @@
 	flags.String("peer-tls-cert", "", "file with the certificate for other entry hosts")
 	flags.String("peer-tls-key", "", "file with the key of peer-tls-cert")
 	flags.String("peer-tls-ca", "", "file with the certificate authorities for other entry hosts' certificates")
+	guard := DefaultGuard()
+	flags.Int("memory-mb", guard.MemoryMiB, "memory in MiB that the host may use, from which the memory for callers follows (default: not limited, 1024 for callers)")
+	flags.Int("max-connections", guard.MaxConnections, "callers' connections at once; fewer if the memory requires it")
+	flags.Int("max-header-bytes", guard.MaxHeaderBytes, "bytes of a request's head")
+	flags.Int("max-body-bytes", guard.MaxBodyBytes, "bytes of a request's body, whatever its work allows")
+	flags.Duration("header-timeout", guard.HeaderTimeout, "time from the first byte of a request to the end of its head")
+	flags.Duration("idle-timeout", guard.IdleTimeout, "time between requests on a connection")
 	flags.String("trace-file", "", "file to which arriving requests are recorded for replay")
 }
 
@@ -165,6 +192,11 @@
 			PeerKey: r.v.GetString("peer-tls-key"), PeerCA: r.v.GetString("peer-tls-ca"),
 		},
 		TraceFile: r.v.GetString("trace-file"),
+		Guard: Guard{
+			MemoryMiB: r.v.GetInt("memory-mb"), MaxConnections: r.v.GetInt("max-connections"),
+			MaxHeaderBytes: r.v.GetInt("max-header-bytes"), MaxBodyBytes: r.v.GetInt("max-body-bytes"),
+			HeaderTimeout: r.duration("header-timeout"), IdleTimeout: r.duration("idle-timeout"),
+		},
 	}
 	h.Advertise = h.PeerListen
 	if r.v.GetString("advertise") != "" {
@@ -235,7 +267,12 @@
 }
 
 func (h Host) validate() error {
-	const maxLeaseTTL = time.Minute
+	const (
+		maxLeaseTTL    = time.Minute
+		aboveZero      = "must be above 0"
+		minMemoryMiB   = 64
+		minHeaderBytes = 1024
+	)
 	loopback := h.Listen.Addr().IsLoopback()
 	peerLoopback := h.PeerListen.Addr().IsLoopback()
 	rules := []rule{
@@ -244,7 +281,7 @@
 		{h.Region == "" || namePattern.MatchString(h.Region), "region", h.Region, "must be 1 to 63 characters of a-z, 0-9 and -"},
 		{h.LeaseTTL >= time.Second && h.LeaseTTL <= maxLeaseTTL, "lease-ttl", h.LeaseTTL.String(), "must be 1s to 1m"},
 		{h.TaskTTL >= 3*h.LeaseTTL, "task-ttl", h.TaskTTL.String(), "must be at least 3 times lease-ttl"},
-		{h.ShortLimit > 0, "short-limit", h.ShortLimit.String(), "must be above 0"},
+		{h.ShortLimit > 0, "short-limit", h.ShortLimit.String(), aboveZero},
 		{h.StopDelay >= 0, "stop-delay", h.StopDelay.String(), "must not be negative"},
 		{h.StopTimeout > h.StopDelay, "stop-limit", h.StopTimeout.String(), "must be longer than stop-delay"},
 		{h.Policy == PolicyFull || h.Policy == PolicyPlain, "policy", string(h.Policy), "must be full or plain"},
@@ -259,6 +296,12 @@
 			peerLoopback || h.TLS.PeerCert != "" || h.AllowPlainText, "peer-listen", h.PeerListen.String(),
 			"requires peer-tls-cert or allow-plain-text on a non-loopback address",
 		},
+		{h.Guard.MemoryMiB == 0 || h.Guard.MemoryMiB >= minMemoryMiB, "memory-mb", strconv.Itoa(h.Guard.MemoryMiB), "must be 0 or at least 64"},
+		{h.Guard.MaxConnections > 0, "max-connections", strconv.Itoa(h.Guard.MaxConnections), aboveZero},
+		{h.Guard.MaxHeaderBytes >= minHeaderBytes, "max-header-bytes", strconv.Itoa(h.Guard.MaxHeaderBytes), "must be at least 1024"},
+		{h.Guard.MaxBodyBytes > 0, "max-body-bytes", strconv.Itoa(h.Guard.MaxBodyBytes), aboveZero},
+		{h.Guard.HeaderTimeout > 0, "header-timeout", h.Guard.HeaderTimeout.String(), aboveZero},
+		{h.Guard.IdleTimeout > 0, "idle-timeout", h.Guard.IdleTimeout.String(), aboveZero},
 		{loopback || h.OperatorToken != "", "operator-token", "", "must be given if listen is not a loopback address"},
 	}
 	for _, r := range rules {
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -36,6 +36,12 @@
 		{"no token on a non-loopback address", append(valid, "--listen", "10.0.0.1:80", "--allow-plain-text"), [2]string{}, "operator-token"},
 		{"certificate without key", append(valid, "--tls-cert", "x"), [2]string{}, "tls-key"},
 		{"policy", append(valid, "--policy", "best"), [2]string{}, "policy"},
+		{"too little memory", append(valid, "--memory-mb", "10"), [2]string{}, "memory-mb"},
+		{"no connections", append(valid, "--max-connections", "0"), [2]string{}, "max-connections"},
+		{"small heads", append(valid, "--max-header-bytes", "100"), [2]string{}, "max-header-bytes"},
+		{"no bodies", append(valid, "--max-body-bytes", "0"), [2]string{}, "max-body-bytes"},
+		{"no time for heads", append(valid, "--header-timeout", "0s"), [2]string{}, "header-timeout"},
+		{"no idle time", append(valid, "--idle-timeout", "-1s"), [2]string{}, "idle-timeout"},
 		{"unknown variable", valid, [2]string{"CORIANDERDRIFT_COLOUR", "red"}, "CORIANDERDRIFT_COLOUR"},
 		{"bad variable", valid, [2]string{"CORIANDERDRIFT_LEASE_TTL", "long"}, "lease-ttl"},
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +20,7 @@
 	"github.com/corianderdrift/corianderdrift/claim"
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/conf"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/holder"
 	"github.com/corianderdrift/corianderdrift/jobs"
 	"github.com/corianderdrift/corianderdrift/metric"
@@ -24,15 +28,6 @@
 	"github.com/corianderdrift/corianderdrift/route"
 )
 
-// Limits of callers' connections.
-const (
-	// maxBodyReadBytes is how much of a body nbhttp reads before it closes the connection without an answer.
-	maxBodyReadBytes = 32 << 20
-	maxConnections   = 20000
-	idleTimeout      = 2 * time.Minute
-	maxHeaderBytes   = 64 << 10
-)
-
 // Cluster gives operators a view of all hosts, and calls the leaders of job shards.
 type Cluster interface {
 	Workers(ctx context.Context) []holder.WorkerReport
@@ -80,6 +75,7 @@
 	engine   *nbhttp.Engine
 	inFlight atomic.Int64
 	conns    *connTracker
+	guard    *guard.Guard
 	// lastArrival is when work last arrived, in nanoseconds since the Unix epoch.
 	lastArrival atomic.Int64
 	unready     atomic.Bool
@@ -135,27 +131,87 @@
 // Start opens the listener and serves requests in the background.
 func (s *Server) Start() error {
 	logging.SetLogger(logAdapter{s.cfg.Log})
+	if err := s.newGuard(); err != nil {
+		return err
+	}
 	config := nbhttp.Config{
-		Network: "tcp", Handler: s, MaxLoad: maxConnections, KeepaliveTime: idleTimeout,
-		ReadLimit: maxBodyReadBytes + maxHeaderBytes, MaxHTTPBodySize: maxBodyReadBytes, IOMod: nbhttp.IOModMixed,
-		MaxBlockingOnline: maxConnections, ServerExecutor: func(f func()) { go f() },
+		Network: "tcp", Handler: s, KeepaliveTime: s.cfg.Host.Guard.IdleTimeout, ServerExecutor: func(f func()) { go f() },
 	}
+	s.guard.Apply(&config)
 	addr := []string{s.cfg.Host.Listen.String()}
-	if s.cfg.Host.TLS.Cert == "" {
-		config.Addrs = addr
-	} else {
+	withTLS := s.cfg.Host.TLS.Cert != ""
+	if withTLS {
 		tlsConfig, err := callerTLS(s.cfg.Host.TLS)
 		if err != nil {
 			return err
 		}
 		config.AddrsTLS, config.TLSConfig = addr, tlsConfig
+		// The engine reads TLS connections itself, so that only its own limits apply.
+		config.MaxHTTPBodySize = s.cfg.Host.Guard.MaxBodyBytes
+		config.ReadLimit = s.cfg.Host.Guard.MaxBodyBytes + s.cfg.Host.Guard.MaxHeaderBytes
+	} else {
+		config.Addrs = addr
 	}
 	s.engine = nbhttp.NewEngine(config)
-	s.engine.OnOpen(s.conns.onOpen)
-	s.engine.OnClose(s.conns.onClose)
+	s.engine.OnOpen(func(nc net.Conn) {
+		s.conns.onOpen(socketOf(nc))
+		if withTLS {
+			s.guard.OnOpenTLS(nc)
+		} else {
+			s.guard.OnOpen(nc)
+		}
+	})
+	s.engine.OnClose(func(nc net.Conn, err error) {
+		s.conns.onClose(nc, err)
+		if withTLS {
+			s.guard.OnCloseTLS(nc)
+		}
+	})
 	return s.engine.Start()
 }
 
+// socketOf returns the socket of a connection that the engine has just opened. The engine's connection must not be used later, since its
+// reader changes it.
+func socketOf(nc net.Conn) net.Conn {
+	if engineConn, ok := nc.(*nbhttp.Conn); ok {
+		return engineConn.Conn
+	}
+	return nc
+}
+
+// newGuard makes the guard with the limits of the settings.
+func (s *Server) newGuard() error {
+	// unknownMemoryMiB is what callers' memory is derived from if the host's memory isn't known.
+	const unknownMemoryMiB = 1024
+	set := s.cfg.Host.Guard
+	memory := set.MemoryMiB
+	if memory == 0 {
+		memory = unknownMemoryMiB
+	}
+	sizes := guard.SizesOf(int64(memory)<<20, 0)
+	sizes.Connections = min(set.MaxConnections, guard.ConnectionsFor(int64(memory)<<20))
+	limits := guard.Limits{
+		HeadBytes: set.MaxHeaderBytes, BodyBytes: set.MaxBodyBytes, HeadTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout,
+	}
+	if !sizes.Fits(limits) {
+		return &conf.Error{
+			Setting: "memory-mb", Value: strconv.Itoa(set.MemoryMiB), Allowed: "must be enough for a request of max-header-bytes and max-body-bytes",
+		}
+	}
+	if set.MemoryMiB > 0 {
+		debug.SetMemoryLimit(sizes.GoBytes)
+	}
+	s.guard = guard.New(sizes, limits, func(cause guard.Cause) { s.cfg.Metrics.GuardEnd(string(cause)) }, s.cfg.Log)
+	s.guard.AddPlace("callers", s.cfg.Host.Listen.String(), sizes.Connections, false)
+	s.cfg.Metrics.Gauge("guard_budget_bytes", "Memory for requests that are incomplete or being handled.",
+		func() float64 { return float64(s.guard.Budget().Total()) })
+	s.cfg.Metrics.Gauge("guard_budget_used_bytes", "Part of the memory for requests that is in use.",
+		func() float64 { return float64(s.guard.Budget().Used()) })
+	s.cfg.Metrics.Gauge("guard_connections", "Open connections of callers.",
+		func() float64 { return float64(s.guard.Open("callers")) })
+	return nil
+}
+
 // callerTLS returns a configuration that reloads the certificate for every connection, so that it can be replaced without
 // a restart.
 func callerTLS(cfg conf.TLS) (*tls.Config, error) {
--- a/guard/budget.go
+++ b/guard/budget.go
@@ -9,6 +9,8 @@
 type account struct {
 	// evict makes the connection refuse its request soon. It is called with the budget locked, and must neither block nor call the budget.
 	evict func()
+	// prompt says that the charge is returned at the eviction, since nobody can tell when the memory is released.
+	prompt bool
 	// The fields below are guarded by the budget's mutex.
 	charge  int64
 	started time.Time
@@ -135,6 +137,9 @@
 
 func (b *Budget) evictLocked(a *account) {
 	a.evicted = true
+	if a.prompt {
+		b.setCharge(a, 0)
+	}
 	b.leaving += a.charge
 	if a.charge > b.small {
 		b.leavingLarge += a.charge
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -36,6 +36,8 @@
 	// closed is signalled after each closed connection.
 	closed *sync.Cond
 	conns  map[net.Conn]*conn
+	// tls holds the connections with TLS by remote address.
+	tls    map[string]*conn
 	places []*place
 	peers  []*peerListener
 
@@ -55,7 +57,7 @@
 
 // New returns a guard with limits that can be changed later.
 func New(sizes Sizes, limits Limits, onEnd func(Cause), log logrus.FieldLogger) *Guard {
-	g := &Guard{onEnd: onEnd, log: log, conns: map[net.Conn]*conn{}}
+	g := &Guard{onEnd: onEnd, log: log, conns: map[net.Conn]*conn{}, tls: map[string]*conn{}}
 	g.closed = sync.NewCond(&g.mu)
 	g.budget = newBudget(sizes.BudgetBytes, g.noteRefusal)
 	g.SetLimits(limits)
@@ -134,6 +136,34 @@
 	nb.Conn = c
 }
 
+// OnOpenTLS is OnOpen for an engine that serves TLS, which reads below any wrapper of its connections. Only the number of connections is
+// bounded then. OnCloseTLS is to be called when the engine has closed the connection.
+func (g *Guard) OnOpenTLS(nc net.Conn) {
+	nb, ok := nc.(*nbhttp.Conn)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.conns[nb.Conn]; c != nil {
+		// The engine's connections are never closed to make room for others, since what they do isn't known.
+		c.stage.Store(stageHandling)
+		g.tls[c.RemoteAddr().String()] = c
+	}
+}
+
+// OnCloseTLS forgets a connection of OnOpenTLS.
+func (g *Guard) OnCloseTLS(nc net.Conn) {
+	key := nc.RemoteAddr().String()
+	g.mu.Lock()
+	c := g.tls[key]
+	delete(g.tls, key)
+	g.mu.Unlock()
+	if c != nil {
+		c.closeSocket()
+	}
+}
+
 func (g *Guard) listen(network, address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), network, address)
 	if err != nil {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
@@ -294,3 +295,55 @@
 	c.Assert(entries.AllEntries(), qt.HasLen, 1)
 	c.Assert(entries.LastEntry().Level, qt.Equals, logrus.WarnLevel)
 }
+
+// BenchmarkServe compares an ordinary request on an open connection with the guard and without it.
+func BenchmarkServe(b *testing.B) {
+	logging.SetLevel(logging.LevelError)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "{}")
+	})
+	request := []byte(postHead + "Content-Type: application/json\r\nContent-Length: 600\r\n\r\n" + strings.Repeat("x", 600))
+	for _, guarded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("guarded=%v", guarded), func(b *testing.B) {
+			log, _ := logtest.NewNullLogger()
+			config := nbhttp.Config{
+				Network: "tcp", Addrs: []string{"127.0.0.1:0"}, Handler: handler, IOMod: nbhttp.IOModBlocking, ServerExecutor: func(f func()) { go f() },
+			}
+			g := New(roomySizes, Limits{}, func(Cause) {}, log)
+			g.AddPlace("test", "127.0.0.1:0", roomySizes.Connections, false)
+			if guarded {
+				g.Apply(&config)
+			}
+			engine := nbhttp.NewEngine(config)
+			if guarded {
+				engine.OnOpen(g.OnOpen)
+			}
+			if err := engine.Start(); err != nil {
+				b.Fatal(err)
+			}
+			defer func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_ = engine.Shutdown(ctx)
+			}()
+			conn, err := net.Dial("tcp", engine.Addrs[0])
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = conn.Write(request)
+				res, err := http.ReadResponse(in, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		})
+	}
+}
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -88,16 +88,27 @@
 	DefaultDescriptors = 4096
 )
 
-// SizesOf returns the sizes for a host with the given memory and file descriptors; 0 stands for the default.
-func SizesOf(memoryBytes int64, descriptors int) Sizes {
+// connPart says that a quarter of what is spare is for connections.
+const connPart = 4
+
+// spareBytes returns the part of the memory that is left for clients.
+func spareBytes(memoryBytes int64) int64 {
 	const (
 		// ownBytes is what the program takes without clients on the largest deployment: 60 to 80 MB were measured.
 		ownBytes = 80 << 20
 		// minSpare is the part of the memory that is left for clients on smaller hosts.
 		minSpare = 4
-		// A quarter of what is spare is for connections. The rest is for requests, with 40 parts of garbage to 100 parts in use, which is
-		// what the collector allows.
-		connPart             = 4
+	)
+	return max(memoryBytes-ownBytes, memoryBytes/minSpare)
+}
+
+// ConnectionsFor returns the number of connections for which a host with the given memory has room.
+func ConnectionsFor(memoryBytes int64) int { return int(spareBytes(memoryBytes) / connPart / connCost) }
+
+// SizesOf returns the sizes for a host with the given memory and file descriptors; 0 stands for the default.
+func SizesOf(memoryBytes int64, descriptors int) Sizes {
+	const (
+		// The rest of what is spare is for requests, with 40 parts of garbage to 100 parts in use, which is what the collector allows.
 		inUse, withGarbage   = 10, 14
 		goNumerator, goParts = 5, 8
 		// Half of the descriptors are for workers, peers and the platform.
@@ -112,8 +123,8 @@
 	if descriptors <= 0 {
 		descriptors = DefaultDescriptors
 	}
-	spare := max(memoryBytes-ownBytes, memoryBytes/minSpare)
-	conns := int(spare / connPart / connCost)
+	spare := spareBytes(memoryBytes)
+	conns := ConnectionsFor(memoryBytes)
 	return Sizes{
 		BudgetBytes:     (spare - spare/connPart) * inUse / withGarbage,
 		Connections:     max(minConns, min(conns, descriptors/descriptorPart)),
@@ -121,3 +132,13 @@
 		GoBytes:         memoryBytes / goParts * goNumerator,
 	}
 }
+
+// Fits reports whether a single request of the largest size that l allows is served in calm.
+func (s Sizes) Fits(l Limits) bool {
+	l = l.withDefaults()
+	b := newBudget(s.BudgetBytes, func() {})
+	// The shortest header line has 4 bytes.
+	const shortestLine = 4
+	cost := requestCost(&Scanner{head: l.HeadBytes, lines: l.HeadBytes / shortestLine, body: l.BodyBytes})
+	return b.fits(&account{}, cost, 0, 0)
+}
--- a/guard/peer.go
+++ b/guard/peer.go
@@ -62,6 +62,8 @@
 			return nil, err
 		}
 		c := &peerConn{Conn: nc, l: l, opened: time.Now()}
+		// gRPC may wait for handlers before it notices that the connection is closed.
+		c.account.prompt = true
 		c.account.evict = func() {
 			c.l.g.onEnd(CauseMemory)
 			_ = c.Conn.Close()
--- a/local/cell.go
+++ b/local/cell.go
@@ -181,6 +181,7 @@
 		Name: fmt.Sprintf("%s-%d", dataCenter, i+1), DataCenter: dataCenter, Listen: listen, PeerListen: peer,
 		Advertise: peer, LeaseTTL: 3 * time.Second, TaskTTL: 12 * time.Second, ShortLimit: cellCfg.ShortLimit,
 		StopDelay: 100 * time.Millisecond, StopTimeout: time.Minute, Policy: cellCfg.Policy, Pprof: cellCfg.Pprof,
+		Guard: conf.DefaultGuard(),
 	}, nil
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -27,6 +27,7 @@
 	replays     prometheus.Counter
 	claims      *prometheus.CounterVec
 	jobs        *prometheus.CounterVec
+	guardEnds   *prometheus.CounterVec
 }
 
 // NewSet returns a Set whose metrics are registered in a registry of their own.
@@ -40,6 +41,7 @@
 	s.store = counter("store_calls_total", "Calls to the platform by operation and result.", "operation", "result")
 	s.forwards = counter("forwards_total", "Requests sent to other entry hosts by where they are.", "where")
 	s.claims = counter("claims_total", "Claims of idempotency keys by result.", "result")
+	s.guardEnds = counter("guard_ends_total", "Requests refused and connections closed by the limits of connections, by cause.", "cause")
 	s.jobs = counter("jobs_total", "Jobs by event.", "event")
 	s.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "wait_seconds", Help: "Time from arrival at the holder to room on a worker, by class.",
@@ -51,7 +53,7 @@
 	s.replays = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "replays_total", Help: "Answers given again for an idempotency key.",
 	})
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.starts, s.workers, s.store, s.forwards, s.claims, s.jobs,
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.starts, s.workers, s.store, s.forwards, s.claims, s.jobs, s.guardEnds,
 		s.waits, s.preemptions, s.replays, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
@@ -66,6 +68,9 @@
 	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// GuardEnd counts a request that was refused, or a connection that was closed, by the limits of connections.
+func (s *Set) GuardEnd(cause string) { s.guardEnds.WithLabelValues(cause).Inc() }
+
 // Answered counts a request that received a complete answer.
 func (s *Set) Answered(class string) { s.requests.WithLabelValues(class, "answered").Inc() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,10 @@
 	discoveryTimeout = 3 * time.Second
 	minPingInterval  = time.Second
 	releaseTimeout   = 3 * time.Second
+	// Limits of a peer's connection. Forwarded requests may last for hours, so that there may be as many calls as callers' connections.
+	peerStreams       = 20_000
+	peerHeaderBytes   = 64 << 10
+	peerHandshakeTime = 5 * time.Second
 )
 
 // Node is an entry host.
@@ -215,6 +219,7 @@
 	peerServer := grpc.NewServer(
 		grpc.Creds(creds), grpc.MaxRecvMsgSize(peers.MaxMessageBytes), grpc.MaxSendMsgSize(peers.MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
+		grpc.MaxConcurrentStreams(peerStreams), grpc.MaxHeaderListSize(peerHeaderBytes), grpc.ConnectionTimeout(peerHandshakeTime),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: peers.KeepaliveTime, Timeout: peers.KeepaliveTimeout}),
 	)
 	peerpb.RegisterPeerServer(peerServer, &server{node: n})
