--- a/cell/team.go
+++ b/cell/team.go
@@ -16,7 +16,7 @@
 // Timing of what a team wants.
 const (
 	// wantWindow is how long a peak of what a team wants counts at least: its share is not returned between two bursts of short tasks.
-	wantWindow = 500 * time.Millisecond
+	wantWindow = 800 * time.Millisecond
 	// unusedLimit is for how long a team may leave a part of its share unused while tasks wait: these wait for something else, so the rest of
 	// the share may be of use to other groups.
 	unusedLimit = 1500 * time.Millisecond
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -30,6 +30,8 @@
 	sharesInterval = 100 * time.Millisecond
 	// minSharesInterval is the minimum interval between two of them, and thus between two writes.
 	minSharesInterval = 50 * time.Millisecond
+	// patientInterval is the minimum interval between writes that no task waits for: those of smaller shares and other wants.
+	patientInterval = 250 * time.Millisecond
 	// maxConflictDelay limits the delay after a write that met a row which another group had changed.
 	maxConflictDelay = 30 * time.Millisecond
 	// shortReadInterval is the interval between reads of the rows while a team is short of its share, and longReadInterval that while none is.
@@ -73,6 +75,8 @@
 	readAt    time.Time
 	readAgain bool
 	beatAt    time.Time
+	// writtenAt is when rows were last written.
+	writtenAt time.Time
 	// beat is due with the next comparison.
 	beat bool
 	// conflict says that the last write met a row that another group had changed.
@@ -93,26 +97,33 @@
 		case <-r.sharesWake:
 		case <-timer.C:
 		}
-		if cfg := r.cfg.Queues.Current(); cfg != nil {
-			if teams := cappedTeams(cfg); len(teams) > 0 {
-				if err := r.updateShares(ctx, shares, cfg, teams); err != nil {
-					return err
-				}
-				if shares.conflict {
-					// Groups that have met each other try again at different times.
-					clock.Pause(ctx, rand.N(maxConflictDelay))
-					signal(r.sharesWake)
-				} else {
-					clock.Pause(ctx, minSharesInterval)
-				}
+		cfg := r.cfg.Queues.Current()
+		if teams := cappedTeams(cfg); len(teams) > 0 {
+			if err := r.updateShares(ctx, shares, cfg, teams); err != nil {
+				return err
 			}
+			r.pauseShares(ctx, shares)
 		}
 		timer.Reset(sharesInterval)
 	}
 }
 
-// cappedTeams returns the names of the teams with a cap.
+// pauseShares waits until the shares may be compared again.
+func (r *Runner) pauseShares(ctx context.Context, s *teamShares) {
+	if !s.conflict {
+		clock.Pause(ctx, minSharesInterval)
+		return
+	}
+	// Groups that have met each other try again at different times.
+	clock.Pause(ctx, rand.N(maxConflictDelay))
+	signal(r.sharesWake)
+}
+
+// cappedTeams returns the names of the teams with a cap; cfg may be nil.
 func cappedTeams(cfg *queues.Config) []string {
+	if cfg == nil {
+		return nil
+	}
 	var names []string
 	for _, t := range cfg.CappedTeams() {
 		names = append(names, t.Name)
@@ -139,15 +150,21 @@
 	named := namedServices(cfg)
 	s.beat = !named[r.cfg.Epoch.Group] && now.Sub(s.beatAt) >= beatInterval
 	var changes []shareChange
+	urgent := false
 	for _, name := range teams {
 		row, demand := s.rows[name], demands[name]
 		demand.NumServices = len(cfg.Services)
 		if change, ok := r.nextShare(row, demand, s.beat, row.expiredEntries(named, now)); ok {
 			change.team = name
 			changes = append(changes, change)
+			urgent = urgent || change.urgent
 		}
 	}
 	r.applyShares(s, teams)
+	if len(changes) == 0 || (!urgent && now.Sub(s.writtenAt) < patientInterval) {
+		return nil
+	}
+	s.writtenAt = now
 	for batch := range slices.Chunk(changes, maxSharesInCommit) {
 		if !r.commitShares(ctx, s, batch) {
 			break
@@ -281,6 +298,8 @@
 	cap     quota.Amount
 	// limit is the part of the share within which tasks may be started.
 	limit quota.Amount
+	// urgent says that the write should not be delayed.
+	urgent bool
 }
 
 // nextShare returns the change of a row that is due.
@@ -303,10 +322,12 @@
 	if known && len(expired) == 0 && row.lost == nil && !demand.Matters(old, next, otherWants) {
 		return shareChange{}, false
 	}
+	urgent := !row.owned || row.lost != nil || next.Turn != old.Turn
 	for i := range limit {
 		limit[i] = min(limit[i], next.Share[i])
+		urgent = urgent || next.Share[i] > old.Share[i] || next.Want[i] > old.Want[i]
 	}
-	return shareChange{version: row.version, shares: shares.With(group, next), cap: demand.Cap, limit: limit}, true
+	return shareChange{version: row.version, shares: shares.With(group, next), cap: demand.Cap, limit: limit, urgent: urgent}, true
 }
 
 // expiredEntries returns the groups that the configuration does not name, and that have had no holder for a long time.
