Use a share whose token was written without an answer

The holder did not take its own entry for its own then, and held the team's tasks back until what it wanted changed by much (TestShareIsUsedAfterLostAnswerAtTakeOver).

--- a/runner/caps_test.go
+++ b/runner/caps_test.go
@@ -388,6 +388,26 @@
 	}
 }
 
+// Guards against a holder that never uses its share, since the write of its token took effect without an answer.
+func TestShareIsUsedAfterLostAnswerAtTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newCapNet(t, 2, 1, 4, guardedQueue, capOf(40))
+		net := n.nets[0]
+		net.mu.Lock()
+		h := net.hosts[0]
+		net.mu.Unlock()
+		h.setLateShares(500 * time.Millisecond)
+		for n.share(0) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		h.setLateShares(0)
+		time.Sleep(3 * time.Second)
+		n.submit(0, teamName, 0, graph.Step{Count: 2, Size: cores(1)})
+		n.awaitJobs(2 * time.Second)
+		n.close(false)
+	})
+}
+
 // Guards against a team that is held back below its cap although there is room, in one group and in both, with tasks that are large beside its
 // cap.
 func TestTeamIsNotHeldBackBelowItsCap(t *testing.T) {
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -308,7 +308,7 @@
 		return shareChange{}, false
 	}
 	group := r.cfg.Epoch.Group
-	old, known := row.shares.Groups[group]
+	old := row.shares.Groups[group]
 	shares := row.shares
 	if len(expired) > 0 {
 		shares = shares.Without(expired)
@@ -319,7 +319,7 @@
 	}
 	row.limit = limit
 	_, otherWants := shares.Others(group)
-	if known && len(expired) == 0 && row.lost == nil && !demand.Matters(old, next, otherWants) {
+	if row.owned && len(expired) == 0 && row.lost == nil && !demand.Matters(old, next, otherWants) {
 		return shareChange{}, false
 	}
 	urgent := !row.owned || row.lost != nil || next.Turn != old.Turn
