--- a/runner/shares.go
+++ b/runner/shares.go
@@ -34,7 +34,9 @@
 	patientInterval = 250 * time.Millisecond
 	// maxConflictDelay limits the delay after a write that met a row which another group had changed.
 	maxConflictDelay = 30 * time.Millisecond
-	// shortReadInterval is the interval between reads of the rows while a team is short of its share, and longReadInterval that while none is.
+	// turnReadInterval is the interval between reads of the rows while the group waits for its turn at a cap, shortReadInterval that while a team
+	// is short of its share, and longReadInterval that while none is.
+	turnReadInterval  = 100 * time.Millisecond
 	shortReadInterval = 250 * time.Millisecond
 	longReadInterval  = 700 * time.Millisecond
 	// maxSharesInCommit limits the rows in a commit: of its 100 entries, each row takes a check and a write.
@@ -191,7 +193,7 @@
 	if s.readAgain || s.readAt.IsZero() {
 		return true
 	}
-	short, shared := false, len(cfg.Services) > 1
+	interval, shared := longReadInterval, len(cfg.Services) > 1
 	for _, name := range teams {
 		row, ok := s.rows[name]
 		if !ok {
@@ -201,11 +203,16 @@
 		}
 		own := row.shares.Groups[group]
 		for i := range own.Want {
-			short = short || own.Want[i] > row.limit[i]
+			if own.Want[i] > row.limit[i] {
+				interval = min(interval, shortReadInterval)
+			}
+		}
+		if own.Turn > 0 {
+			interval = turnReadInterval
 		}
 		shared = shared || len(row.shares.Groups) > 1
 	}
-	return shared && (age >= longReadInterval || (short && age >= shortReadInterval))
+	return shared && age >= interval
 }
 
 // readShares reads the rows of all teams, and reports whether it could.
@@ -231,7 +238,7 @@
 		r.setShareRow(row, &stored)
 	}
 	for name, row := range s.rows {
-		if !found[name] && row.version != 0 {
+		if !found[name] && (row.version != 0 || row.unreadable) {
 			r.setShareRow(row, &table.Row{Key: shareKey(name)})
 		}
 	}
--- a/runner/shares_test.go
+++ b/runner/shares_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
+	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
@@ -179,3 +184,77 @@
 		g.c.Check(page.Rows, qt.HasLen, 0)
 	})
 }
+
+// Guards against a holder that goes on after a later one has written its token into the group's entry.
+func TestHigherTokenInSharesEndsHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 2, 40)
+		s := g.groups[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		epoch, err := elect.Acquire(ctx, s.store, s.epoch, elect.Candidate{Name: "host"})
+		g.c.Assert(err, qt.IsNil)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := runner.New(runner.Config{
+			Epoch: epoch, Store: s.store, Workers: s.orders, Registry: s.registry, Advisors: s.advisor, Queues: s.configs,
+			Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, SinceBoot: s.sinceBoot, Log: log,
+		})
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx, s.sinceBoot()) }()
+		time.Sleep(time.Second)
+		entry := g.shares()[service]
+		g.c.Assert(entry.Token, qt.Equals, epoch.Token)
+		entry.Token++
+		raw, err := json.Marshal(quota.TeamShares{Groups: map[string]quota.GroupShare{service: entry}})
+		g.c.Assert(err, qt.IsNil)
+		key := table.Key{Table: runner.TableShares, Partition: "shares", Name: teamName}
+		_, err = g.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: raw}}})
+		g.c.Assert(err, qt.IsNil)
+		var lost *elect.LostError
+		g.c.Check(errors.As(<-done, &lost), qt.IsTrue)
+	})
+}
+
+// Guards against a row that can't be decoded and is overwritten, so that the shares of the other groups are lost, and against one that holds back
+// the other teams.
+func TestUnreadableRowIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 2, 40)
+		key := table.Key{Table: runner.TableShares, Partition: "shares", Name: teamName}
+		_, err := g.store.Apply(table.Tx{Writes: []table.Write{{Key: key, Value: []byte("{")}}})
+		g.c.Assert(err, qt.IsNil)
+		s := g.groups[0]
+		r, stop := s.runner()
+		defer stop()
+		s.submit("j", graph.Step{Count: 4, Size: cores(2)})
+		s.team = ""
+		s.submit("k", graph.Step{Count: 4, Size: cores(2)})
+		s.awaitState(r, "k", graph.Completed, 3*time.Second)
+		time.Sleep(3 * time.Second)
+		row, _ := g.store.Get(key)
+		g.c.Check(string(row.Value), qt.Equals, "{")
+		_, err = g.store.Apply(table.Tx{Removes: []table.Key{key}})
+		g.c.Assert(err, qt.IsNil)
+		s.awaitState(r, "j", graph.Completed, 3*time.Second)
+	})
+}
+
+// Guards against tasks that wait for the table although their group has a share.
+func TestShareIsUsedWhileTableIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTeamGroups(t, 2, 40)
+		g.workers.Outcome = fixedDuration(400 * time.Millisecond)
+		s := g.groups[0]
+		_, stop := s.runner()
+		defer stop()
+		s.submit("j", graph.Step{Count: 400, Size: cores(2)})
+		time.Sleep(2 * time.Second)
+		before := g.average(time.Second)
+		g.store.SetFault(func(string) fakes.TableFault { return fakes.TableUnavailable })
+		during := g.average(2 * time.Second)
+		g.c.Check(during > before/2, qt.IsTrue, qt.Commentf("%.1f cores in use, %.1f before", during, before))
+		g.store.SetFault(nil)
+		g.assertNoFaults()
+	})
+}
