--- a/cell/team.go
+++ b/cell/team.go
@@ -296,8 +296,8 @@
 	if n <= 0 {
 		return 0
 	}
-	size, p := s.doc.Size, t.promises[s]
-	p.size = unit.Size{CPUMilli: size.CPUMilli * int64(n), MemoryMiB: size.MemoryMiB * int64(n), Accelerators: size.Accelerators * int64(n)}
+	p := t.promises[s]
+	p.size = times(s.doc.Size, n)
 	if p.since.IsZero() {
 		p.since = now
 	}
@@ -451,8 +451,7 @@
 		if s.doc.Gang {
 			first = &w.gang
 		}
-		n := int64(s.numWaiting)
-		*sum = sum.Add(unit.Size{CPUMilli: n * s.doc.Size.CPUMilli, MemoryMiB: n * s.doc.Size.MemoryMiB, Accelerators: n * s.doc.Size.Accelerators})
+		*sum = sum.Add(times(s.doc.Size, s.numWaiting)).Min(maxWaiting)
 		if *first == nil || compareWaiting(s, *first) < 0 {
 			*first = s
 		}
@@ -460,6 +459,23 @@
 	return waiting
 }
 
+// maxWaiting bounds sums of sizes, which callers choose, far above any cap.
+var maxWaiting = unit.Size{CPUMilli: 1 << 50, MemoryMiB: 1 << 50, Accelerators: 1 << 50}
+
+// times returns what n tasks of a size need of the resources that a cap can limit, at most maxWaiting.
+func times(size unit.Size, n int) unit.Size {
+	scale := func(v, limit int64) int64 {
+		if n > 0 && v > limit/int64(n) {
+			return limit
+		}
+		return v * int64(n)
+	}
+	return unit.Size{
+		CPUMilli: scale(size.CPUMilli, maxWaiting.CPUMilli), MemoryMiB: scale(size.MemoryMiB, maxWaiting.MemoryMiB),
+		Accelerators: scale(size.Accelerators, maxWaiting.Accelerators),
+	}
+}
+
 func compareWaiting(a, b *step) int {
 	return cmp.Or(cmp.Compare(a.job.doc.Priority, b.job.doc.Priority), a.readyAt.Compare(b.readyAt), cmp.Compare(a.id.Job, b.id.Job))
 }
