--- a/cell/teamcap_test.go
+++ b/cell/teamcap_test.go
@@ -276,3 +276,18 @@
 	}
 	h.c.Check(want <= 1000, qt.IsTrue, qt.Commentf("%d", want))
 }
+
+// Guards against sizes whose sum exceeds 64 bits, so that a team seems to want nothing, or less than nothing.
+func TestWantOfHugeTasks(t *testing.T) {
+	h := newHarness(t, 4, 8)
+	h.capTeam(32, 8, 0)
+	for i := range 3 {
+		doc := ofTeam(shortJob(fmt.Sprintf("a%d", i), 1000), 0)
+		doc.Steps[0].Size = unit.Size{CPUMilli: 1 << 60, MemoryMiB: 1 << 62}
+		h.add(doc)
+	}
+	h.add(ofTeam(shortJob("b", 4), 0))
+	h.c.Check(h.plan().Starts, qt.HasLen, 4)
+	want := h.cell.TeamDemands(h.now)["red"].Want
+	h.c.Check(want[0] >= 4000 && want[0] <= 1<<51, qt.IsTrue, qt.Commentf("%v", want))
+}
--- a/intake/outage_test.go
+++ b/intake/outage_test.go
@@ -43,13 +43,13 @@
 		time.Sleep(time.Second)
 		for range 3 {
 			var refused *intake.RefusedError
-			c.Assert(errors.As(in.Submit(ctx, queue, jobFor(queue)), &refused), qt.IsTrue)
+			c.Assert(errors.As(in.Submit(ctx, queue, jobFor(queue), anyone), &refused), qt.IsTrue)
 			c.Assert(refused.Reason, qt.Equals, "store-away")
 			time.Sleep(700 * time.Millisecond)
 		}
 		store.SetFault(nil)
 		time.Sleep(time.Millisecond)
-		c.Assert(in.Submit(ctx, queue, jobFor(queue)), qt.IsNil)
+		c.Assert(in.Submit(ctx, queue, jobFor(queue), anyone), qt.IsNil)
 		cancel()
 		synctest.Wait()
 	})
@@ -106,7 +106,7 @@
 			wg.Go(func() {
 				job, startedAt := jobFor(queue), time.Now()
 				job.ID = fmt.Sprintf("%016x", n+0x1000)
-				qt.Check(t, in.Submit(t.Context(), queue, job), qt.IsNil)
+				qt.Check(t, in.Submit(t.Context(), queue, job, anyone), qt.IsNil)
 				took[n] = time.Since(startedAt)
 			})
 		}
