--- a/intake/outage_test.go
+++ b/intake/outage_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/intake"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -55,6 +56,14 @@
 	})
 }
 
+// silentGroups is noGroups for concurrent requests; it does not count the accepted jobs.
+type silentGroups struct {
+	noGroups
+}
+
+// Accepted implements intake.Groups.
+func (*silentGroups) Accepted(*graph.Job) {}
+
 // limitedTable is a table that carries out one commit at a time in each partition, and commits of all callers at a limited rate.
 type limitedTable struct {
 	*fakes.Table
@@ -95,7 +104,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		health := table.NewHealth(store)
-		in := &intake.Intake{Store: health, Health: health, Groups: &noGroups{}, Log: log}
+		in := &intake.Intake{Store: health, Health: health, Groups: &silentGroups{}, Log: log}
 		submitEarlier(c, in, queue)
 		epoch, err := elect.Acquire(t.Context(), store, elect.Epoch{Group: "desk"}, elect.Candidate{Name: "h", Incarnation: "i"})
 		c.Assert(err, qt.IsNil)
