--- a/runner/table_outage_test.go
+++ b/runner/table_outage_test.go
@@ -141,3 +141,43 @@
 		n.checkNoTaskRunsTwice(t, h)
 	})
 }
+
+// A start that waits for a connection must not be sent once the lease is so old that no orders may be sent: the next holder counts on that, and its task
+// would run twice. Load: 600 tasks of 0.3 s; all connections are in use from a lease age of 5.5 to one of 6.05 s.
+func TestStartThatWaitsIsNotSentAfterOrdersMustEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		n.workers.Outcome = fixedDuration(shortRun)
+		h := n.findHost("host0")
+		n.submitTasks(t, longJob, 600, 4)
+		for n.workers.NumStarts() < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		h.setTableFault(fakes.TableUnavailable)
+		r := h.currentRunner()
+		for r.LeaseAge() < elect.HoldTimeout-500*time.Millisecond {
+			time.Sleep(time.Millisecond)
+		}
+		for r.LeaseAge() < elect.HoldTimeout+50*time.Millisecond {
+			h.setConnsInUse(true)
+			time.Sleep(time.Millisecond)
+		}
+		starts := n.workers.NumStarts()
+		h.setConnsInUse(false)
+		time.Sleep(time.Second)
+		qt.Check(t, n.workers.NumStarts(), qt.Equals, starts)
+		h.setTableFault(fakes.TableOK)
+		n.checkNoTaskRunsTwice(t, h)
+	})
+}
+
+// setConnsInUse sets whether all connections of the host are in use.
+func (h *host) setConnsInUse(inUse bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, list := range h.conns {
+		for _, c := range list {
+			c.inUse = inUse
+		}
+	}
+}
