Leave a gang room at its team's cap before less urgent tasks

At a team's cap, each place that became free went to a task that needs only one, so a gang never started beside less urgent tasks of its team (TestGangAtCapIsNotOvertakenByLessUrgentTasks). These now leave it what the team uses beyond half of the cap, if all its members but one need at most that half: a team is never held back below half of its cap for it.

--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -107,6 +107,8 @@
 	preemptWaitUntil time.Time
 	// lastVictimSearchAt is when runs to preempt were last searched for.
 	lastVictimSearchAt time.Time
+	// capRoomSince is since when the cap of its team has had room for a gang.
+	capRoomSince time.Time
 	// activity is that of the kind of the step's tasks; nil before it is first used.
 	activity *activity
 	// runTimes holds the run times of finished tasks.
--- a/cell/team.go
+++ b/cell/team.go
@@ -60,6 +60,8 @@
 	// progressAt is when the use last grew beyond progressUsed, or no task waited within the share.
 	progressUsed quota.Amount
 	progressAt   time.Time
+	// gang is the most urgent waiting gang for which less urgent tasks leave a part of the cap, as far as the team uses more than half of it.
+	gang *step
 	// promises hold the tasks within the share for which advice was requested.
 	promises map[*step]promise
 }
@@ -262,7 +264,47 @@
 	if t == nil {
 		return unlimitedRoom
 	}
-	return t.room(s, t.inUse())
+	used := t.inUse()
+	return t.roomBesideGang(s, used, t.room(s, used))
+}
+
+// roomBesideGang returns how many of a number of tasks of a step may start beside a more urgent gang that waits: each place that becomes free would go
+// to a task that needs only one. Use beyond half of the cap is left to the gang, so that the cap is not left idle.
+func (t *team) roomBesideGang(s *step, used quota.Amount, room int) int {
+	g := t.gang
+	if g == nil || g == s || s.doc.Gang || compareWaiting(g, s) > 0 || g.numWaiting == 0 {
+		return room
+	}
+	size, member, others := quota.AmountOf(s.doc.Size), quota.AmountOf(g.doc.Size), int64(g.doc.Count-1)
+	for i := range size {
+		if t.cap[i] == 0 || size[i] == 0 || member[i] == 0 {
+			continue
+		}
+		allowed := max(t.cap[i]/2, min(t.share[i]-member[i], t.cap[i]-t.others[i])-others*member[i])
+		room = min(room, int(max(0, allowed-used[i])/size[i]))
+	}
+	return room
+}
+
+// noteGang records a waiting gang of which all members but one need at most half of the cap. If there has been room for it for some time, it waits for
+// something else.
+func (c *Cell) noteGang(t *team, s *step, room int, now time.Time) {
+	for i, size := range quota.AmountOf(s.doc.Size) {
+		if t.cap[i] > 0 && size > t.cap[i]/2/int64(max(1, s.doc.Count-1)) {
+			return
+		}
+	}
+	if room == 0 {
+		s.capRoomSince = time.Time{}
+	} else if s.capRoomSince.IsZero() {
+		s.capRoomSince = now
+	}
+	if room > 0 && now.Sub(s.capRoomSince) > unusedLimit {
+		return
+	}
+	if c.rank(s, now).urgency == onTime && (t.gang == nil || compareWaiting(s, t.gang) < 0) {
+		t.gang = s
+	}
 }
 
 // teamRoomWithout returns how many tasks of a step may start once n of its running tasks have ended.
@@ -292,7 +334,7 @@
 			}
 		}
 	}
-	n = min(n, t.room(s, used))
+	n = min(n, t.roomBesideGang(s, used, t.room(s, used)))
 	if n <= 0 {
 		return 0
 	}
@@ -325,6 +367,9 @@
 		return false
 	}
 	room := t.room(s, t.inUse())
+	if s.doc.Gang {
+		c.noteGang(t, s, room, now)
+	}
 	if held := s.numWaiting - room; held > 0 {
 		plan.TeamsHeld = true
 		t.heldTasks += held
@@ -347,7 +392,7 @@
 // beginHeld starts to count the tasks that a plan holds back.
 func (c *Cell) beginHeld(now time.Time) {
 	for _, t := range c.teams {
-		t.heldTasks = 0
+		t.heldTasks, t.gang = 0, nil
 		if !t.heldSince.IsZero() && now.Sub(t.heldAt) > heldLogDelay {
 			c.log.WithFields(t.logFields()).WithField("held-for", t.heldAt.Sub(t.heldSince).Round(time.Millisecond).String()).
 				Info("the cap of a team holds back no tasks any more")
--- a/cell/team_test.go
+++ b/cell/team_test.go
@@ -291,3 +291,47 @@
 	want := h.cell.TeamDemands(h.now)["red"].Want
 	h.c.Check(want[0] >= 4000 && want[0] <= 1<<51, qt.IsTrue, qt.Commentf("%v", want))
 }
+
+// Guards against a gang that never starts at its team's cap, since each place that becomes free goes to a less urgent task of the team, and against
+// tasks that are held back for a gang although the team uses less than half of its cap.
+func TestGangAtCapIsNotOvertakenByLessUrgentTasks(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		members int
+		starts  bool
+	}{{"needs less than half of the cap", 3, true}, {"needs more than half of the cap", 5, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 4, 16)
+			h.capTeam(10, 12, 0)
+			batch := ofTeam(longJob(300), 2)
+			batch.Steps[0].Estimate = 100 * time.Millisecond
+			h.add(batch)
+			started := h.plan().Starts
+			h.c.Assert(started, qt.HasLen, 10)
+			gang := ofTeam(shortJob("gang", test.members), 1)
+			gang.Steps[0].Gang, gang.Steps[0].Size, gang.Steps[0].Estimate = true, unit.Size{CPUMilli: 2000}, 10*time.Second
+			h.add(gang)
+			gangStarted := 0
+			for range 30 {
+				h.finish(started[0].Worker.ID, started[0].Order.Task, order.EndDone)
+				started = started[1:]
+				h.advance(20 * time.Millisecond)
+				for _, o := range h.plan().Starts {
+					if o.Order.Task.Job == "gang" {
+						gangStarted++
+						continue
+					}
+					started = append(started, o)
+				}
+				h.c.Assert(h.usedCPU() >= 5000, qt.IsTrue)
+				if gangStarted > 0 {
+					break
+				}
+			}
+			h.c.Check(gangStarted == test.members, qt.Equals, test.starts)
+			if !test.starts {
+				h.c.Check(h.usedCPU(), qt.Equals, int64(10_000))
+			}
+		})
+	}
+}
