Choose by value which jobs are in time; reserve whole gangs

In an overload admit chose by time alone, and large gangs waited for 14 to 20 s beside smaller ones: a gang's reservation lapsed while its tickets were requested, tickets were renewed one half after the other so that they were never valid together, reservations of other gangs kept it from having one, and the workers that it had chosen changed every 50 ms.

The choice is a pure function on plain values now (cell/overload.go): most value at stake per unit of work first, by standing, priority and size, without making chosen or started jobs late; size classes of a kind that lag behind come first. Late work doesn't preempt work that can be in time and asks the advisor after it, and jobs that can be in time may use half of the headroom while more is deferred than the workers can run at a time. Gangs keep their workers while tickets are requested, ask for all tickets at once and preempt for all members; other tasks avoid these workers while there is capacity elsewhere.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -10,81 +10,94 @@
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
-// Parameters of the choice which jobs are to meet their objectives.
-const (
-	// admitInterval is how often the choice is made anew.
-	admitInterval = 150 * time.Millisecond
-	// admitSlackShare is the share of its slack that a job may be expected to wait: the rest is for failed runs, disruptions and wrong
-	// estimates.
-	admitSlackShare = 0.6
-	// packedShare is the share of the group's capacity that can be filled on average.
-	packedShare = 0.85
-)
-
-// load is work in shares of the group's capacity: what runs or waits to run at the same time, and its product with its time.
-type load struct {
-	share       float64
-	shareSecond float64
-}
-
-func (l *load) add(share float64, remaining time.Duration) {
-	l.share += share
-	l.shareSecond += share * remaining.Seconds()
-}
+// admitInterval is how often the jobs are chosen anew that are to meet their objectives.
+const admitInterval = 150 * time.Millisecond
 
-// wait returns how long work of a share waits behind the load: until enough of it has ended.
-func (l *load) wait(share float64) time.Duration {
-	free := max(0, packedShare-share)
-	if l.share <= free {
-		return 0
-	}
-	return time.Duration(l.shareSecond / packedShare * (1 - free/l.share) * float64(time.Second))
-}
+// overloadShare is from which share of the capacity on that deferred jobs wait for the group counts as overloaded. A few deferred jobs may just be
+// too large or too late.
+const overloadShare = 1.0
 
-// admit chooses which of the jobs that have not started are to meet their objectives, so that in an overload some are in time
-// instead of all being a little late. The others are deferred: they come after all jobs that can be in time.
+// admit chooses which of the jobs that have not started are to meet their objectives; see choose. The others are deferred: they come after all
+// jobs that can be in time.
 func (c *Cell) admit(cfg *queues.Config, now time.Time) {
 	if now.Sub(c.admittedAt) < admitInterval {
 		return
 	}
 	c.admittedAt = now
 	c.divide(cfg, now)
+	started, waiting := c.splitOccurrences(now)
+	slices.SortFunc(waiting, compareOccurrences)
+	c.setOccurrenceStandings(waiting)
 	capacity := c.candidateIndex.capacity
-	byPrecedence := map[precedence]*load{}
-	loadOf := func(p precedence) *load {
-		l, ok := byPrecedence[p]
-		if !ok {
-			l = &load{}
-			byPrecedence[p] = l
+	running, demands := make([]demand, len(started)), make([]demand, len(waiting))
+	for i := range started {
+		running[i] = c.demandOf(&started[i], capacity, now)
+		running[i].deadline = 0
+		if !started[i].occ.current().preemptible() {
+			running[i].standing = withinPart
 		}
-		return l
 	}
-	started, waiting := c.splitOccurrences(now)
-	for _, o := range started {
-		share, remaining := o.demand(capacity)
-		p := precedence{withinPart, o.job.doc.Priority}
-		if o.occ.current().preemptible() {
-			p.standing = o.standing
+	for i := range waiting {
+		demands[i] = c.demandOf(&waiting[i], capacity, now)
+	}
+	deferredShare := 0.0
+	for i, chosen := range choose(running, demands) {
+		waiting[i].occ.deferred, waiting[i].occ.chosen = !chosen, chosen
+		if !chosen {
+			deferredShare += demands[i].share
 		}
-		loadOf(p).add(share, remaining)
 	}
-	slices.SortFunc(waiting, compareOccurrences)
-	c.setOccurrenceStandings(waiting)
-	for _, o := range waiting {
-		ahead := load{}
-		for _, p := range slices.SortedFunc(maps.Keys(byPrecedence), precedence.compare) {
-			if l := byPrecedence[p]; p.compare(o.precedence) <= 0 {
-				ahead.share += l.share
-				ahead.shareSecond += l.shareSecond
-			}
+	c.overloaded = deferredShare > overloadShare
+}
+
+// demandOf returns what an occurrence needs.
+func (c *Cell) demandOf(o *rankedOccurrence, capacity unit.Size, now time.Time) demand {
+	d := demand{
+		standing: o.standing, priority: o.priority, remaining: o.occ.remaining, deadline: o.deadline.Sub(now), chosen: o.occ.chosen,
+	}
+	for _, s := range o.occ.steps {
+		if s.numUnfinished == 0 {
+			continue
 		}
-		share, remaining := o.demand(capacity)
-		slack := o.deadline.Sub(now) - o.occ.remaining
-		o.occ.deferred = slack < 0 || float64(ahead.wait(share)) > admitSlackShare*float64(slack)
-		if !o.occ.deferred {
-			loadOf(o.precedence).add(share, remaining)
+		share := float64(s.numUnfinished) * allocationOf(s.doc).Share(capacity)
+		if d.share == 0 {
+			d.share = share
 		}
+		d.work += share * c.runTimes.estimate(o.job.doc.Queue, s.doc).Seconds()
+	}
+	kind := c.kindOf(o.job.doc.Queue)
+	if o.job.work == 0 {
+		o.job.work = d.work
+		o.job.sizeClass = kind.observe(d.work)
 	}
+	d.size = 1
+	if kind.mean > 0 {
+		d.size = o.job.work / kind.mean
+	}
+	if d.deadline < 0 {
+		c.countOutcome(o.occ, false)
+	}
+	d.lagging = kind.lags(o.job.sizeClass)
+	return d
+}
+
+func (c *Cell) kindOf(queue string) *kindStats {
+	kind, ok := c.kinds[queue]
+	if !ok {
+		kind = &kindStats{}
+		c.kinds[queue] = kind
+	}
+	return kind
+}
+
+// countOutcome counts once whether an occurrence was in time.
+func (c *Cell) countOutcome(occ *occurrence, inTime bool) {
+	j := occ.steps[0].job
+	if occ.counted || j.work == 0 {
+		return
+	}
+	occ.counted = true
+	c.kindOf(j.doc.Queue).count(j.sizeClass, inTime)
 }
 
 // precedence is the order in which jobs get room, apart from their deadlines.
@@ -167,12 +180,6 @@
 	return false
 }
 
-// demand returns what share of the capacity the occurrence's present step needs, and how long the occurrence still takes.
-func (o *rankedOccurrence) demand(capacity unit.Size) (float64, time.Duration) {
-	s := o.occ.current()
-	return float64(s.numUnfinished) * allocationOf(s.doc).Share(capacity), o.occ.remaining
-}
-
 // current returns the first step that isn't done, or the last step.
 func (o *occurrence) current() *step {
 	for _, s := range o.steps {
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -195,7 +195,7 @@
 
 // hasCandidate reports whether a request can bring a new permit for a worker with capacity.
 func (c *Cell) hasCandidate(s *step, advice *queues.Advice, minFreeCPU int64, now time.Time, capacity capacityFunc) bool {
-	size, validAt := allocationOf(s.doc), now.Add(advice.Cost(1))
+	size, validAt := allocationOf(s.doc), s.ticketsNeededUntil(advice, now)
 	for w := range c.candidateIndex.withFreeCPU(minFreeCPU) {
 		if c.isCandidate(s, w, validAt, now) && capacity(s, w, size) > 0 {
 			return true
@@ -204,6 +204,15 @@
 	return false
 }
 
+// ticketsNeededUntil returns until when a ticket has to be valid so that no new one is needed: until the answer to a request. The tickets of a
+// gang have to be valid at the same time: if only the expired ones were renewed, others would expire meanwhile.
+func (s *step) ticketsNeededUntil(advice *queues.Advice, now time.Time) time.Time {
+	if s.doc.Gang && now.Before(s.ticketsExpectedAt) {
+		return s.ticketsExpectedAt.Add(gangTicketTime)
+	}
+	return now.Add(advice.Cost(1))
+}
+
 // isCandidate reports whether a request about a worker can bring a step a new permit.
 func (c *Cell) isCandidate(s *step, w *worker, validAt, now time.Time) bool {
 	return c.eligible(w, s, now) && !s.denied(w) && !s.adviceInFlight[w] && !s.hasTicket(w, validAt)
@@ -212,7 +221,7 @@
 // requestCandidates returns the workers with capacity for which a request can bring a new permit, best first.
 func (c *Cell) requestCandidates(s *step, advice *queues.Advice, minFreeCPU int64, now time.Time, capacity capacityFunc) []requestCandidate {
 	size := allocationOf(s.doc)
-	validAt := now.Add(advice.Cost(1))
+	validAt := s.ticketsNeededUntil(advice, now)
 	var list []requestCandidate
 	for w := range c.candidateIndex.withFreeCPU(minFreeCPU) {
 		if !c.isCandidate(s, w, validAt, now) {
@@ -239,7 +248,7 @@
 // another.
 func (c *Cell) padRequest(list []*worker, s *step, advice *queues.Advice, now time.Time) []*worker {
 	maxWorkers := maxRequestWorkers
-	if advice.PerWorker > 0 && (!s.doc.Gang || s.job.sensitive) {
+	if advice.PerWorker > 0 {
 		maxWorkers = min(maxWorkers, int(maxPaddingShare*float64(advice.Base)/float64(advice.PerWorker)))
 	}
 	if len(list) >= maxWorkers {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -93,6 +93,10 @@
 	callsInFlight map[string]time.Duration
 	// admittedAt is when the jobs that are to meet their objectives were last chosen.
 	admittedAt time.Time
+	// overloaded says that more is deferred than the workers can run at a time.
+	overloaded bool
+	// kinds holds what is known of the jobs of each queue.
+	kinds map[string]*kindStats
 	// fairness divides the capacity among teams.
 	fairness fairness
 	// renewingTickets says that a request that renews tickets is in flight.
@@ -128,7 +132,7 @@
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
 		throttlesToSend: map[*placement]struct{}{}, activities: map[string]*activity{}, runTimes: newRunTimeEstimator(),
 		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, namedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
-		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, fairness: newFairness(), stats: Stats{Ends: map[order.EndKind]uint64{}},
+		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, kinds: map[string]*kindStats{}, fairness: newFairness(), stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -76,6 +76,9 @@
 	case order.EndDone:
 		p.w.consecutiveFailures, p.w.lastFailedJob = 0, ""
 		c.succeed(p, now)
+		if s.occ.numUnfinished == 0 {
+			c.countOutcome(s.occ, !now.After(j.startTime(s.occ).Add(s.occ.objective)))
+		}
 	case order.EndFailed:
 		c.fail(p, now)
 	default:
--- a/cell/fairness.go
+++ b/cell/fairness.go
@@ -344,10 +344,17 @@
 	}
 }
 
-// precedes reports whether a step's standing and priority are at least those of another.
-func (c *Cell) precedes(s, other *step) bool {
-	first, second := c.standingOf(s, unit.Size{}), c.standingOf(other, unit.Size{})
-	return first < second || (first == second && s.job.doc.Priority <= other.job.doc.Priority)
+// precedes reports whether the room that a gang waits for is kept from a step: if the step comes after the gang, or, unless it is a gang too,
+// is equal.
+func (c *Cell) precedes(gang, s *step, now time.Time) bool {
+	first, second := c.rank(gang, now), c.rank(s, now)
+	order := cmp.Or(
+		cmp.Compare(first.urgency, second.urgency), cmp.Compare(first.standing, second.standing), cmp.Compare(gang.job.doc.Priority, s.job.doc.Priority),
+	)
+	if order == 0 && s.doc.Gang {
+		order = cmp.Or(first.deadline.Compare(second.deadline), cmp.Compare(gang.id.Job, s.id.Job))
+	}
+	return order <= 0
 }
 
 // setStandings lowers the standings of the steps, given in their order, which don't fit into their teams' parts beside earlier ones, and
@@ -391,6 +398,9 @@
 		return false
 	}
 	lower := other.job.doc.Priority > s.job.doc.Priority
+	if c.rank(s, now).urgency > c.rank(other, now).urgency {
+		return false
+	}
 	if !c.fairness.enabled {
 		return lower
 	}
--- a/cell/headroom.go
+++ b/cell/headroom.go
@@ -14,6 +14,9 @@
 	headroomShare = 0.5
 	// maxHeadroomShare is the maximum headroom, as a share of the group's capacity.
 	maxHeadroomShare = 0.2
+	// overloadHeadroom is the part of the headroom that is kept in an overload from jobs that can be in time: every job that finds no room then is late,
+	// while latency-sensitive work can still preempt.
+	overloadHeadroom = 0.5
 	// peakDecayTime is the time constant of the decay of a peak of latency-sensitive work; swings of demand come every 15 s or so.
 	peakDecayTime = 15 * time.Second
 	// decayInterval is the minimum interval between steps of the decay: in smaller steps the few accelerators of a peak would
@@ -60,5 +63,9 @@
 		return false
 	}
 	size := allocationOf(s.doc)
-	return !size.Add(c.candidateIndex.headroom.Mask(size)).Fits(c.candidateIndex.free.Mask(size))
+	headroom := c.candidateIndex.headroom
+	if c.overloaded && !s.occ.deferred {
+		headroom = headroom.Scale(overloadHeadroom)
+	}
+	return !size.Add(headroom.Mask(size)).Fits(c.candidateIndex.free.Mask(size))
 }
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -50,6 +50,9 @@
 	idleSteps map[int]bool
 	// beyondRate says that the job's team sent it beyond its rate.
 	beyondRate bool
+	// work is the job's work when it was first considered, in seconds of the group's capacity, and sizeClass how that compares with other jobs.
+	work      float64
+	sizeClass sizeClass
 	// sensitive says that a delay of some hundred milliseconds may make the job miss its objective.
 	sensitive bool
 }
@@ -69,6 +72,10 @@
 	rankedAt  time.Time
 	// deferred says that the occurrence gives way to those that can meet their objective.
 	deferred bool
+	// chosen says that the occurrence, which had not started then, was to meet its objective by the last choice.
+	chosen bool
+	// counted says that whether the occurrence was in time has been counted.
+	counted bool
 }
 
 // step is a step of one occurrence.
@@ -96,6 +103,8 @@
 	nextAdviceAt   time.Time
 	// numFailedRequests is the number of requests for advice that failed since a task of the step was last started.
 	numFailedRequests int
+	// ticketsExpectedAt is when the tickets are expected that were requested for the reserved workers of a gang.
+	ticketsExpectedAt time.Time
 	// nextReservationAt is when the reservation of a gang is computed next.
 	nextReservationAt time.Time
 	// triedAt is when an attempt to place tasks last placed nothing, and retryAt until when the step is left out of plans.
--- /dev/null
+++ b/cell/overload_test.go
@@ -0,0 +1,92 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/order"
+	"github.com/corianderdrift/corianderdrift/queues"
+	"github.com/corianderdrift/corianderdrift/unit"
+)
+
+// Urgent jobs that are late already arrive where batches run that can be in time.
+func TestLateStepDoesNotPreemptRunThatCanBeInTime(t *testing.T) {
+	for _, test := range []struct {
+		age   time.Duration
+		stops int
+	}{{0, 2}, {time.Hour, 0}} {
+		h := newHarness(t, 1, 4)
+		h.add(longJob(4))
+		h.c.Assert(h.plan().Starts, qt.HasLen, 4)
+		h.advance(time.Second)
+		urgent := shortJob("s", 2)
+		urgent.AcceptedAt = h.now.Add(-test.age)
+		h.add(urgent)
+		h.c.Assert(h.plan().Stops, qt.HasLen, test.stops)
+	}
+}
+
+// The advisor is busy with the calls of a queue whose jobs can be in time, while jobs of a more urgent queue are late.
+func TestAdviceIsRequestedFirstForJobsThatCanBeInTime(t *testing.T) {
+	h := newHarness(t, 1, 8)
+	for i := range h.cfg.Queues {
+		h.cfg.Queues[i].Advice = &queues.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond}
+	}
+	late := shortJob("late", 1)
+	late.AcceptedAt = h.now.Add(-time.Hour)
+	h.add(late)
+	for i := range 2 {
+		job := longJob(1)
+		job.ID = fmt.Sprint("l", i)
+		h.add(job)
+	}
+	var asked []string
+	for range 3 {
+		plan := h.cell.Plan(h.cfg, &oneSlot{}, h.now)
+		h.c.Assert(plan.AdviceRequests, qt.HasLen, 1)
+		asked = append(asked, plan.AdviceRequests[0].Step.Job)
+		h.advance(100 * time.Millisecond)
+	}
+	h.c.Assert(asked, qt.DeepEquals, []string{"l0", "l1", "late"})
+}
+
+// A gang waits for its tickets while room becomes free on the workers that it has asked about.
+func TestRoomIsKeptForGangWhileItsTicketsAreRequested(t *testing.T) {
+	h := newHarness(t, 2, 2)
+	h.cfg.Queues[1].Advice = &queues.Advice{Base: 500 * time.Millisecond, PerWorker: time.Millisecond}
+	runs := &graph.Job{ID: "runs", Queue: "short", Priority: 1, Steps: []graph.Step{{
+		Count: 4, Size: unit.Size{CPUMilli: 1000}, Estimate: 3 * time.Second, MaxUnavailable: -1,
+	}}}
+	h.add(runs)
+	h.c.Assert(h.plan().Starts, qt.HasLen, 4)
+	gang := longJob(4)
+	gang.Priority, gang.Steps[0].Gang = 1, true
+	h.add(gang)
+	first := h.plan().AdviceRequests
+	h.c.Assert(first, qt.HasLen, 1)
+	var permits []order.Permit
+	for _, id := range first[0].Workers {
+		permits = append(permits, order.Permit{Worker: id, Ticket: "t"})
+	}
+	h.cell.Advised(first[0], permits, 600*time.Millisecond, nil, h.now)
+	h.advance(2500 * time.Millisecond)
+	h.c.Assert(h.plan().AdviceRequests, qt.HasLen, 1)
+	batch := &graph.Job{ID: "batch", Queue: "short", Priority: 1, Steps: []graph.Step{{
+		Count: 4, Size: unit.Size{CPUMilli: 1000}, Estimate: 20 * time.Second, MaxUnavailable: -1,
+	}}}
+	h.add(batch)
+	for range 3 {
+		h.advance(60 * time.Millisecond)
+		h.plan()
+	}
+	h.endOne("runs")
+	h.advance(60 * time.Millisecond)
+	for range 4 {
+		h.c.Assert(h.plan().Starts, qt.HasLen, 0)
+		h.advance(60 * time.Millisecond)
+	}
+}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -148,7 +148,7 @@
 // heldForOther reports whether a worker is held for another gang that comes before a step or is equal, and that is expected to start
 // before the step's tasks would end.
 func (c *Cell) heldForOther(w *worker, s *step, now time.Time) bool {
-	if w.heldFor == nil || w.heldFor == s || !now.Before(w.heldUntil) || !c.precedes(w.heldFor, s) {
+	if w.heldFor == nil || w.heldFor == s || !now.Before(w.heldUntil) || !c.precedes(w.heldFor, s, now) {
 		return false
 	}
 	return s.doc.LongRunning || now.Add(c.runTimes.estimate(s.job.doc.Queue, s.doc)).After(w.heldStart)
--- a/cell/request.go
+++ b/cell/request.go
@@ -127,6 +127,7 @@
 		next := slices.MinFunc(queueNames, func(a, b string) int {
 			first, second := byQueue[a][0].s, byQueue[b][0].s
 			return cmp.Or(
+				cmp.Compare(c.rank(first, now).urgency, c.rank(second, now).urgency),
 				cmp.Compare(c.standingOf(first, unit.Size{}), c.standingOf(second, unit.Size{})), cmp.Compare(c.weightedCalls(first), c.weightedCalls(second)),
 			)
 		})
--- a/cell/score.go
+++ b/cell/score.go
@@ -13,6 +13,9 @@
 	if s.doc.DataRack != "" && w.info.Rack != s.doc.DataRack {
 		score += 2
 	}
+	if w.heldFor != nil && w.heldFor != s && now.Before(w.heldUntil) {
+		score += heldPenalty
+	}
 	if s.doc.LatencyTarget > 0 || s.doc.Backfill {
 		score += c.interference(s, w)
 	}
@@ -38,6 +41,8 @@
 	// work leaves these to it.
 	urgentSpeedWeight = 1.5
 	otherSpeedWeight  = 0.7
+	// heldPenalty keeps tasks that may use the workers that are held for a gang away from them while there is capacity elsewhere.
+	heldPenalty = 1
 	// maxUrgentPriority is the numerically highest priority that counts as urgent.
 	maxUrgentPriority = 1
 )
--- a/emul/jobs.go
+++ b/emul/jobs.go
@@ -105,6 +105,9 @@
 			Count: width, Size: size, Gang: gang && width > 1, Checkpoint: checkpoint, MaxUnavailable: -1,
 			Estimate: time.Duration(seconds * (1 + c.EstimateError*(2*rng.Float64()-1)) * float64(time.Second)),
 		}
+		if c.EstimateFactor > 0 {
+			step.Estimate = time.Duration(float64(step.Estimate) * c.EstimateFactor)
+		}
 		if n > 0 {
 			step.After = []int{n - 1}
 		}
@@ -113,6 +116,9 @@
 		longest := time.Duration(0)
 		for i := range runTimes {
 			runTimes[i] = time.Duration(seconds * (1 + c.Uneven*(2*rng.Float64()-1)) * float64(time.Second))
+			if c.TailShare > 0 && rng.Float64() < c.TailShare {
+				runTimes[i] = time.Duration(float64(runTimes[i]) * c.TailFactor)
+			}
 			longest = max(longest, runTimes[i])
 			j.work += runTimes[i].Seconds() * cpu / 1000
 		}
--- a/emul/play.go
+++ b/emul/play.go
@@ -119,6 +119,9 @@
 			})
 		})
 	}
+	for _, l := range s.Losses {
+		p.at(l.At, func() { p.lose(l) })
+	}
 	end := s.Length + s.Tail
 	for len(p.events) > 0 && p.events[0].at <= end {
 		e := heap.Pop(&p.events).(event)
@@ -144,7 +147,10 @@
 			ID: ids[i], Capacity: p.scenario.Capacity, Rack: fmt.Sprint(i / rackSize), DataCenter: string(rune('a' + i%max(1, p.scenario.DataCenters))),
 			StartedAt: p.start0.Add(-time.Minute),
 		}
-		p.workers[info.ID] = &worker{info: info, running: map[runKey]*run{}}
+		p.workers[info.ID] = &worker{info: info, running: map[runKey]*run{}, speed: 1}
+		if n := len(p.scenario.Speeds); n > 0 {
+			p.workers[info.ID].speed = p.scenario.Speeds[i%n]
+		}
 		p.byID = append(p.byID, p.workers[info.ID])
 		p.cell.SetWorker(info, p.clock())
 	}
--- a/emul/scenario.go
+++ b/emul/scenario.go
@@ -29,6 +29,11 @@
 	Seconds       Spread
 	Uneven        float64
 	EstimateError float64
+	// EstimateFactor multiplies the declared run times; 0 means 1.
+	EstimateFactor float64
+	// TailShare is the share of the tasks that take TailFactor times as long.
+	TailShare  float64
+	TailFactor float64
 	// CPUMilli, MemoryMiB and Accelerators, one of the list at random, are what a task requires.
 	CPUMilli     Spread
 	MemoryMiB    Spread
@@ -70,6 +75,13 @@
 	return (b.Queue == "" || b.Queue == c.Queue) && (b.Team == "" || b.Team == team) && at >= b.At && at < b.At+b.For
 }
 
+// Loss takes a share of the workers away for good, which is announced when it begins; what still runs at the end of Notice is stopped.
+type Loss struct {
+	At     time.Duration
+	Notice time.Duration
+	Share  float64
+}
+
 // Pause is a time in which the scheduler neither plans nor receives anything.
 type Pause struct {
 	At  time.Duration
@@ -86,6 +98,10 @@
 	Workers     int
 	Capacity    unit.Size
 	DataCenters int
+	// Speeds are those of the workers in turn; if there are none, all have speed 1.
+	Speeds []float64
+	// Losses take workers away.
+	Losses []Loss
 	// ShortHosts and LongHosts are the hosts that make short and long calls to the advisor, each one at a time.
 	ShortHosts int
 	LongHosts  int
--- a/emul/workers.go
+++ b/emul/workers.go
@@ -42,6 +42,7 @@
 // worker is an emulated worker.
 type worker struct {
 	info    order.Worker
+	speed   float64
 	running map[runKey]*run
 	used    unit.Size
 	ended   []order.End
@@ -84,7 +85,7 @@
 	if r.resumedFrom > 0 {
 		elapsed -= restoreTime
 	}
-	return min(r.workUntil, r.resumedFrom+max(0, elapsed))
+	return min(r.workUntil, r.resumedFrom+time.Duration(float64(max(0, elapsed))*r.w.speed))
 }
 
 // start carries out a start on its worker.
@@ -125,7 +126,7 @@
 // work lets a run work until it ends.
 func (p *player) work(r *run) {
 	r.workingSince = p.now
-	kind, left := order.EndDone, r.workUntil-r.resumedFrom
+	kind, left := order.EndDone, time.Duration(float64(r.workUntil-r.resumedFrom)/r.w.speed)
 	if r.resumedFrom > 0 {
 		left += restoreTime
 	}
@@ -191,6 +192,26 @@
 	return true
 }
 
+// lose takes workers away.
+func (p *player) lose(l Loss) {
+	n := int(l.Share * float64(len(p.byID)))
+	for i, w := range p.byID {
+		if n*(i+1)/len(p.byID) == n*i/len(p.byID) {
+			continue
+		}
+		w.info.Draining, w.info.Remaining = true, l.Notice
+		p.cell.SetWorker(w.info, p.clock())
+		p.after(l.Notice, func() {
+			for _, r := range w.running {
+				p.end(r, order.EndStopped)
+			}
+			p.cell.Unlist(w.info.ID)
+			p.wake()
+		})
+	}
+	p.wake()
+}
+
 // stop carries out a stop.
 func (p *player) stop(o cell.StopOrder) {
 	r, ok := p.workers[o.Worker.ID].running[runKey{o.Order.Task, o.Order.Run}]
