Serve a backlog by value; overdue work is finished in the end

Late jobs were served in the order of their deadlines, so that in a backlog after an outage each one came just too late for three times its objective, and overdue ones waited as long as any work could be in time.

Late steps of one priority are ordered by the value at stake per unit of the work that is left. The overdue step that has waited longest, 30 s or more, counts as on time and comes first, one at a time and at most one in 2 s.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -78,6 +78,9 @@
 		c.countOutcome(o.occ, false)
 	}
 	d.lagging = kind.lags(o.job.sizeClass)
+	if d.work > 0 {
+		o.occ.value = d.value() * o.job.work / d.work
+	}
 	return d
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -93,6 +93,9 @@
 	callsInFlight map[string]time.Duration
 	// admittedAt is when the jobs that are to meet their objectives were last chosen.
 	admittedAt time.Time
+	// aged is the overdue step that counts as on time, and nextAgedAt when the next one may.
+	aged       *step
+	nextAgedAt time.Time
 	// overloaded says that more is deferred than the workers can run at a time.
 	overloaded bool
 	// kinds holds what is known of the jobs of each queue.
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -74,6 +74,8 @@
 	deferred bool
 	// chosen says that the occurrence, which had not started then, was to meet its objective by the last choice.
 	chosen bool
+	// value is what is at stake for the occurrence per unit of the work that is left.
+	value float64
 	// counted says that whether the occurrence was in time has been counted.
 	counted bool
 }
@@ -114,6 +116,8 @@
 	nextTicketCheckAt time.Time
 	dependents        []*step
 	readyAt           time.Time
+	// agedAt is when the step, which was overdue, last counted as on time.
+	agedAt time.Time
 	// preemptWaitUntil is until when the step waits for capacity that it has preempted.
 	preemptWaitUntil time.Time
 	// lastVictimSearchAt is when runs to preempt were last searched for.
--- a/cell/overload_test.go
+++ b/cell/overload_test.go
@@ -90,3 +90,29 @@
 		h.advance(60 * time.Millisecond)
 	}
 }
+
+// There is always work that can be in time and is more urgent, and an overdue job waits.
+func TestOverdueJobIsFinishedInTheEnd(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	old := shortJob("old", 1)
+	old.Priority = 2
+	old.AcceptedAt = h.now.Add(-time.Hour)
+	h.add(shortJob("s", 1))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 1)
+	h.add(old)
+	running, n := "s", 0
+	for since := h.now; h.now.Sub(since) < 40*time.Second; {
+		for range 2 {
+			n++
+			h.add(shortJob(fmt.Sprint("s", n), 1))
+		}
+		h.endOne(running)
+		h.advance(500 * time.Millisecond)
+		started := startedJobs(h.plan())
+		h.c.Assert(started, qt.HasLen, 1)
+		if running = started[0]; running == "old" {
+			return
+		}
+	}
+	h.c.Fatal("the overdue job has not started after 40 s")
+}
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
@@ -32,9 +34,13 @@
 	s        *step
 	urgency  urgency
 	standing standing
+	// aged says that the step is overdue and has waited long.
+	aged bool
 	// teamPriority orders steps of teams that are beyond their parts.
 	teamPriority int
-	deadline     time.Time
+	// value orders late steps of the same priority.
+	value    float64
+	deadline time.Time
 	// ticketed says that a late step has a ticket.
 	ticketed bool
 }
@@ -46,6 +52,7 @@
 // earliest deadline comes first.
 func (c *Cell) rankedSteps(plan *Plan, cfg *queues.Config, now time.Time) ([]rankedStep, []*lateGroup) {
 	var list, lateSteps []rankedStep
+	var oldest *step
 	for _, s := range c.stepsToPlace {
 		if !s.ready {
 			c.refresh(s, now)
@@ -62,6 +69,9 @@
 			continue
 		}
 		r := c.rank(s, now)
+		if r.urgency == overdue && (oldest == nil || s.waitsSince().Before(oldest.waitsSince())) {
+			oldest = s
+		}
 		if r.urgency == onTime {
 			list = append(list, r)
 			continue
@@ -69,6 +79,7 @@
 		r.ticketed = s.hasTickets(now)
 		lateSteps = append(lateSteps, r)
 	}
+	c.age(plan, oldest, now)
 	var groups []*lateGroup
 	if len(lateSteps) > maxLateTries {
 		groups, lateSteps = c.groupLate(lateSteps, cfg, now), nil
@@ -82,12 +93,60 @@
 	return list, groups
 }
 
+// Parameters of aging, so that overdue work is finished even if there is always work that can be in time.
+const (
+	// agingTime is how long an overdue step waits before it may count as on time.
+	agingTime = 30 * time.Second
+	// agingInterval is the minimum interval between such steps: each one may make others late.
+	agingInterval = 2 * time.Second
+	// maxAgedTime is after how long it is another step's turn if the step is not placed: it may need more than any worker has.
+	maxAgedTime = 5 * time.Second
+)
+
+// waitsSince returns since when a step waits, or waits for its next turn to count as on time.
+func (s *step) waitsSince() time.Time { return latest(s.readyAt, s.agedAt) }
+
+// age lets the overdue step that has waited longest count as on time until it is placed, one at a time.
+func (c *Cell) age(plan *Plan, oldest *step, now time.Time) {
+	if c.aged != nil {
+		if c.aged.ready && c.aged.numWaiting > 0 && now.Sub(c.aged.agedAt) < maxAgedTime {
+			return
+		}
+		c.aged, c.nextAgedAt = nil, now.Add(agingInterval)
+	}
+	switch {
+	case oldest == nil || now.Sub(oldest.waitsSince()) < agingTime:
+	case now.Before(c.nextAgedAt):
+		plan.replanAt(c.nextAgedAt)
+	default:
+		c.aged, oldest.agedAt = oldest, now
+		plan.replanAt(now)
+		c.log.WithFields(logrus.Fields{
+			fieldJob: oldest.job.doc.ID, "step": oldest.id.String(), "waited": now.Sub(oldest.readyAt).Round(time.Millisecond).String(),
+		}).Info("overdue step has waited long and comes before work that can be in time")
+	}
+}
+
+// compareAged orders the step that is aged, of which there is at most one, before all others.
+func compareAged(a, b rankedStep) int {
+	switch {
+	case a.aged == b.aged:
+		return 0
+	case a.aged:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func compareRanked(a, b rankedStep) int {
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
+		compareAged(a, b),
 		cmp.Compare(a.standing, b.standing),
 		cmp.Compare(a.teamPriority, b.teamPriority),
 		cmp.Compare(a.s.job.doc.Priority, b.s.job.doc.Priority),
+		cmp.Compare(b.value, a.value),
 		a.deadline.Compare(b.deadline),
 		cmp.Compare(a.s.id.Job, b.s.id.Job),
 		cmp.Compare(a.s.id.Occurrence, b.s.id.Occurrence),
@@ -108,9 +167,11 @@
 	}
 	expectedEnd := now.Add(occ.remaining)
 	switch {
+	case c.aged == s:
+		ranked.aged = true
 	case !expectedEnd.After(ranked.deadline) && !occ.deferred:
 	case !expectedEnd.After(j.startTime(occ).Add(maxLateFactor * objective)):
-		ranked.urgency = late
+		ranked.urgency, ranked.value = late, occ.value
 	default:
 		ranked.urgency = overdue
 	}
