--- a/cell/cell.go
+++ b/cell/cell.go
@@ -109,6 +109,13 @@
 	teamsFrom *queues.Config
 	// workersExpected says that the workers that an earlier scheduler used are known.
 	workersExpected bool
+	// aged is the overdue step that counts as on time, and nextAgedAt when the next one may.
+	aged       *step
+	nextAgedAt time.Time
+	// overloaded says that more is deferred than the workers can run at a time.
+	overloaded bool
+	// kinds holds what is known of the jobs of each queue.
+	kinds map[string]*kindStats
 	// fairness divides the capacity among teams.
 	fairness fairness
 	// renewingTickets says that a request that renews tickets is in flight.
@@ -146,7 +153,7 @@
 		throttlesToSend: map[*placement]struct{}{}, activities: map[string]*activity{}, runTimes: newRunTimeEstimator(),
 		expectedWorkers: map[string]time.Time{}, recordedWorkers: map[string]bool{}, namedWorkers: map[string]bool{}, unrenewedWorkers: map[string]bool{},
 		adviceRates: map[string]*adviceRate{}, callsInFlight: map[string]time.Duration{}, preemptibleRuns: map[int]int{}, teams: map[string]*team{},
-		fairness: newFairness(), stats: Stats{Ends: map[order.EndKind]uint64{}},
+		kinds: map[string]*kindStats{}, fairness: newFairness(), stats: Stats{Ends: map[order.EndKind]uint64{}},
 	}
 }
 
