--- a/runner/table_outage_test.go
+++ b/runner/table_outage_test.go
@@ -14,10 +14,11 @@
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
-// submitTasks accepts a job of many equal tasks.
-func (n *network) submitTasks(t *testing.T, id string, count int, cpus int64) {
+// submitTasks accepts a job of 600 tasks, of which four fit on a worker.
+func (n *network) submitTasks(t *testing.T) {
 	t.Helper()
-	step := graph.Step{Count: count, Size: cores(cpus)}
+	const id = longJob
+	step := graph.Step{Count: 600, Size: cores(4)}
 	doc := &graph.Job{
 		ID: id, Queue: queue, Service: service, Steps: []graph.Step{step}, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2,
 	}
@@ -42,7 +43,7 @@
 		n := newNetwork(1)
 		n.workers.Outcome = fixedDuration(shortRun)
 		h := n.findHost("host0")
-		n.submitTasks(t, longJob, 600, 4)
+		n.submitTasks(t)
 		for n.workers.NumStarts() < 20 {
 			time.Sleep(time.Millisecond)
 		}
@@ -69,7 +70,7 @@
 		n := newNetwork(1)
 		n.workers.Outcome = fixedDuration(shortRun)
 		h := n.findHost("host0")
-		n.submitTasks(t, longJob, 600, 4)
+		n.submitTasks(t)
 		for n.workers.NumStarts() < 20 {
 			time.Sleep(time.Millisecond)
 		}
@@ -119,7 +120,7 @@
 		n := newNetwork(1)
 		n.workers.Outcome = fixedDuration(shortRun)
 		h := n.findHost("host0")
-		n.submitTasks(t, longJob, 600, 4)
+		n.submitTasks(t)
 		for n.workers.NumStarts() < 20 {
 			time.Sleep(time.Millisecond)
 		}
@@ -149,7 +150,7 @@
 		n := newNetwork(1)
 		n.workers.Outcome = fixedDuration(shortRun)
 		h := n.findHost("host0")
-		n.submitTasks(t, longJob, 600, 4)
+		n.submitTasks(t)
 		for n.workers.NumStarts() < 20 {
 			time.Sleep(time.Millisecond)
 		}
