Guard: charge peers for open calls, in a budget of their own

With one budget, held requests of clients could have closed the connections of hosts, and the reverse.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -122,6 +122,9 @@
 		func() float64 { return float64(g.Budget().Total()) })
 	gauge("guard_budget_used_bytes", "Part of the memory for requests that is in use.", nil,
 		func() float64 { return float64(g.Budget().Used()) })
+	gauge("guard_peer_budget_bytes", "Memory for calls of peer hosts.", nil, func() float64 { return float64(g.PeerBudget().Total()) })
+	gauge("guard_peer_budget_used_bytes", "Part of the memory for calls of peer hosts that is in use.", nil,
+		func() float64 { return float64(g.PeerBudget().Used()) })
 	for _, place := range []string{frontPlace, readyPlace, metricsPlace} {
 		gauge("guard_connections", "Open connections, by address.", prometheus.Labels{"address": place},
 			func() float64 { return float64(g.Open(place)) })
--- a/guard/budget_test.go
+++ b/guard/budget_test.go
@@ -164,6 +164,7 @@
 			b := newBudget(sizes.BudgetBytes, func() {})
 			a := &account{evict: func() {}}
 			c.Assert(b.grow(a, requestCost(&s), time.Now()), qt.IsTrue)
+			c.Assert(sizes.PeerBytes >= peerMessageBytes*peerByteCost, qt.IsTrue)
 			if test.memoryMiB > 0 {
 				c.Assert(sizes.GoBytes < test.memoryMiB<<20, qt.IsTrue)
 			}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -27,7 +27,9 @@
 // on the goroutine that reads from the connection.
 type Guard struct {
 	budget *Budget
-	limits atomic.Pointer[Limits]
+	// peerBudget is separate, so that neither clients nor peers can make the others give way.
+	peerBudget *Budget
+	limits     atomic.Pointer[Limits]
 	// onEnd is called with the cause of each refusal and each connection that the guard closes.
 	onEnd func(Cause)
 	log   logrus.FieldLogger
@@ -62,13 +64,18 @@
 	g := &Guard{onEnd: onEnd, log: log, lingerTime: lingerTime, conns: map[net.Conn]*conn{}, tls: map[string]*conn{}}
 	g.closed = sync.NewCond(&g.mu)
 	g.budget = newBudget(sizes.BudgetBytes, g.noteRefusal)
+	g.peerBudget = newBudget(sizes.PeerBytes, g.noteRefusal)
+	g.peerBudget.reserve = 0
 	g.SetLimits(limits)
 	return g
 }
 
-// Budget returns the budget of all requests.
+// Budget returns the budget of clients' requests.
 func (g *Guard) Budget() *Budget { return g.budget }
 
+// PeerBudget returns the budget of peers' calls.
+func (g *Guard) PeerBudget() *Budget { return g.peerBudget }
+
 // SetLimits changes the limits. They apply to requests that are already arriving, too.
 func (g *Guard) SetLimits(limits Limits) {
 	limits = limits.withDefaults()
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -72,8 +72,9 @@
 
 // Sizes are the bounds of a process that follow from the resources of its host.
 type Sizes struct {
-	// BudgetBytes bounds what requests take together.
+	// BudgetBytes bounds what clients' requests take together, and PeerBytes what peers' calls take.
 	BudgetBytes int64
+	PeerBytes   int64
 	// Connections bounds the clients' connections, and SideConnections those at each of the addresses for metrics, readiness checks and
 	// peers.
 	Connections     int
@@ -110,6 +111,7 @@
 	const (
 		// The rest of what is spare is for requests, with 40 parts of garbage to 100 parts in use, which is what the collector allows.
 		inUse, withGarbage   = 10, 14
+		peerPart             = 4
 		goNumerator, goParts = 5, 8
 		// Half of the descriptors are for workers, peers and the platform.
 		descriptorPart                 = 2
@@ -125,8 +127,10 @@
 	}
 	spare := spareBytes(memoryBytes)
 	conns := ConnectionsFor(memoryBytes)
+	requests := (spare - spare/connPart) * inUse / withGarbage
 	return Sizes{
-		BudgetBytes:     (spare - spare/connPart) * inUse / withGarbage,
+		BudgetBytes:     requests - requests/peerPart,
+		PeerBytes:       requests / peerPart,
 		Connections:     max(minConns, min(conns, descriptors/descriptorPart)),
 		SideConnections: min(max(minSideConns, descriptors/sidePart), maxSideConns),
 		GoBytes:         memoryBytes / goParts * goNumerator,
--- a/guard/peer.go
+++ b/guard/peer.go
@@ -21,14 +21,15 @@
 	peerIdleTime      = 5 * time.Minute
 	// peerWindowBytes bounds what a peer may send on a connection before the server has read it.
 	peerWindowBytes = 1 << 20
-	// peerFreeBytes is what a connection may hold without a charge, and peerByteCost what a byte of a message costs until its call ends: the
-	// buffers of the transport, and the decoded message.
-	peerFreeBytes = 64 << 10
-	peerByteCost  = 3
+	// peerFreeCharge is what a connection may take without an account. A byte of a message costs peerByteCost until its call ends, for the
+	// buffers of the transport and the decoded message, and a call peerCallCost, for its goroutine and stream.
+	peerFreeCharge = 128 << 10
+	peerByteCost   = 2
+	peerCallCost   = 16 << 10
 )
 
-// PeerServerOptions returns options that bound what peers' connections may take. The bytes of their calls count towards the budget from their
-// arrival to the end of the call.
+// PeerServerOptions returns options that bound what peers' connections may take. Calls and their bytes count towards the peers'
+// budget from their arrival to the end of the call.
 func (g *Guard) PeerServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.MaxConcurrentStreams(peerStreams), grpc.MaxRecvMsgSize(peerMessageBytes), grpc.MaxHeaderListSize(peerHeaderBytes),
@@ -129,13 +130,19 @@
 // Read counts the bytes that arrive.
 func (c *peerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if held := c.held.Add(int64(n)); held > peerFreeBytes && !c.charge(held) {
+	c.held.Add(int64(n))
+	if !c.charge() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-func (c *peerConn) charge(held int64) bool {
+// charge charges for what the connection holds, and reports false if it has been closed for that.
+func (c *peerConn) charge() bool {
+	charge := c.held.Load()*peerByteCost + c.calls.Load()*peerCallCost
+	if charge <= peerFreeCharge {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -143,7 +150,7 @@
 		c.charged = true
 		c.account.started = now
 	}
-	return c.l.g.budget.grow(&c.account, held*peerByteCost, now)
+	return c.l.g.peerBudget.grow(&c.account, charge, now)
 }
 
 // release takes back the bytes of a call that has ended, or all bytes if there are no more calls.
@@ -157,7 +164,7 @@
 	defer c.mu.Unlock()
 	if c.charged {
 		c.charged = false
-		c.l.g.budget.release(&c.account)
+		c.l.g.peerBudget.release(&c.account)
 	}
 }
 
@@ -172,7 +179,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.charged = false
-	c.l.g.budget.release(&c.account)
+	c.l.g.peerBudget.release(&c.account)
 	return err
 }
 
@@ -224,6 +231,7 @@
 	case *stats.Begin:
 		// Calls of unknown methods have neither a beginning nor an end.
 		c.conn.calls.Add(1)
+		c.conn.charge()
 	case *stats.InPayload:
 		c.bytes += int64(s.WireLength)
 	case *stats.End:
