--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	go test -run '^$$' -fuzz FuzzReadTrace -fuzztime 30s ./loads
 	go test -run '^$$' -fuzz FuzzScanner -fuzztime 30s ./guard
 	go test -run '^$$' -fuzz FuzzDecoders -fuzztime 30s ./platform
+	go test -run '^$$' -fuzz FuzzLongestList -fuzztime 30s ./platform
 
 # Needs protoc, protoc-gen-go and protoc-gen-go-grpc; what it makes is committed.
 proto:
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -137,7 +137,9 @@
 // Run serves until ctx is done and then shuts down gracefully; cancelling abort ends the shutdown at once.
 func (a *Agent) Run(ctx, abort context.Context) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(a.sizes().GoBytes)
+	if a.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(a.sizes().GoBytes)
+	}
 	a.log.WithFields(logrus.Fields{
 		"data-center": a.settings.DataCenter, "hosts": a.peerAddress(), "metrics": a.metricsAddress(), "life": a.incarnation,
 	}).Info("host started")
