--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -81,6 +81,30 @@
 		sumStats(func(s cell.Stats) uint64 { return s.Resurfaced }))
 	gauge("group_overcommits", "Times that a worker's runs came to exceed its capacity, since this host runs its group.",
 		sumStats(func(s cell.Stats) uint64 { return s.Overcommits }))
+	sumLoads := func(selectCount func(l cell.Load) int) func() float64 {
+		return func() float64 {
+			n := 0
+			for _, r := range a.groups.runners() {
+				n += selectCount(r.Cell().Load())
+			}
+			return float64(n)
+		}
+	}
+	for _, cause := range cell.DeferralCauses {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "group_deferred_jobs", Help: "Waiting jobs that are not to meet their objectives, of the groups that this host runs.",
+			ConstLabels: prometheus.Labels{"cause": string(cause)},
+		}, sumLoads(func(l cell.Load) int { return l.Deferred[cause] })))
+	}
+	gauge("group_teams_at_part", "Teams that have their part of a scarce resource, in the groups that this host runs.",
+		sumLoads(func(l cell.Load) int { return l.TeamsAtPart }))
+	gauge("groups_overloaded", "Groups that this host runs in which more is deferred than the workers can run at a time.",
+		sumLoads(func(l cell.Load) int {
+			if l.Overloaded {
+				return 1
+			}
+			return 0
+		}))
 	gauge("group_lease_age_seconds", "Longest time since the last renewal of a lease of the groups that this host runs.", func() float64 {
 		age := time.Duration(0)
 		for _, r := range a.groups.runners() {
--- a/cell/admit.go
+++ b/cell/admit.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
@@ -40,14 +43,86 @@
 	for i := range waiting {
 		demands[i] = c.demandOf(&waiting[i], capacity, now)
 	}
+	c.deferred = map[DeferralCause]int{}
 	deferredShare := 0.0
 	for i, chosen := range choose(running, demands) {
 		waiting[i].occ.deferred, waiting[i].occ.chosen = !chosen, chosen
 		if !chosen {
 			deferredShare += demands[i].share
+			c.deferred[demands[i].deferralCause()]++
 		}
 	}
+	c.setOverloaded(deferredShare, now)
+}
+
+// DeferralCause is why a job that waits is not to meet its objective.
+type DeferralCause string
+
+const (
+	// DeferredNoTime says that the job can't be completed within its objective any more.
+	DeferredNoTime DeferralCause = "no-time"
+	// DeferredLessValue says that there is no capacity for the job beside those with more value at stake.
+	DeferredLessValue DeferralCause = "less-value"
+	// DeferredTeam says the same of a job whose team has its part or exceeds its rate.
+	DeferredTeam DeferralCause = "team"
+)
+
+// DeferralCauses lists all causes.
+var DeferralCauses = []DeferralCause{DeferredNoTime, DeferredLessValue, DeferredTeam}
+
+func (d *demand) deferralCause() DeferralCause {
+	switch {
+	case d.slack() < 0:
+		return DeferredNoTime
+	case d.standing > withinPart:
+		return DeferredTeam
+	default:
+		return DeferredLessValue
+	}
+}
+
+// Load is how much more a group is asked to do than it can.
+type Load struct {
+	// Deferred counts the waiting jobs that are not to meet their objectives.
+	Deferred map[DeferralCause]int
+	// Overloaded says that more is deferred than the workers can run at a time.
+	Overloaded bool
+	// TeamsAtPart counts the teams that have their part of a scarce resource.
+	TeamsAtPart int
+}
+
+// Load returns the load by the last choice.
+func (c *Cell) Load() Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	load := Load{Deferred: maps.Clone(c.deferred), Overloaded: c.overloaded}
+	for team, use := range c.fairness.uses {
+		if used := use.all(); c.fairness.parts.reached(team, used, used) {
+			load.TeamsAtPart++
+		}
+	}
+	return load
+}
+
+// overloadLogInterval is the minimum interval between log lines about the beginning and end of overloads.
+const overloadLogInterval = 5 * time.Second
+
+// setOverloaded records, and logs, whether the group is overloaded.
+func (c *Cell) setOverloaded(deferredShare float64, now time.Time) {
 	c.overloaded = deferredShare > overloadShare
+	if c.overloaded == c.overloadLogged || now.Sub(c.overloadLoggedAt) < overloadLogInterval {
+		return
+	}
+	c.overloadLogged, c.overloadLoggedAt = c.overloaded, now
+	fields := logrus.Fields{"deferred-share": math.Round(deferredShare*100) / 100, "capacity": c.candidateIndex.capacity.String()}
+	for _, cause := range DeferralCauses {
+		fields["deferred-"+string(cause)] = c.deferred[cause]
+	}
+	if c.overloaded {
+		c.log.WithFields(fields).Info("group is overloaded: more jobs are deferred than its workers can run at a time")
+	} else {
+		c.log.WithFields(fields).Info("group is not overloaded any more")
+	}
 }
 
 // demandOf returns what an occurrence needs.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -97,7 +97,11 @@
 	aged       *step
 	nextAgedAt time.Time
 	// overloaded says that more is deferred than the workers can run at a time.
-	overloaded bool
+	overloaded       bool
+	overloadLogged   bool
+	overloadLoggedAt time.Time
+	// deferred counts the deferred jobs by the last choice.
+	deferred map[DeferralCause]int
 	// kinds holds what is known of the jobs of each queue.
 	kinds map[string]*kindStats
 	// fairness divides the capacity among teams.
--- a/cell/headroom.go
+++ b/cell/headroom.go
@@ -57,14 +57,25 @@
 	return d.peak.Sub(d.used).Max(d.peak.Scale(headroomShare)).Min(capacity.Scale(maxHeadroomShare))
 }
 
-// needsHeadroom reports whether a task of a step would use headroom for latency-sensitive work.
+// needsHeadroom reports whether a task of a step, or all of a gang, would use headroom for latency-sensitive work. Such work may use it, and gangs may. Work of
+// a team that is beyond its part leaves maxHeadroomShare free beside other teams with demand, whatever it is: most of it can't be preempted when they
+// need the room.
 func (c *Cell) needsHeadroom(s *step) bool {
-	if s.job.sensitive || s.doc.LongRunning {
+	if s.doc.LongRunning || s == c.aged {
 		return false
 	}
-	size := allocationOf(s.doc)
-	headroom := c.candidateIndex.headroom
-	if c.overloaded && !s.occ.deferred {
+	size, headroom := allocationOf(s.doc), c.candidateIndex.headroom
+	switch {
+	case c.standingOf(s, unit.Size{}) > withinPart:
+		if len(c.fairness.parts.parts) > 1 {
+			headroom = headroom.Max(c.candidateIndex.capacity.Scale(maxHeadroomShare))
+		}
+		if s.doc.Gang {
+			size = size.Scale(float64(s.doc.Count))
+		}
+	case s.job.sensitive || s.doc.Gang:
+		return false
+	case c.overloaded && !s.occ.deferred:
 		headroom = headroom.Scale(overloadHeadroom)
 	}
 	return !size.Add(headroom.Mask(size)).Fits(c.candidateIndex.free.Mask(size))
--- a/cell/overload_test.go
+++ b/cell/overload_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/queues"
@@ -116,3 +117,34 @@
 	}
 	h.c.Fatal("the overdue job has not started after 40 s")
 }
+
+// Guards against an overload that an operator can't see.
+func TestLoadTellsWhatIsDeferred(t *testing.T) {
+	for _, test := range []struct {
+		teams       bool
+		cause       cell.DeferralCause
+		teamsAtPart int
+	}{{true, cell.DeferredTeam, 1}, {false, cell.DeferredLessValue, 0}} {
+		h := newTeamsHarness(t, 1, 4)
+		if !test.teams {
+			h.cfg.Teams = nil
+		}
+		h.c.Assert(h.cell.Load().Overloaded, qt.IsFalse)
+		h.add(teamJob("a", "runs", 1, 4))
+		h.c.Assert(h.plan().Starts, qt.HasLen, 4)
+		for i := range 20 {
+			h.add(teamJob("a", fmt.Sprint("a", i), 1, 1))
+			h.add(teamJob("b", fmt.Sprint("b", i), 1, 1))
+		}
+		late := teamJob("b", "late", 1, 1)
+		late.AcceptedAt = h.now.Add(-time.Hour)
+		h.add(late)
+		h.advance(200 * time.Millisecond)
+		h.plan()
+		load := h.cell.Load()
+		h.c.Check(load.Overloaded, qt.IsTrue)
+		h.c.Check(load.TeamsAtPart, qt.Equals, test.teamsAtPart)
+		h.c.Check(load.Deferred[cell.DeferredNoTime], qt.Equals, 1)
+		h.c.Check(load.Deferred[test.cause] > 0, qt.IsTrue, qt.Commentf("%v", load.Deferred))
+	}
+}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -188,6 +188,10 @@
 		return
 	}
 	if s.doc.Gang {
+		if c.needsHeadroom(s) {
+			plan.replanAt(now.Add(headroomRetryDelay))
+			return
+		}
 		c.planGang(plan, s, advice, now)
 		return
 	}
