Guard: a client that sends its whole body first gets the refusal

TestBodiesOverMaxSizeAreRejected failed in 1 of 2 runs of ./test with a broken pipe: the 413 is sent at the head now, and the connection was closed after half a megabyte of the body. Up to twice the largest body is dropped, for 5 s.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -19,10 +19,12 @@
 	writeTimeout = 20 * time.Second
 	// refusalWriteTimeout bounds writing a refusal, which fits into the socket's buffer unless the client reads nothing.
 	refusalWriteTimeout = 100 * time.Millisecond
-	// After a refusal, what the client still sends is dropped for a while, as closing the connection at once might keep it from reading the
-	// response.
+	// After a refusal, what the client still sends is dropped for a while, as closing the connection at once would keep a client that sends its
+	// whole body first from reading the response. That ends when nothing arrives for lingerTime, after lingerRounds times that, and after
+	// lingerBodies of the largest bodies.
 	lingerTime        = time.Second
-	lingerBytes       = 512 << 10
+	lingerRounds      = 5
+	lingerBodies      = 2
 	lingerBufferBytes = 4 << 10
 )
 
@@ -305,17 +307,30 @@
 // linger drops what the client still sends for a while, so that it gets the response, and closes the connection.
 func (c *conn) linger() {
 	buffer := make([]byte, lingerBufferBytes)
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(c.g.lingerTime))
-	for dropped := 0; dropped < lingerBytes && !c.unwanted.Load(); {
+	left := lingerBodies * c.g.limits.Load().BodyBytes
+	for end := time.Now().Add(lingerRounds * c.g.lingerTime); left > 0; {
+		now := time.Now()
+		_ = c.TCPConn.SetReadDeadline(earlier(end, now.Add(c.g.lingerTime)))
+		// The deadline that expel sets may have been overwritten.
+		if c.unwanted.Load() {
+			break
+		}
 		n, err := c.TCPConn.Read(buffer)
 		if err != nil {
 			break
 		}
-		dropped += n
+		left -= n
 	}
 	c.closeSocket()
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // end closes the connection, after a refusal if there is one and a request has begun.
 func (c *conn) end(refused *RequestError) error {
 	if refused != nil && c.scanner.Started() {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -312,6 +312,23 @@
 	}
 }
 
+// A client that sends its whole body before it reads must get the 413: the connection used to be closed after half a megabyte, and the client
+// saw a broken pipe.
+func TestClientThatSendsWholeBodyGetsRefusal(t *testing.T) {
+	s := startServer(t, roomySizes, Limits{BodyBytes: 8 << 20}, false)
+	conn, in := s.dial()
+	const size = 8<<20 + 1
+	_, err := io.WriteString(conn, postHead+fmt.Sprintf("Content-Length: %d\r\n\r\n", size))
+	s.c.Assert(err, qt.IsNil)
+	for s.ends.count(CauseBody) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = conn.Write(make([]byte, size))
+	s.c.Assert(err, qt.IsNil)
+	res, _ := s.response(in)
+	s.c.Assert(res.status, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
 // The log must not get a line for each refused request.
 func TestLogTellsOnceThatRequestsAreTurnedAway(t *testing.T) {
 	c := qt.New(t)
