--- a/cell/advice.go
+++ b/cell/advice.go
@@ -248,7 +248,7 @@
 // another.
 func (c *Cell) padRequest(list []*worker, s *step, advice *queues.Advice, now time.Time) []*worker {
 	maxWorkers := maxRequestWorkers
-	if advice.PerWorker > 0 {
+	if advice.PerWorker > 0 && (!s.doc.Gang || s.job.sensitive) {
 		maxWorkers = min(maxWorkers, int(maxPaddingShare*float64(advice.Base)/float64(advice.PerWorker)))
 	}
 	if len(list) >= maxWorkers {
