Play each overload of the emulator once for all tests

The three tests of the mixed load in an overload, and the four loads of a hot team, played the same scenarios again; a play's result depends on its scenario alone, so that they share it now.

--- a/emul/overload_test.go
+++ b/emul/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,12 +53,23 @@
 // demands are multiples of the workers' CPU.
 var demands = []float64{1, 1.3, 2}
 
+// overloads holds the plays of the mixed load with the demands; several tests check each of them.
+var overloads = func() map[float64]func() emul.Result {
+	plays := map[float64]func() emul.Result{}
+	for _, demand := range demands {
+		plays[demand] = sync.OnceValue(func() emul.Result { return emul.Play(mixedLoad(1).Scaled(demand)) })
+	}
+	return plays
+}()
+
+func overload(demand float64) emul.Result { return overloads[demand]() }
+
 // Guards against urgent short jobs that wait behind the calls for advice, the placement or the runs of longer ones.
 func TestShortJobsAreInTimeBesideOverload(t *testing.T) {
 	for _, demand := range demands {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
 			t.Parallel()
-			r := emul.Play(mixedLoad(1).Scaled(demand))
+			r := overload(demand)
 			c := r.Classes[short]
 			qt.Check(t, c.Earned >= 0.95*c.Owed, qt.IsTrue, qt.Commentf("%v", &r))
 			qt.Check(t, r.Overcommits, qt.Equals, 0)
@@ -70,7 +82,7 @@
 	for _, demand := range demands {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
 			t.Parallel()
-			r := emul.Play(mixedLoad(1).Scaled(demand))
+			r := overload(demand)
 			for _, c := range r.Classes {
 				qt.Check(t, c.Earned/c.Owed >= 0.5*r.Earned()/r.Owed(), qt.IsTrue, qt.Commentf("%s: %v", c.Queue, &r))
 			}
@@ -110,7 +122,7 @@
 	for _, demand := range demands {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
 			t.Parallel()
-			r := emul.Play(mixedLoad(1).Scaled(demand))
+			r := overload(demand)
 			qt.Check(t, r.Earned() >= 0.95*r.Bound, qt.IsTrue, qt.Commentf("%v", &r))
 		})
 	}
--- a/emul/teams_test.go
+++ b/emul/teams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,21 +33,35 @@
 	return earned / owed
 }
 
+// teamSeeds is how many seeds the teams' loads are played with: the worth of one play depends much on a few large gangs.
+const teamSeeds = 4
+
+// teamsLoad is a load that ten teams send equally.
+func teamsLoad(seed uint64) emul.Scenario { return withTeams(mixedLoad(seed).Scaled(0.75), 10) }
+
+// usualShare is what all teams but the first one earn on average if none sends more than usual.
+var usualShare = sync.OnceValue(func() float64 {
+	sum := 0.0
+	for seed := range uint64(teamSeeds) {
+		r := emul.Play(teamsLoad(seed + 1))
+		sum += earnedByOthers(&r)
+	}
+	return sum / teamSeeds
+})
+
 // Guards against a team that sends many times its usual load at the expense of the other teams.
 func TestHotTeamCostsOthersNothing(t *testing.T) {
-	const seeds = 4
 	for _, load := range []struct{ name, queue string }{{"all queues", ""}, {"gangs", "gangs"}, {"batches", "batches"}, {"short jobs", "short"}} {
 		t.Run(load.name, func(t *testing.T) {
 			t.Parallel()
-			usual, hot := 0.0, 0.0
-			for seed := range uint64(seeds) {
-				s := withTeams(mixedLoad(seed+1).Scaled(0.75), 10)
-				without := emul.Play(s)
+			hot := 0.0
+			for seed := range uint64(teamSeeds) {
+				s := teamsLoad(seed + 1)
 				s.Bursts = []emul.Burst{{Team: "t0", Queue: load.queue, At: 4 * time.Second, For: 14 * time.Second, Factor: 10}}
-				with := emul.Play(s)
-				usual, hot = usual+earnedByOthers(&without)/seeds, hot+earnedByOthers(&with)/seeds
+				r := emul.Play(s)
+				hot += earnedByOthers(&r) / teamSeeds
 			}
-			qt.Check(t, hot >= 0.95*usual, qt.IsTrue, qt.Commentf("the other teams earn %.3f, and %.3f without the load", hot, usual))
+			qt.Check(t, hot >= 0.95*usualShare(), qt.IsTrue, qt.Commentf("the other teams earn %.3f, and %.3f without the load", hot, usualShare()))
 		})
 	}
 }
