Headroom of a team leaves room for large tasks and for batches in small shares

A batch task that needs more of the cap than the headroom for the team's quick jobs leaves never started while such jobs kept coming, and a group whose share was no larger than the headroom started no batches at all.

--- a/cell/teamurgent.go
+++ b/cell/teamurgent.go
@@ -43,12 +43,24 @@
 	if s.job.sensitive || s.doc.LongRunning || s.doc.Gang {
 		return used
 	}
-	for i, kept := range quota.AmountOf(t.headroom()) {
+	headroom := t.headroomWithin(t.share)
+	for i, size := range quota.AmountOf(s.doc.Size) {
+		kept := headroom[i]
+		if used[i] < t.share[i]/2 {
+			// A task that is larger than what the headroom leaves would never start.
+			kept = min(kept, max(0, t.share[i]-used[i]-size))
+		}
 		used[i] += kept
 	}
 	return used
 }
 
+// headroomWithin returns the headroom within a share of the cap, of which it is a part at most: with a larger one, a small share would be left to the
+// latency-sensitive tasks.
+func (t *team) headroomWithin(share quota.Amount) quota.Amount {
+	return quota.AmountOf(t.headroom().Min(share.Size().Scale(maxTeamHeadroomShare)))
+}
+
 // preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start.
 func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, n int, now time.Time) {
 	if !s.job.sensitive || now.Sub(t.preemptedAt) < teamPreemptInterval {
--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -85,3 +85,36 @@
 	h.add(teamJob("a", "batch", 2, 20))
 	h.c.Assert(len(h.plan().Starts) >= 10, qt.IsTrue)
 }
+
+// Load: a team sends quick jobs again and again, and beside them one batch task that needs most of its cap. Guards against a task that never starts, as
+// the headroom for the quick jobs and the task together are larger than the cap.
+func TestHeadroomOfTeamDoesNotHoldBackLargeTask(t *testing.T) {
+	for _, cores := range []int64{14, 16} {
+		h := newCappedHarness(t)
+		batch := teamJob("a", "batch", 2, 1)
+		batch.Steps[0].Size = unit.Size{CPUMilli: cores * 1000}
+		h.add(urgentJob("urgent", 8))
+		h.c.Assert(h.plan().Starts, qt.HasLen, 8)
+		h.finishJob("urgent")
+		h.add(batch)
+		started := 0
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+			started += len(h.plan().Starts)
+		}
+		h.c.Check(started, qt.Equals, 1, qt.Commentf("task of %d cores", cores))
+	}
+}
+
+// Guards against a group whose batches start nothing, since the headroom for its quick jobs is as large as its share of the cap.
+func TestHeadroomOfTeamLeavesHalfOfShare(t *testing.T) {
+	h := newCappedHarness(t)
+	h.cell.SetTeamShares([]cell.TeamShare{{Team: "a", Share: quota.Amount{8000}, Others: quota.Amount{12_000}}})
+	h.add(urgentJob("urgent", 8))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 8)
+	h.finishJob("urgent")
+	h.advance(300 * time.Millisecond)
+	h.add(teamJob("a", "batch", 2, 20))
+	started := len(h.plan().Starts)
+	h.c.Check(started >= 4 && started <= 6, qt.IsTrue, qt.Commentf("%d tasks of the batch", started))
+}
