Preempt for a team's urgent work only what lets it start

The cap of a team held back quick jobs for which there was no worker, or which were late already, and runs of the team were preempted for them. The preempted tasks, which come next, took the room again, and were preempted again every 0.4 s.

--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -124,6 +124,8 @@
 	lastVictimSearchAt time.Time
 	// capRoomSince is since when the cap of its team has had room for a gang.
 	capRoomSince time.Time
+	// nextCapSearchAt is when runs of its team may be preempted for the step again, after a search has shown that its tasks find no worker.
+	nextCapSearchAt time.Time
 	// activity is that of the kind of the step's tasks; nil before it is first used.
 	activity *activity
 	// runTimes holds the run times of finished tasks.
--- a/cell/team.go
+++ b/cell/team.go
@@ -41,9 +41,9 @@
 	cap  quota.Amount
 	// used is the full size of all placements of the team's tasks.
 	used unit.Size
-	// urgent is the demand of the team's latency-sensitive tasks, and preemptedAt when runs were last preempted for them.
-	urgent      urgentDemand
-	preemptedAt time.Time
+	// urgent is the demand of the team's latency-sensitive tasks, and nextPreemptAt when runs may be preempted for them again.
+	urgent        urgentDemand
+	nextPreemptAt time.Time
 	// late holds the sizes of runs that have ended here, and whose start may still be carried out.
 	late map[lateRun]unit.Size
 	// unknown is what runs of earlier schedulers that are not known yet may use.
@@ -375,7 +375,7 @@
 		c.noteGang(t, s, room, now)
 	}
 	if held := s.numWaiting - room; held > 0 {
-		c.preemptForTeam(plan, t, s, held, now)
+		c.preemptForTeam(plan, t, s, max(0, room), held, now)
 		plan.TeamsHeld = true
 		t.heldTasks += held
 		t.heldAt = now
--- a/cell/teamurgent.go
+++ b/cell/teamurgent.go
@@ -16,6 +16,10 @@
 	// teamPreemptInterval is the minimum interval between searches for a team's runs to preempt, each of which scans all workers. It covers the
 	// time in which the runs of the last search stop.
 	teamPreemptInterval = 400 * time.Millisecond
+	// teamSearchInterval is the same after a search for a step whose tasks find no worker, and teamSearchRetry when that step may be the reason for a
+	// search again: meanwhile it is the turn of other steps.
+	teamSearchInterval = 100 * time.Millisecond
+	teamSearchRetry    = time.Second
 )
 
 // count adds a run to what the team uses, or removes it if sign is negative.
@@ -61,14 +65,22 @@
 	return quota.AmountOf(t.headroom().Min(share.Size().Scale(maxTeamHeadroomShare)))
 }
 
-// preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start.
-func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, n int, now time.Time) {
-	if !s.job.sensitive || now.Sub(t.preemptedAt) < teamPreemptInterval {
+// preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start beside those for
+// which there is room.
+func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, room, n int, now time.Time) {
+	if !s.job.sensitive || now.Before(t.nextPreemptAt) || now.Before(s.nextCapSearchAt) {
 		return
 	}
-	t.preemptedAt = now
-	missing, size := t.missing(s, n), quota.AmountOf(s.doc.Size)
-	for _, v := range c.teamVictims(t, s, now) {
+	t.nextPreemptAt = now.Add(teamPreemptInterval)
+	victims := c.teamVictims(t, s, now)
+	placeable := min(n, c.placeableWithout(s, victims, now)-room)
+	if placeable <= 0 || (s.doc.Gang && placeable < n) {
+		// The tasks of the runs would take the room again, and be preempted again.
+		t.nextPreemptAt, s.nextCapSearchAt = now.Add(teamSearchInterval), now.Add(teamSearchRetry)
+		return
+	}
+	missing, size := t.missing(s, room+placeable), quota.AmountOf(s.doc.Size)
+	for _, v := range victims {
 		freed := quota.AmountOf(v.p.task.step.doc.Size)
 		if !exceeds(missing, quota.Amount{}) {
 			break
@@ -88,6 +100,30 @@
 	c.planStops(plan, now)
 }
 
+// placeableWithout returns how many tasks of a step would fit on workers without some runs, and without those that it may preempt there.
+func (c *Cell) placeableWithout(s *step, victims []victim, now time.Time) int {
+	freed := map[*worker]unit.Size{}
+	for _, v := range victims {
+		freed[v.p.w] = freed[v.p.w].Add(v.p.size)
+	}
+	anyRun := c.standingOf(s, unit.Size{}) == withinPart
+	size, n := allocationOf(s.doc), 0
+	for _, w := range c.candidateIndex.workers {
+		if !c.eligible(w, s, now) {
+			continue
+		}
+		used := w.used.Sub(freed[w])
+		if anyRun {
+			used = w.used
+			for _, preemptible := range w.preemptible[min(len(w.preemptible), s.job.doc.Priority+1):] {
+				used = used.Sub(preemptible)
+			}
+		}
+		n += s.fitsWithUsed(w, used, size)
+	}
+	return n
+}
+
 // missing returns by how much the team would exceed its cap with n more tasks of a step.
 func (t *team) missing(s *step, n int) quota.Amount {
 	var missing quota.Amount
@@ -113,11 +149,12 @@
 // teamVictims returns the team's runs that may be preempted for one of its steps, the cheapest first.
 func (c *Cell) teamVictims(t *team, s *step, now time.Time) []victim {
 	var list []victim
+	urgency := c.rank(s, now).urgency
 	for _, w := range c.sortedWorkers() {
 		for _, p := range w.placements {
 			other := p.task.step
 			if other.job.doc.Team != t.name || p.stopRequested || !other.preemptible() || other.job.doc.Priority <= s.job.doc.Priority ||
-				now.Sub(p.sentAt) < minPreemptAge {
+				now.Sub(p.sentAt) < minPreemptAge || urgency > c.rank(other, now).urgency {
 				continue
 			}
 			list = append(list, victim{p, p.lostWork(now)})
--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,67 @@
 	started := len(h.plan().Starts)
 	h.c.Check(started >= 4 && started <= 6, qt.IsTrue, qt.Commentf("%d tasks of the batch", started))
 }
+
+// Guards against runs of a team that are preempted again and again for a quick job which can't be placed anyway, so that they make no progress.
+func TestUrgentWorkWithoutWorkerPreemptsNothingOfItsTeam(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	urgent := urgentJob("urgent", 6)
+	urgent.Steps[0].Label = "nowhere"
+	h.add(urgent)
+	stops := 0
+	for range 30 {
+		plan := h.plan()
+		for _, stop := range plan.Stops {
+			stops++
+			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 0)
+}
+
+// Guards against runs of a team that are preempted again and again for a quick job that is late: other work of the team that can be in time comes
+// before it and takes the room.
+func TestLateUrgentWorkPreemptsNothingThatIsInTime(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 40))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	urgent := urgentJob("urgent", 6)
+	urgent.AcceptedAt = h.now.Add(-20 * time.Second)
+	h.add(urgent)
+	stops := 0
+	for range 30 {
+		plan := h.plan()
+		for _, stop := range plan.Stops {
+			stops++
+			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 0)
+}
+
+// Guards against a quick job that waits for as long as the tasks of its team run, since another one, for which there is no worker, is tried each time.
+func TestUrgentWorkWithoutWorkerDoesNotKeepOtherFromPreempting(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	for _, label := range []string{"nowhere", "nowhere", "nowhere", ""} {
+		urgent := urgentJob(fmt.Sprintf("urgent-%s-%d", label, h.now.UnixMilli()), 6)
+		urgent.Steps[0].Label = label
+		h.add(urgent)
+		h.plan()
+		h.advance(20 * time.Millisecond)
+	}
+	stops := 0
+	for range 50 {
+		stops += len(h.plan().Stops)
+		h.advance(10 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 6)
+}
