--- a/cell/teamurgent.go
+++ b/cell/teamurgent.go
@@ -68,7 +68,11 @@
 // preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start beside those for
 // which there is room.
 func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, room, n int, now time.Time) {
-	if !s.job.sensitive || now.Before(t.nextPreemptAt) || now.Before(s.nextCapSearchAt) {
+	if !s.job.sensitive || c.preemptibleRuns[s.job.doc.Priority] == 0 {
+		return
+	}
+	if next := latest(t.nextPreemptAt, s.nextCapSearchAt); now.Before(next) {
+		plan.replanAt(next)
 		return
 	}
 	t.nextPreemptAt = now.Add(teamPreemptInterval)
@@ -77,8 +81,10 @@
 	if placeable <= 0 || (s.doc.Gang && placeable < n) {
 		// The tasks of the runs would take the room again, and be preempted again.
 		t.nextPreemptAt, s.nextCapSearchAt = now.Add(teamSearchInterval), now.Add(teamSearchRetry)
+		plan.replanAt(t.nextPreemptAt)
 		return
 	}
+	plan.replanAt(t.nextPreemptAt)
 	missing, size := t.missing(s, room+placeable), quota.AmountOf(s.doc.Size)
 	for _, v := range victims {
 		freed := quota.AmountOf(v.p.task.step.doc.Size)
--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -183,3 +183,22 @@
 	}
 	h.c.Check(stops, qt.Equals, 6)
 }
+
+// Guards against a quick job that the cap holds back without another plan, if the runs of its team are too young to be preempted when it comes.
+func TestUrgentWorkIsPlannedAgainWhenRunsMayBePreempted(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(100 * time.Millisecond)
+	h.add(urgentJob("urgent", 6))
+	stops := 0
+	for range 20 {
+		plan := h.plan()
+		if stops += len(plan.Stops); stops > 0 {
+			break
+		}
+		h.c.Assert(plan.NextPlanAt.IsZero(), qt.IsFalse)
+		h.advance(plan.NextPlanAt.Sub(h.now))
+	}
+	h.c.Check(stops, qt.Equals, 6)
+}
