--- a/cell/rank.go
+++ b/cell/rank.go
@@ -82,6 +82,7 @@
 		r.ticketed = s.hasTickets(now)
 		lateSteps = append(lateSteps, r)
 	}
+	c.preemptForTeams(plan, now)
 	c.age(plan, oldest, now)
 	var groups []*lateGroup
 	if len(lateSteps) > maxLateTries {
--- a/cell/team.go
+++ b/cell/team.go
@@ -44,6 +44,8 @@
 	// urgent is the demand of the team's latency-sensitive tasks, and nextPreemptAt when runs may be preempted for them again.
 	urgent        urgentDemand
 	nextPreemptAt time.Time
+	// held is the first of the latency-sensitive steps that the cap holds back and for which runs may be preempted now.
+	held *step
 	// late holds the sizes of runs that have ended here, and whose start may still be carried out.
 	late map[lateRun]unit.Size
 	// unknown is what runs of earlier schedulers that are not known yet may use.
@@ -375,7 +377,7 @@
 		c.noteGang(t, s, room, now)
 	}
 	if held := s.numWaiting - room; held > 0 {
-		c.preemptForTeam(plan, t, s, max(0, room), held, now)
+		c.noteUrgent(plan, t, s, now)
 		plan.TeamsHeld = true
 		t.heldTasks += held
 		t.heldAt = now
@@ -397,7 +399,7 @@
 // beginHeld starts to count the tasks that a plan holds back.
 func (c *Cell) beginHeld(now time.Time) {
 	for _, t := range c.teams {
-		t.heldTasks, t.gang = 0, nil
+		t.heldTasks, t.gang, t.held = 0, nil, nil
 		if !t.heldSince.IsZero() && now.Sub(t.heldAt) > heldLogDelay {
 			c.log.WithFields(t.logFields()).WithField("held-for", t.heldAt.Sub(t.heldSince).Round(time.Millisecond).String()).
 				Info("the cap of a team holds back no tasks any more")
--- a/cell/teamurgent.go
+++ b/cell/teamurgent.go
@@ -65,9 +65,8 @@
 	return quota.AmountOf(t.headroom().Min(share.Size().Scale(maxTeamHeadroomShare)))
 }
 
-// preemptForTeam evicts less urgent runs of a team so that n tasks of a latency-sensitive step, which the cap holds back, can start beside those for
-// which there is room.
-func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, room, n int, now time.Time) {
+// noteUrgent records a step whose tasks the cap of its team holds back, if runs of the team may be preempted for it and it comes before others.
+func (c *Cell) noteUrgent(plan *Plan, t *team, s *step, now time.Time) {
 	if !s.job.sensitive || c.preemptibleRuns[s.job.doc.Priority] == 0 {
 		return
 	}
@@ -75,6 +74,24 @@
 		plan.replanAt(next)
 		return
 	}
+	if t.held == nil || compareRanked(c.rank(s, now), c.rank(t.held, now)) < 0 {
+		t.held = s
+	}
+}
+
+// preemptForTeams evicts less urgent runs of the teams whose caps hold back latency-sensitive steps.
+func (c *Cell) preemptForTeams(plan *Plan, now time.Time) {
+	for _, t := range c.teams {
+		if t.held != nil {
+			c.preemptForTeam(plan, t, t.held, now)
+		}
+	}
+}
+
+// preemptForTeam evicts less urgent runs of a team so that the tasks of a step which the cap holds back can start beside those for which there is room.
+func (c *Cell) preemptForTeam(plan *Plan, t *team, s *step, now time.Time) {
+	room := max(0, t.room(s, t.inUseFor(s)))
+	n := s.numWaiting - room
 	t.nextPreemptAt = now.Add(teamPreemptInterval)
 	victims := c.teamVictims(t, s, now)
 	placeable := min(n, c.placeableWithout(s, victims, now)-room)
--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -202,3 +202,18 @@
 	}
 	h.c.Check(stops, qt.Equals, 6)
 }
+
+// Guards against a quick job that can be in time and waits, since quick jobs of its team that are late already are tried before it.
+func TestUrgentWorkInTimePreemptsBeforeLateWork(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	for i := range 20 {
+		late := urgentJob(fmt.Sprintf("late-%d", i), 6)
+		late.AcceptedAt = h.now.Add(-20 * time.Second)
+		h.add(late)
+	}
+	h.add(urgentJob("urgent", 6))
+	h.c.Check(h.plan().Stops, qt.HasLen, 6)
+}
