--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,134 @@
 	h.add(teamJob("a", "batch", 2, 20))
 	h.c.Assert(len(h.plan().Starts) >= 10, qt.IsTrue)
 }
+
+// Load: a team sends quick jobs again and again, and beside them one batch task that needs most of its cap. Guards against a task that never starts, as
+// the headroom for the quick jobs and the task together are larger than the cap.
+func TestHeadroomOfTeamDoesNotHoldBackLargeTask(t *testing.T) {
+	for _, cores := range []int64{14, 16} {
+		h := newCappedHarness(t)
+		batch := teamJob("a", "batch", 2, 1)
+		batch.Steps[0].Size = unit.Size{CPUMilli: cores * 1000}
+		h.add(urgentJob("urgent", 8))
+		h.c.Assert(h.plan().Starts, qt.HasLen, 8)
+		h.finishJob("urgent")
+		h.add(batch)
+		started := 0
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+			started += len(h.plan().Starts)
+		}
+		h.c.Check(started, qt.Equals, 1, qt.Commentf("task of %d cores", cores))
+	}
+}
+
+// Guards against a group whose batches start nothing, since the headroom for its quick jobs is as large as its share of the cap.
+func TestHeadroomOfTeamLeavesHalfOfShare(t *testing.T) {
+	h := newCappedHarness(t)
+	h.cell.SetTeamShares([]cell.TeamShare{{Team: "a", Share: quota.Amount{8000}, Others: quota.Amount{12_000}}})
+	h.add(urgentJob("urgent", 8))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 8)
+	h.finishJob("urgent")
+	h.advance(300 * time.Millisecond)
+	h.add(teamJob("a", "batch", 2, 20))
+	started := len(h.plan().Starts)
+	h.c.Check(started >= 4 && started <= 6, qt.IsTrue, qt.Commentf("%d tasks of the batch", started))
+}
+
+// Guards against runs of a team that are preempted again and again for a quick job which can't be placed anyway, so that they make no progress.
+func TestUrgentWorkWithoutWorkerPreemptsNothingOfItsTeam(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	urgent := urgentJob("urgent", 6)
+	urgent.Steps[0].Label = "nowhere"
+	h.add(urgent)
+	stops := 0
+	for range 30 {
+		plan := h.plan()
+		for _, stop := range plan.Stops {
+			stops++
+			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 0)
+}
+
+// Guards against runs of a team that are preempted again and again for a quick job that is late: other work of the team that can be in time comes
+// before it and takes the room.
+func TestLateUrgentWorkPreemptsNothingThatIsInTime(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 40))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	urgent := urgentJob("urgent", 6)
+	urgent.AcceptedAt = h.now.Add(-20 * time.Second)
+	h.add(urgent)
+	stops := 0
+	for range 30 {
+		plan := h.plan()
+		for _, stop := range plan.Stops {
+			stops++
+			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 0)
+}
+
+// Guards against a quick job that waits for as long as the tasks of its team run, since another one, for which there is no worker, is tried each time.
+func TestUrgentWorkWithoutWorkerDoesNotKeepOtherFromPreempting(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	for _, label := range []string{"nowhere", "nowhere", "nowhere", ""} {
+		urgent := urgentJob(fmt.Sprintf("urgent-%s-%d", label, h.now.UnixMilli()), 6)
+		urgent.Steps[0].Label = label
+		h.add(urgent)
+		h.plan()
+		h.advance(20 * time.Millisecond)
+	}
+	stops := 0
+	for range 50 {
+		stops += len(h.plan().Stops)
+		h.advance(10 * time.Millisecond)
+	}
+	h.c.Check(stops, qt.Equals, 6)
+}
+
+// Guards against a quick job that the cap holds back without another plan, if the runs of its team are too young to be preempted when it comes.
+func TestUrgentWorkIsPlannedAgainWhenRunsMayBePreempted(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(100 * time.Millisecond)
+	h.add(urgentJob("urgent", 6))
+	stops := 0
+	for range 20 {
+		plan := h.plan()
+		if stops += len(plan.Stops); stops > 0 {
+			break
+		}
+		h.c.Assert(plan.NextPlanAt.IsZero(), qt.IsFalse)
+		h.advance(plan.NextPlanAt.Sub(h.now))
+	}
+	h.c.Check(stops, qt.Equals, 6)
+}
+
+// Guards against a quick job that can be in time and waits, since quick jobs of its team that are late already are tried before it.
+func TestUrgentWorkInTimePreemptsBeforeLateWork(t *testing.T) {
+	h := newCappedHarness(t)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 20)
+	h.advance(time.Second)
+	for i := range 20 {
+		late := urgentJob(fmt.Sprintf("late-%d", i), 6)
+		late.AcceptedAt = h.now.Add(-20 * time.Second)
+		h.add(late)
+	}
+	h.add(urgentJob("urgent", 6))
+	h.c.Check(h.plan().Stops, qt.HasLen, 6)
+}
