--- a/guard/peer.go
+++ b/guard/peer.go
@@ -124,6 +124,8 @@
 	held    atomic.Int64
 	mu      sync.Mutex
 	charged bool
+	// closed says that the connection takes no charge any more.
+	closed  bool
 	account account
 }
 
@@ -145,6 +147,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	now := time.Now()
 	if !c.charged {
 		c.charged = true
@@ -178,7 +183,7 @@
 	c.l.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.charged = false
+	c.charged, c.closed = false, true
 	c.l.g.peerBudget.release(&c.account)
 	return err
 }
