Refusals for lack of memory or connections don't promise that a job never runs

They had the status 503, also for a repeated request whose first one, with a lost response, had stored the job.

--- a/guard/budget_test.go
+++ b/guard/budget_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// An evicted request used to be able to complete beside its eviction: its response would have been 503 although its job was accepted.
+// An evicted request used to be able to complete beside its eviction: its response would have been a refusal although its job was accepted.
 func TestEvictedRequestIsNeverComplete(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
--- a/guard/scan.go
+++ b/guard/scan.go
@@ -33,7 +33,8 @@
 	return fmt.Sprintf("request refused with %d: %s", e.Status, e.Cause)
 }
 
-// The errors are values, so that a refusal allocates nothing.
+// The errors are values, so that a refusal allocates nothing. None of them has the status 429 or 503: those promise that a job never runs, but the
+// guard can't know whether an earlier request with the same ID, whose response was lost, has been accepted.
 var (
 	errMalformed   = &RequestError{http.StatusBadRequest, CauseMalformed}
 	errMethod      = &RequestError{http.StatusBadRequest, CauseMethod}
@@ -41,8 +42,8 @@
 	errBody        = &RequestError{http.StatusRequestEntityTooLarge, CauseBody}
 	errHeadTimeout = &RequestError{http.StatusRequestTimeout, CauseHeadTimeout}
 	errBodyTimeout = &RequestError{http.StatusRequestTimeout, CauseBodyTimeout}
-	errMemory      = &RequestError{http.StatusServiceUnavailable, CauseMemory}
-	errConnections = &RequestError{http.StatusServiceUnavailable, CauseConnections}
+	errMemory      = &RequestError{http.StatusRequestTimeout, CauseMemory}
+	errConnections = &RequestError{http.StatusRequestTimeout, CauseConnections}
 	errNoResponse  = &RequestError{http.StatusBadRequest, CauseNoResponse}
 )
 
