Guard: the charge of a peer's connection follows its open calls exactly

What a connection holds grew with each call by the bytes around headers and messages, some 65, until no call was open on it; a peer that always had one open was cut off in the end. The end of one call returned the charge for the other open ones, until more bytes arrived.

--- a/guard/peer.go
+++ b/guard/peer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
@@ -62,7 +63,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &peerConn{Conn: nc, l: l, opened: time.Now()}
+		c := &peerConn{Conn: nc, l: l, opened: time.Now(), frames: frameCounter{left: len(http2.ClientPreface)}}
 		// gRPC may wait for handlers before it notices that the connection is closed.
 		c.account.prompt = true
 		c.account.evict = func() {
@@ -120,7 +121,9 @@
 	l      *peerListener
 	opened time.Time
 	calls  atomic.Int64
-	// held is the number of bytes that have arrived and don't belong to a call that has ended.
+	// frames is used by the goroutine that reads.
+	frames frameCounter
+	// held is the number of bytes of header blocks and messages that have arrived and don't belong to a call that has ended.
 	held    atomic.Int64
 	mu      sync.Mutex
 	charged bool
@@ -132,7 +135,7 @@
 // Read counts the bytes that arrive.
 func (c *peerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.held.Add(int64(n))
+	c.held.Add(c.frames.count(p[:n]))
 	if !c.charge() {
 		return 0, net.ErrClosed
 	}
@@ -162,15 +165,16 @@
 func (c *peerConn) release(bytes int64) {
 	if c.calls.Add(-1) == 0 {
 		c.held.Store(0)
-	} else {
-		c.held.Add(-bytes)
+	} else if c.held.Add(-bytes) < 0 {
+		c.held.Store(0)
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.charged {
 		c.charged = false
 		c.l.g.peerBudget.release(&c.account)
 	}
+	c.mu.Unlock()
+	c.charge()
 }
 
 // Close closes the connection and returns its charge.
@@ -196,7 +200,7 @@
 	callKey struct{}
 )
 
-// call is a call on a connection of a peer, with the bytes of its messages.
+// call is a call on a connection of a peer, with the bytes of its headers and messages.
 type call struct {
 	conn  *peerConn
 	bytes int64
@@ -237,6 +241,8 @@
 		// Calls of unknown methods have neither a beginning nor an end.
 		c.conn.calls.Add(1)
 		c.conn.charge()
+	case *stats.InHeader:
+		c.bytes += int64(s.WireLength)
 	case *stats.InPayload:
 		c.bytes += int64(s.WireLength)
 	case *stats.End:
