--- a/guard/guard.go
+++ b/guard/guard.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
@@ -40,8 +41,6 @@
 	// closed is signalled after each closed connection.
 	closed *sync.Cond
 	conns  map[net.Conn]*conn
-	// tls holds the connections with TLS by remote address.
-	tls    map[string]*conn
 	places []*place
 	peers  []*peerListener
 
@@ -61,7 +60,7 @@
 
 // New returns a guard with limits that can be changed later.
 func New(sizes Sizes, limits Limits, onEnd func(Cause), log logrus.FieldLogger) *Guard {
-	g := &Guard{onEnd: onEnd, log: log, lingerTime: lingerTime, conns: map[net.Conn]*conn{}, tls: map[string]*conn{}}
+	g := &Guard{onEnd: onEnd, log: log, lingerTime: lingerTime, conns: map[net.Conn]*conn{}}
 	g.closed = sync.NewCond(&g.mu)
 	g.budget = newBudget(sizes.BudgetBytes, g.noteRefusal)
 	g.peerBudget = newBudget(sizes.PeerBytes, g.noteRefusal)
@@ -157,16 +156,21 @@
 	if c := g.conns[nb.Conn]; c != nil {
 		// The engine's connections are never closed to make room for others, since what they do isn't known.
 		c.stage.Store(stageHandling)
-		g.tls[c.RemoteAddr().String()] = c
 	}
 }
 
-// OnCloseTLS forgets a connection of OnOpenTLS.
+// OnCloseTLS forgets a connection of OnOpenTLS. Its remote address does not identify it, as the next connection may come from the same one.
 func (g *Guard) OnCloseTLS(nc net.Conn) {
-	key := nc.RemoteAddr().String()
+	nb, ok := nc.(*nbhttp.Conn)
+	if !ok {
+		return
+	}
+	tlsConn, ok := nb.Conn.(*tls.Conn)
+	if !ok {
+		return
+	}
 	g.mu.Lock()
-	c := g.tls[key]
-	delete(g.tls, key)
+	c := g.conns[tlsConn.Conn()]
 	g.mu.Unlock()
 	if c != nil {
 		c.closeSocket()
