--- a/guard/conn.go
+++ b/guard/conn.go
@@ -15,7 +15,7 @@
 
 // Times and sizes of connections.
 const (
-	// writeTimeout bounds how long a client may take to read a response, or a piece of 64 kB of it.
+	// writeTimeout is the default of Guard.writeTime.
 	writeTimeout = 20 * time.Second
 	// refusalWriteTimeout bounds writing a refusal, which fits into the socket's buffer unless the client reads nothing.
 	refusalWriteTimeout = 100 * time.Millisecond
@@ -106,11 +106,16 @@
 // SetDeadline does nothing, since the connection sets its own deadlines.
 func (c *conn) SetDeadline(time.Time) error { return nil }
 
-// Write writes part of a response.
+// Write writes part of a response. If the client doesn't read it in time, the connection is closed: the engine goes on after some failed writes, and
+// the next response would be taken for the rest of this one.
 func (c *conn) Write(p []byte) (int, error) {
 	c.wrote = true
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return c.TCPConn.Write(p)
+	_ = c.SetWriteDeadline(time.Now().Add(c.g.writeTime))
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		_ = c.TCPConn.Close()
+	}
+	return n, err
 }
 
 // Read passes bytes on to the engine's parser, at most up to the end of a request. When it is called, the parser has used all bytes before,
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -36,6 +36,8 @@
 	log   logrus.FieldLogger
 	// lingerTime is how long what a client sends after a refusal is dropped.
 	lingerTime time.Duration
+	// writeTime bounds how long a client may take to read a response, or a piece of 64 kB of it.
+	writeTime time.Duration
 
 	mu sync.Mutex
 	// closed is signalled after each closed connection.
@@ -60,7 +62,7 @@
 
 // New returns a guard with limits that can be changed later.
 func New(sizes Sizes, limits Limits, onEnd func(Cause), log logrus.FieldLogger) *Guard {
-	g := &Guard{onEnd: onEnd, log: log, lingerTime: lingerTime, conns: map[net.Conn]*conn{}}
+	g := &Guard{onEnd: onEnd, log: log, lingerTime: lingerTime, writeTime: writeTimeout, conns: map[net.Conn]*conn{}}
 	g.closed = sync.NewCond(&g.mu)
 	g.budget = newBudget(sizes.BudgetBytes, g.noteRefusal)
 	g.peerBudget = newBudget(sizes.PeerBytes, g.noteRefusal)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -77,12 +77,20 @@
 	return s
 }
 
+// largeBody is the length of a response that no socket's buffer takes.
+const largeBody = 64 << 20
+
 // ServeHTTP echoes the body's length.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.entered <- r.URL.Path
 	if r.URL.Path == "/held" {
 		<-s.release
 	}
+	if r.URL.Path == "/large" {
+		w.Header().Set("Content-Length", strconv.Itoa(largeBody))
+		_, _ = w.Write(make([]byte, largeBody))
+		return
+	}
 	n, _ := io.Copy(io.Discard, r.Body)
 	text := strconv.Itoa(int(n))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -300,6 +308,21 @@
 	}
 }
 
+// A response that the client doesn't read in time is cut off; what followed it on the connection would be taken for the rest of it.
+func TestNothingFollowsResponseThatWasCutOff(t *testing.T) {
+	s := startServer(t, roomySizes, Limits{}, false)
+	s.guard.writeTime = 50 * time.Millisecond
+	conn, in := s.dial()
+	_, err := io.WriteString(conn, "GET /large HTTP/1.1\r\n\r\n"+getHead+"\r\n")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(<-s.entered, qt.Equals, "/large")
+	time.Sleep(10 * s.guard.writeTime)
+	raw, _ := io.ReadAll(in)
+	s.c.Assert(len(raw) < largeBody, qt.IsTrue)
+	s.c.Assert(strings.Count(string(raw), "HTTP/1.1"), qt.Equals, 1)
+	s.c.Assert(s.entered, qt.HasLen, 0)
+}
+
 // The body of a refused request used to stay in memory for as long as the refusal was being read: 900 clients took 153 MB of 144.
 func TestRefusedRequestKeepsNoBody(t *testing.T) {
 	collected := make(chan bool)
