Count headroom and a waiting gang's room once against a team's half of the cap

Work of a team that used less than half of its cap was held back while a gang waited, as the headroom for quick jobs was subtracted from the half that is always left to other work.

--- a/cell/team.go
+++ b/cell/team.go
@@ -270,8 +270,7 @@
 	if t == nil {
 		return unlimitedRoom
 	}
-	used := t.inUseFor(s)
-	return t.roomBesideGang(s, used, t.room(s, used))
+	return t.roomBesideGang(s, t.inUse(), t.room(s, t.inUseFor(s)))
 }
 
 // roomBesideGang returns how many of a number of tasks of a step may start beside a more urgent gang that waits: each place that becomes free would go
@@ -332,15 +331,16 @@
 	if t == nil || s.doc.Gang {
 		return n
 	}
-	used := t.inUseFor(s)
+	inUse, used := t.inUse(), t.inUseFor(s)
 	for other, p := range t.promises {
 		if size := quota.AmountOf(p.size); other != s && now.Sub(p.since) < promiseTTL {
 			for i := range used {
+				inUse[i] += size[i]
 				used[i] += size[i]
 			}
 		}
 	}
-	n = min(n, t.roomBesideGang(s, used, t.room(s, used)))
+	n = min(n, t.roomBesideGang(s, inUse, t.room(s, used)))
 	if n <= 0 {
 		return 0
 	}
--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -217,3 +217,22 @@
 	h.add(urgentJob("urgent", 6))
 	h.c.Check(h.plan().Stops, qt.HasLen, 6)
 }
+
+// Guards against a batch that is held back below half of its team's cap, since both the headroom for quick jobs and the room for a gang are subtracted.
+func TestWaitingGangAndHeadroomLeaveHalfOfCap(t *testing.T) {
+	h := newCappedHarness(t)
+	h.cell.SetTeamShares([]cell.TeamShare{{Team: "a", Share: quota.Amount{15_000}, Others: quota.Amount{5000}}})
+	h.add(urgentJob("urgent", 8))
+	h.c.Assert(h.plan().Starts, qt.HasLen, 8)
+	h.finishJob("urgent")
+	h.advance(300 * time.Millisecond)
+	lasting := teamJob("a", "lasting", 1, 6)
+	lasting.Steps[0].LongRunning = true
+	h.add(lasting)
+	h.c.Assert(h.plan().Starts, qt.HasLen, 6)
+	gang := teamJob("a", "gang", 1, 3)
+	gang.Steps[0].Gang, gang.Steps[0].Size = true, unit.Size{CPUMilli: 5000}
+	h.add(gang)
+	h.add(teamJob("a", "batch", 2, 20))
+	h.c.Check(startedJobs(h.plan()), qt.DeepEquals, []string{"batch", "batch", "batch"})
+}
