--- a/cell/team.go
+++ b/cell/team.go
@@ -127,11 +127,25 @@
 				t.count(p, 1)
 			}
 		}
+		for key := range w.toFence {
+			c.addLate(t, w, key)
+		}
+		for key := range w.unansweredStarts {
+			c.addLate(t, w, key)
+		}
 	}
 	c.teams[name] = t
 	return t
 }
 
+// addLate counts a run whose start may still be carried out as used by a new team, if it is one of the team's and has ended here.
+func (c *Cell) addLate(t *team, w *worker, key runKey) {
+	j := c.jobs[key.task.Job]
+	if _, placed := w.placements[key]; !placed && j != nil && j.doc.Team == t.name && key.task.Step < len(j.doc.Steps) {
+		t.late[lateRun{w, key}] = j.doc.Steps[key.task.Step].Size
+	}
+}
+
 // teamOf returns the team of a step's job if it has a cap, or nil.
 func (c *Cell) teamOf(s *step) *team {
 	if len(c.teams) == 0 || s.job.doc.Team == "" {
--- a/cell/teamcap_test.go
+++ b/cell/teamcap_test.go
@@ -335,3 +335,18 @@
 		})
 	}
 }
+
+// Guards against a cap that is added while the start of a run that has ended here may still be carried out: the run would not count.
+func TestAddedCapCountsStartsThatMayBeCarriedOutLate(t *testing.T) {
+	h := newHarness(t, 2, 8)
+	h.add(ofTeam(shortJob("a", 1), 0))
+	plan := h.plan()
+	h.c.Assert(plan.Starts, qt.HasLen, 1)
+	o := plan.Starts[0]
+	h.cell.Started(o, cell.StartResult{Sent: h.now, Err: errNoAnswer, Unanswered: 1}, h.now)
+	h.finish(o.Worker.ID, o.Order.Task, order.EndDone)
+	h.advance(time.Second)
+	h.capTeam(10, 10, 0)
+	h.plan()
+	h.c.Check(h.usedCPU(), qt.Equals, int64(1000))
+}
