--- a/cell/team.go
+++ b/cell/team.go
@@ -127,11 +127,25 @@
 				t.count(p, 1)
 			}
 		}
+		for key := range w.toFence {
+			c.addLate(t, w, key)
+		}
+		for key := range w.unansweredStarts {
+			c.addLate(t, w, key)
+		}
 	}
 	c.teams[name] = t
 	return t
 }
 
+// addLate counts a run whose start may still be carried out as used by a new team, if it is one of the team's and has ended here.
+func (c *Cell) addLate(t *team, w *worker, key runKey) {
+	j := c.jobs[key.task.Job]
+	if _, placed := w.placements[key]; !placed && j != nil && j.doc.Team == t.name && key.task.Step < len(j.doc.Steps) {
+		t.late[lateRun{w, key}] = j.doc.Steps[key.task.Step].Size
+	}
+}
+
 // teamOf returns the team of a step's job if it has a cap, or nil.
 func (c *Cell) teamOf(s *step) *team {
 	if len(c.teams) == 0 || s.job.doc.Team == "" {
@@ -270,8 +284,7 @@
 	if t == nil {
 		return unlimitedRoom
 	}
-	used := t.inUseFor(s)
-	return t.roomBesideGang(s, used, t.room(s, used))
+	return t.roomBesideGang(s, t.inUse(), t.room(s, t.inUseFor(s)))
 }
 
 // roomBesideGang returns how many of a number of tasks of a step may start beside a more urgent gang that waits: each place that becomes free would go
@@ -332,15 +345,16 @@
 	if t == nil || s.doc.Gang {
 		return n
 	}
-	used := t.inUseFor(s)
+	inUse, used := t.inUse(), t.inUseFor(s)
 	for other, p := range t.promises {
 		if size := quota.AmountOf(p.size); other != s && now.Sub(p.since) < promiseTTL {
 			for i := range used {
+				inUse[i] += size[i]
 				used[i] += size[i]
 			}
 		}
 	}
-	n = min(n, t.roomBesideGang(s, used, t.room(s, used)))
+	n = min(n, t.roomBesideGang(s, inUse, t.room(s, used)))
 	if n <= 0 {
 		return 0
 	}
