--- a/guard/tls_test.go
+++ b/guard/tls_test.go
@@ -1,7 +1,9 @@
 package guard
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,22 +22,33 @@
 	l, err := g.listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer l.Close()
-	var from net.Addr
-	connect := func() (client, server net.Conn) {
+	connect := func(from net.Addr) (client, server net.Conn, err error) {
 		dialer := net.Dialer{LocalAddr: from}
-		client, err := dialer.Dial("tcp", l.Addr().String())
-		c.Assert(err, qt.IsNil)
-		from = client.LocalAddr()
+		if client, err = dialer.Dial("tcp", l.Addr().String()); err != nil {
+			return nil, nil, err
+		}
 		server, err = l.Accept()
 		c.Assert(err, qt.IsNil)
-		g.OnOpenTLS(&nbhttp.Conn{Conn: server})
-		return client, server
+		return client, server, nil
+	}
+	var server1, client2, server2 net.Conn
+	for client2 == nil {
+		client1, server, err := connect(nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(client1.(*net.TCPConn).SetLinger(0), qt.IsNil)
+		c.Assert(client1.Close(), qt.IsNil)
+		server1 = server
+		// Another process may have taken the port meanwhile.
+		if client2, server2, err = connect(client1.LocalAddr()); err != nil {
+			c.Assert(errors.Is(err, syscall.EADDRINUSE), qt.IsTrue, qt.Commentf("%v", err))
+			client2 = nil
+			g.OnOpenTLS(&nbhttp.Conn{Conn: server})
+			g.OnCloseTLS(&nbhttp.Conn{Conn: tls.NewConn(server, nil, false, true)})
+		}
 	}
-	client1, server1 := connect()
-	c.Assert(client1.(*net.TCPConn).SetLinger(0), qt.IsNil)
-	c.Assert(client1.Close(), qt.IsNil)
-	client2, server2 := connect()
 	defer client2.Close()
+	g.OnOpenTLS(&nbhttp.Conn{Conn: server1})
+	g.OnOpenTLS(&nbhttp.Conn{Conn: server2})
 	c.Assert(g.Open("test"), qt.Equals, 2)
 	g.OnCloseTLS(&nbhttp.Conn{Conn: tls.NewConn(server1, nil, false, true)})
 	c.Assert(g.Open("test"), qt.Equals, 1)
