--- a/guard/tls_test.go
+++ b/guard/tls_test.go
@@ -1,7 +1,9 @@
 package guard
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +26,11 @@
 	connect := func() (client, server net.Conn) {
 		dialer := net.Dialer{LocalAddr: from}
 		client, err := dialer.Dial("tcp", l.Addr().String())
+		for deadline := time.Now().Add(10 * time.Second); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(deadline); {
+			// The kernel frees the address of a closed connection a little later.
+			time.Sleep(time.Millisecond)
+			client, err = dialer.Dial("tcp", l.Addr().String())
+		}
 		c.Assert(err, qt.IsNil)
 		from = client.LocalAddr()
 		server, err = l.Accept()
