--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,6 +79,7 @@
 	advisors   *advisorBalancer
 	groups     *groups
 	front      *platform.Front
+	intake     *intake.Intake
 	engine     *nbhttp.Engine
 	guard      *guard.Guard
 	grpcServer *grpc.Server
@@ -112,9 +113,9 @@
 	a.registry = &platform.Registry{Store: a.store, Log: log}
 	a.config = &platform.ConfigFollower{Store: a.store, Log: log}
 	a.advisors = newAdvisorBalancer(s.Name, a.advisor, a.hosts)
+	a.intake = &intake.Intake{Store: a.store, Health: a.health, Recheck: a.relay.Check, Groups: a.groups, Log: log}
 	a.front = &platform.Front{
-		Jobs:   &intake.Intake{Store: a.store, Health: a.health, Recheck: a.relay.Check, Groups: a.groups, Log: log},
-		Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes, Reserve: a.guard.Budget().Reserve,
+		Jobs: a.intake, Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes, Reserve: a.guard.Budget().Reserve,
 		OnRefusal:   func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() },
 		OnSubmitted: a.countSubmitted, Log: log,
 	}
@@ -222,6 +223,10 @@
 		a.metrics.ServeHTTP(w, r)
 		return
 	}
+	if r.URL.Path == WherePath && a.arrivedAtMetrics(w) {
+		a.serveWhere(w, r)
+		return
+	}
 	start := time.Now()
 	a.front.ServeHTTP(w, r)
 	a.metrics.durations.WithLabelValues("request-" + strings.ToLower(r.Method)).Observe(time.Since(start).Seconds())
--- a/cell/index.go
+++ b/cell/index.go
@@ -76,15 +76,28 @@
 }
 
 // mayGetWork reports whether a worker may get any work.
-func (c *Cell) mayGetWork(w *worker, now time.Time) bool {
+func (c *Cell) mayGetWork(w *worker, now time.Time) bool { return c.barred(w, now) == "" }
+
+// barred returns why a worker may not get any work; empty if it may.
+func (c *Cell) barred(w *worker, now time.Time) WorkerReason {
 	switch {
-	case !w.listed || !w.isEntryCurrent() || w.info.Draining || !w.recorded || c.unrenewedWorkers[w.info.ID]:
-		return false
-	case !w.polled || c.isSuspect(w) || now.Before(w.quarantinedUntil):
-		return false
-	default:
+	case !w.listed:
+		return WorkerLeft
+	case w.info.Draining:
+		return WorkerDraining
+	case !w.isEntryCurrent() || !w.polled:
+		return WorkerUnpolled
+	case !w.recorded || c.unrenewedWorkers[w.info.ID]:
+		return WorkerUnrecorded
+	case c.isSuspect(w):
+		return WorkerSuspected
+	case now.Before(w.quarantinedUntil):
+		return WorkerQuarantined
+	case len(w.unknownRuns) > 0 || len(w.toFence) > 0 || now.Before(w.lateAckUntil):
 		// It must run nothing that is not known, and must not drop the ends of new runs for a late acknowledgement.
-		return len(w.unknownRuns) == 0 && len(w.toFence) == 0 && !now.Before(w.lateAckUntil)
+		return WorkerUnsettled
+	default:
+		return ""
 	}
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -276,8 +276,20 @@
 }
 
 // checkWritable returns the refusal of a call that is known not to be able to change the table in time, or nil.
-func (i *Intake) checkWritable(ctx context.Context) error {
-	if !i.Health.Reachable(time.Now()) && (i.Recheck == nil || !i.Recheck(ctx)) {
+func (i *Intake) checkWritable(ctx context.Context) error { return i.checkTable(ctx, i.Recheck) }
+
+// Refusal returns how a job that is submitted now would be refused for the state of the table, or nil. Unlike Submit, it doesn't try whether a table
+// that did not answer does so by now.
+func (i *Intake) Refusal(ctx context.Context) *RefusedError {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	var refused *RefusedError
+	errors.As(i.checkTable(ctx, nil), &refused)
+	return refused
+}
+
+func (i *Intake) checkTable(ctx context.Context, recheck func(ctx context.Context) bool) error {
+	if !i.Health.Reachable(time.Now()) && (recheck == nil || !recheck(ctx)) {
 		return i.unreachableError(&table.RefusedError{Op: "commit"})
 	}
 	return i.slowTableError(ctx)
