--- a/cell/explain.go
+++ b/cell/explain.go
@@ -46,6 +46,7 @@
 	StepNotDue         StepReason = "not-due"
 	StepTeamCap        StepReason = "team-cap"
 	StepTeamShare      StepReason = "team-share"
+	StepTeamGang       StepReason = "team-gang"
 	StepAwaitsReports  StepReason = "awaits-reports"
 	StepRecord         StepReason = "record"
 	StepRetryDelay     StepReason = "retry-delay"
@@ -353,13 +354,17 @@
 	return reason, until
 }
 
-// teamReason tells the cap of a step's team from the group's share of it, and until when the next run of the team ends here.
+// teamReason returns how the cap of its team holds back a step, and when the next run of the team is expected to end here.
 func (x *explainer) teamReason(s *step) (StepReason, time.Time) {
 	t := x.c.teamOf(s)
 	used := t.inUseFor(s)
 	reason := StepTeamShare
-	// With the whole cap as its share, the group could still not start a task.
-	if quota.Room(quota.AmountOf(s.doc.Size), used, t.cap, quota.Amount{}, t.cap, int64(s.doc.Count), s.doc.Gang) == 0 {
+	switch {
+	case t.room(s, used) > 0:
+		// The room is left to a gang of the team that comes first.
+		reason = StepTeamGang
+	case quota.Room(quota.AmountOf(s.doc.Size), used, t.cap, quota.Amount{}, t.cap, int64(s.doc.Count), s.doc.Gang) == 0:
+		// With the whole cap as its share, the group could still not start a task.
 		reason = StepTeamCap
 	}
 	var until time.Time
--- a/cell/explain_test.go
+++ b/cell/explain_test.go
@@ -210,6 +210,20 @@
 			h.plan()
 			h.add(ofTeam(shortJob("s", 1), 0))
 		}, 500 * time.Millisecond},
+		{cell.StepTeamGang, func(h *harness) {
+			h.capTeam(4, 4, 0)
+			batch := ofTeam(longJob(9), 2)
+			batch.ID = "s"
+			h.add(batch)
+			started := h.plan().Starts
+			gang := ofTeam(shortJob("gang", 2), 1)
+			gang.Steps[0].Gang, gang.Steps[0].Size, gang.Steps[0].Estimate = true, unit.Size{CPUMilli: 2000}, 10*time.Second
+			h.add(gang)
+			h.finish("w0", started[0].Order.Task, order.EndDone)
+			h.pollAll()
+			h.plan()
+			// The run that ended at once counts half for the expected time of the others.
+		}, 10 * time.Second},
 		{cell.StepAwaitsReports, func(h *harness) {
 			h.cell.AwaitReports()
 			doc := shortJob("s", 1)
