--- a/runner/caps_test.go
+++ b/runner/caps_test.go
@@ -649,12 +649,21 @@
 func TestCapLeavesNoCapacityIdle(t *testing.T) {
 	for _, seed := range seedRange(qt.New(t), capSeeds[:24]) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testIdleCap(t, seed) })
+			synctest.Test(t, func(t *testing.T) { testIdleCap(t, seed, (*capNet).submitSized) })
 		})
 	}
 }
 
-func testIdleCap(t *testing.T, seed uint64) {
+// Guards against the same where the headroom for a team's quick jobs holds back its other tasks.
+func TestHeadroomLeavesNoCapacityIdle(t *testing.T) {
+	for _, seed := range seedRange(qt.New(t), capSeeds[:12]) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testIdleCap(t, seed, (*capNet).submitMixed) })
+		})
+	}
+}
+
+func testIdleCap(t *testing.T, seed uint64, submit func(n *capNet, rng *rand.Rand, group int)) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 11))
 	caps := map[string]unit.Size{
@@ -684,7 +693,7 @@
 					group = rng.IntN(numGroups)
 				}
 			}
-			n.submitSized(rng, group)
+			submit(n, rng, group)
 		}
 		for group := range numGroups {
 			n.checkIdle(group, heldSince)
@@ -697,6 +706,21 @@
 
 // submitSized submits tasks, or a gang of at most half of its team's cap.
 func (n *capNet) submitSized(rng *rand.Rand, group int) {
+	team, step := n.randomStep(rng)
+	n.submit(group, team, rng.IntN(3), step)
+}
+
+// submitMixed does the same, but half of the jobs are not latency-sensitive, and some of these may be preempted.
+func (n *capNet) submitMixed(rng *rand.Rand, group int) {
+	team, step := n.randomStep(rng)
+	if rng.IntN(2) == 0 {
+		step.Estimate, step.Checkpoint = 5*time.Second, rng.IntN(2) == 0
+	}
+	n.submit(group, team, rng.IntN(3), step)
+}
+
+// randomStep returns a step for submitSized and its team.
+func (n *capNet) randomStep(rng *rand.Rand) (string, graph.Step) {
 	team := []string{"red", "blue"}[rng.IntN(2)]
 	step := graph.Step{Count: 1 + rng.IntN(24), Size: cores(1 + rng.Int64N(4))}
 	if rng.IntN(6) == 0 {
@@ -704,7 +728,7 @@
 		step.Size = cores(max(1, n.caps[team].CPUMilli/4000))
 		step.Size.CPUMilli = min(step.Size.CPUMilli, 12_000)
 	}
-	n.submit(group, team, rng.IntN(3), step)
+	return team, step
 }
 
 // checkIdle checks whether a group holds back tasks of a team for too long; heldSince holds since when it does.
