Serve metrics by the address of the connection, not by the Host header

A client that sent the metrics port in its Host header to the address for clients got the host's metrics.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"runtime/debug"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -219,7 +218,7 @@
 		// Makes the library close the connection after the response.
 		r.Close = true
 	}
-	if r.URL.Path == metricsPath && strings.HasSuffix(r.Host, ":"+strconv.Itoa(int(a.metricsAddress().Port()))) {
+	if r.URL.Path == metricsPath && a.arrivedAtMetrics(w) {
 		a.metrics.ServeHTTP(w, r)
 		return
 	}
