--- a/cell/teamurgent_test.go
+++ b/cell/teamurgent_test.go
@@ -120,6 +120,19 @@
 	h.c.Check(started >= 4 && started <= 6, qt.IsTrue, qt.Commentf("%d tasks of the batch", started))
 }
 
+// countStops returns how many runs are stopped within 3 s, each of which ends at once.
+func countStops(h *harness) int {
+	stops := 0
+	for range 30 {
+		for _, stop := range h.plan().Stops {
+			stops++
+			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	return stops
+}
+
 // Guards against runs of a team that are preempted again and again for a quick job which can't be placed anyway, so that they make no progress.
 func TestUrgentWorkWithoutWorkerPreemptsNothingOfItsTeam(t *testing.T) {
 	h := newCappedHarness(t)
@@ -129,16 +142,7 @@
 	urgent := urgentJob("urgent", 6)
 	urgent.Steps[0].Label = "nowhere"
 	h.add(urgent)
-	stops := 0
-	for range 30 {
-		plan := h.plan()
-		for _, stop := range plan.Stops {
-			stops++
-			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
-		}
-		h.advance(100 * time.Millisecond)
-	}
-	h.c.Check(stops, qt.Equals, 0)
+	h.c.Check(countStops(h), qt.Equals, 0)
 }
 
 // Guards against runs of a team that are preempted again and again for a quick job that is late: other work of the team that can be in time comes
@@ -151,16 +155,7 @@
 	urgent := urgentJob("urgent", 6)
 	urgent.AcceptedAt = h.now.Add(-20 * time.Second)
 	h.add(urgent)
-	stops := 0
-	for range 30 {
-		plan := h.plan()
-		for _, stop := range plan.Stops {
-			stops++
-			h.finish(stop.Worker.ID, stop.Order.Task, order.EndStopped)
-		}
-		h.advance(100 * time.Millisecond)
-	}
-	h.c.Check(stops, qt.Equals, 0)
+	h.c.Check(countStops(h), qt.Equals, 0)
 }
 
 // Guards against a quick job that waits for as long as the tasks of its team run, since another one, for which there is no worker, is tried each time.
--- a/runner/table_outage_test.go
+++ b/runner/table_outage_test.go
@@ -40,14 +40,7 @@
 // placed again every 50 ms, thousands of times a second. Load: 600 tasks of 0.3 s, four at a time on each of two workers.
 func TestStartsWaitForOldConnectionsWhileLeaseIsStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(1)
-		n.workers.Outcome = fixedDuration(shortRun)
-		h := n.findHost("host0")
-		n.submitTasks(t)
-		for n.workers.NumStarts() < 20 {
-			time.Sleep(time.Millisecond)
-		}
-		h.setTableFault(fakes.TableUnavailable)
+		n, h := newOutage(t)
 		time.Sleep(elect.FreshTimeout + 100*time.Millisecond)
 		h.keepConns(1)
 		before, notSent := n.workers.NumStarts(), h.notSent()
@@ -67,14 +60,7 @@
 // task, and must get them at once after that. Load: 600 tasks of 0.3 s on two workers, one of which has lost its connections.
 func TestWorkerWithoutOldConnectionGetsNoStartsWhileLeaseIsStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(1)
-		n.workers.Outcome = fixedDuration(shortRun)
-		h := n.findHost("host0")
-		n.submitTasks(t)
-		for n.workers.NumStarts() < 20 {
-			time.Sleep(time.Millisecond)
-		}
-		h.setTableFault(fakes.TableUnavailable)
+		n, h := newOutage(t)
 		time.Sleep(elect.FreshTimeout + 100*time.Millisecond)
 		h.closeConns("w1")
 		time.Sleep(shortRun)
@@ -90,6 +76,20 @@
 	})
 }
 
+// newOutage returns a network whose host runs 600 tasks of 0.3 s and has just lost the table.
+func newOutage(t *testing.T) (*network, *host) {
+	t.Helper()
+	n := newNetwork(1)
+	n.workers.Outcome = fixedDuration(shortRun)
+	h := n.findHost("host0")
+	n.submitTasks(t)
+	for n.workers.NumStarts() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	h.setTableFault(fakes.TableUnavailable)
+	return n, h
+}
+
 // keepConns closes all but the first n connections to each worker.
 func (h *host) keepConns(n int) {
 	h.mu.Lock()
@@ -117,14 +117,7 @@
 // 150 ms after the table had answered a probe, and that of a commit up to 100 ms after the renewal. Load: 600 tasks of 0.3 s, an outage of 4 s.
 func TestLeaseIsRenewedAsSoonAsTableAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(1)
-		n.workers.Outcome = fixedDuration(shortRun)
-		h := n.findHost("host0")
-		n.submitTasks(t)
-		for n.workers.NumStarts() < 20 {
-			time.Sleep(time.Millisecond)
-		}
-		h.setTableFault(fakes.TableUnavailable)
+		n, h := newOutage(t)
 		for i := range 10 {
 			time.Sleep(4*time.Second + time.Duration(i)*17*time.Millisecond)
 			r := h.currentRunner()
@@ -147,14 +140,7 @@
 // would run twice. Load: 600 tasks of 0.3 s; all connections are in use from a lease age of 5.5 to one of 6.05 s.
 func TestStartThatWaitsIsNotSentAfterOrdersMustEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(1)
-		n.workers.Outcome = fixedDuration(shortRun)
-		h := n.findHost("host0")
-		n.submitTasks(t)
-		for n.workers.NumStarts() < 20 {
-			time.Sleep(time.Millisecond)
-		}
-		h.setTableFault(fakes.TableUnavailable)
+		n, h := newOutage(t)
 		r := h.currentRunner()
 		for r.LeaseAge() < elect.HoldTimeout-500*time.Millisecond {
 			time.Sleep(time.Millisecond)
