--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: setup try test build lint race soak measure bench fuzz proto
+.PHONY: setup try test build lint race soak measure bench fuzz proto crowd
 
 setup:
 	go mod download
@@ -8,7 +8,7 @@
 try: build
 	./bin/corianderdrift try
 
-test: build lint race
+test: build lint crowd race
 
 build:
 	go build -o bin/corianderdrift .
@@ -19,10 +19,17 @@
 
 # The tests that KNOWN-RED.txt lists are passed over and printed.
 RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+RED_PATTERN := ^($(if $(RED),$(RED),none))$$
+
+# The tests with crowds of clients measure the memory of a process. They run one at a time and apart from the others.
+CROWD_PATTERN := Crowd|^TestLargestJobIsAcceptedInCalm$$
+
+crowd:
+	go test -race -count=1 -parallel 1 -timeout 12m -run '$(CROWD_PATTERN)' -skip '$(RED_PATTERN)' ./platform
 
 race:
 	@if [ -n "$(RED)" ]; then cat KNOWN-RED.txt; fi
-	go test -race -parallel 4 -timeout 12m $(if $(RED),-skip '^($(RED))$$') ./...
+	go test -race -parallel 4 -timeout 12m -skip '$(RED_PATTERN)|$(CROWD_PATTERN)' ./...
 
 SEED ?= 2
 SECONDS ?= 120
