Guard: socket buffers and queues of connections that follow from the host's memory

What callers saw: hosts that ended for lack of memory beside clients that don't read their responses, or while a host stood still. Memory counts what has been received and not read, and the kernel lets a connection keep megabytes of that, also one that nobody has accepted yet (the queue took 4,096). The guard's sizes counted none of it.

Cause: the reader of a connection is the goroutine that handles its requests. While it writes a response that isn't read, or while the process is frozen, the socket fills up to what the kernel allows.

Change: listeners set the buffers of their connections and the length of their queue; a seventh of the memory is set aside for these, and the number of connections follows from it. Go's soft limit leaves room for the program's code, the sockets, and what the runtime exceeds the limit by under load (20 MiB of 60 were measured beside other work). The addresses for metrics and readiness have at most 32 connections, that of peers as many as the memory allows, but 128 at the most. On 144 MB there are 256 connections of clients (1,024 before), on 284 MB 1,048 (2,048 before).

Why it works: what a connection can take is now bounded at each of its stages, the kernel's included, and the bounds add up to the memory.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -180,11 +179,10 @@
 
 func (a *Agent) listen(ctx context.Context) error {
 	logging.SetLevel(logging.LevelError)
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.peerAddress().String())
+	l, err := a.guard.ListenPeers(ctx, a.peerAddress().String(), a.sizes().PeerConnections)
 	if err != nil {
 		return fmt.Errorf("listen for peer hosts: %w", err)
 	}
-	l = a.guard.ListenPeers(l, a.sizes().SideConnections)
 	a.grpcServer = grpc.NewServer(append(a.guard.PeerServerOptions(),
 		grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	cellpb.RegisterCellsServer(a.grpcServer, &peerServer{a: a})
--- a/front/server.go
+++ b/front/server.go
@@ -188,8 +188,7 @@
 	if memory == 0 {
 		memory = unknownMemoryMiB
 	}
-	sizes := guard.SizesOf(int64(memory)<<20, 0)
-	sizes.Connections = min(set.MaxConnections, guard.ConnectionsFor(int64(memory)<<20))
+	sizes := guard.SizesFor(int64(memory)<<20, set.MaxConnections)
 	limits := guard.Limits{
 		HeadBytes: set.MaxHeaderBytes, BodyBytes: set.MaxBodyBytes, HeadTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout,
 	}
--- a/guard/budget_test.go
+++ b/guard/budget_test.go
@@ -169,7 +169,7 @@
 				c.Assert(sizes.GoBytes < test.memoryMiB<<20, qt.IsTrue)
 			}
 			if test.descriptors > 0 {
-				c.Assert(sizes.Connections+3*sizes.SideConnections < test.descriptors, qt.IsTrue)
+				c.Assert(sizes.Connections+2*sizes.SideConnections+sizes.PeerConnections < test.descriptors, qt.IsTrue)
 			}
 		})
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -180,16 +180,21 @@
 }
 
 func (g *Guard) listen(network, address string) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), network, address)
-	if err != nil {
-		return nil, err
-	}
+	place := &place{address: address, maxConns: minListenerConns}
 	for _, p := range g.places {
 		if p.address == address {
-			return &listener{Listener: l, g: g, place: p}, nil
+			place = p
 		}
 	}
-	return &listener{Listener: l, g: g, place: &place{address: address, maxConns: minListenerConns}}, nil
+	buffers := clientBuffers
+	if place.side {
+		buffers = sideBuffers
+	}
+	l, err := listenTCP(context.Background(), network, address, buffers)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: l, g: g, place: place}, nil
 }
 
 const (
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -72,13 +72,14 @@
 
 // Sizes are the bounds of a process that follow from the resources of its host.
 type Sizes struct {
-	// BudgetBytes bounds what clients' requests take together, and PeerBytes what peers' calls take.
+	// BudgetBytes bounds what clients' requests take together and PeerBytes what peers' calls take.
 	BudgetBytes int64
 	PeerBytes   int64
-	// Connections bounds the clients' connections, and SideConnections those at each of the addresses for metrics, readiness checks and
-	// peers.
+	// Connections bounds the clients' connections, SideConnections those at each of the addresses for metrics and readiness checks, and
+	// PeerConnections those of peers.
 	Connections     int
 	SideConnections int
+	PeerConnections int
 	// GoBytes is the soft limit of the Go runtime's memory.
 	GoBytes int64
 }
@@ -89,35 +90,55 @@
 	DefaultDescriptors = 4096
 )
 
-// connPart says that a quarter of what is spare is for connections.
-const connPart = 4
+// Parts of a host's memory.
+const (
+	// ownBytes is what the program takes without clients on the largest deployment: 60 to 80 MB were measured.
+	ownBytes = 80 << 20
+	// programBytes is the part of it that is not Go's: the program's code and data.
+	programBytes = 28 << 20
+	// socketPart is the part for what the kernel keeps of connections.
+	socketPart = 7
+	// minSparePart is the part that is left for clients and peers on smaller hosts.
+	minSparePart = 5
+	// connPart is the part of what is spare that connections may take, beside their requests.
+	connPart = 4
+	// overshootPart is by how much the Go runtime may exceed its soft limit under load.
+	overshootPart = 10
+)
 
-// spareBytes returns the part of the memory that is left for clients.
+// minConns is the least number of clients' connections, however small the host is.
+const minConns = 64
+
+// spareBytes returns the part of the memory that is left for clients and peers.
 func spareBytes(memoryBytes int64) int64 {
-	const (
-		// ownBytes is what the program takes without clients on the largest deployment: 60 to 80 MB were measured.
-		ownBytes = 80 << 20
-		// minSpare is the part of the memory that is left for clients on smaller hosts.
-		minSpare = 4
-	)
-	return max(memoryBytes-ownBytes, memoryBytes/minSpare)
+	return max(memoryBytes-ownBytes-memoryBytes/socketPart, memoryBytes/minSparePart)
+}
+
+// connectionsFor returns the number of clients' connections for which a host with the given memory has room beside its other sockets.
+func connectionsFor(memoryBytes int64, side, peers int) int {
+	const sideAddresses = 2
+	queues := clientBuffers.ReceiveBytes + sideAddresses*sideBuffers.ReceiveBytes + peerBuffers.ReceiveBytes
+	kernel := memoryBytes/socketPart - int64(queuedConns*queues) -
+		int64(sideAddresses*side)*sideBuffers.bytes() - int64(peers)*peerBuffers.bytes()
+	return int(min(kernel/clientBuffers.bytes(), spareBytes(memoryBytes)/connPart/connCost))
 }
 
-// ConnectionsFor returns the number of connections for which a host with the given memory has room.
-func ConnectionsFor(memoryBytes int64) int { return int(spareBytes(memoryBytes) / connPart / connCost) }
+// SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections if there is room for them.
+func SizesFor(memoryBytes int64, maxConns int) Sizes {
+	return sizesWith(memoryBytes, min(maxConns, max(minConns, connectionsFor(memoryBytes, 0, 0))), 0, 0)
+}
 
 // SizesOf returns the sizes for a host with the given memory and file descriptors; 0 stands for the default.
 func SizesOf(memoryBytes int64, descriptors int) Sizes {
 	const (
-		// The rest of what is spare is for requests, with 40 parts of garbage to 100 parts in use, which is what the collector allows.
-		inUse, withGarbage   = 10, 14
-		peerPart             = 4
-		goNumerator, goParts = 5, 8
-		// Half of the descriptors are for workers, peers and the platform.
-		descriptorPart                 = 2
-		sidePart                       = 16
-		minSideConns, maxSideConns     = 16, 128
-		minConns                   int = 64
+		// fileDescriptors are not for sockets.
+		fileDescriptors = 200
+		// Half of the sockets are for workers, peers and the platform.
+		connsPart                  = 2
+		peersPart, sidePart        = 16, 64
+		minSideConns, maxSideConns = 16, 32
+		minPeerConns, maxPeerConns = 16, 128
+		memoryPerPeer              = 1400 << 10
 	)
 	if memoryBytes <= 0 {
 		memoryBytes = DefaultMemoryBytes
@@ -125,15 +146,33 @@
 	if descriptors <= 0 {
 		descriptors = DefaultDescriptors
 	}
-	spare := spareBytes(memoryBytes)
-	conns := ConnectionsFor(memoryBytes)
-	requests := (spare - spare/connPart) * inUse / withGarbage
+	sockets := max(descriptors-fileDescriptors, descriptors/2)
+	side := min(max(minSideConns, sockets/sidePart), maxSideConns)
+	peers := min(max(minPeerConns, min(sockets/peersPart, int(memoryBytes/memoryPerPeer))), maxPeerConns)
+	conns := max(minConns, min(connectionsFor(memoryBytes, side, peers), sockets/connsPart))
+	return sizesWith(memoryBytes, conns, side, peers)
+}
+
+// sizesWith returns the sizes for a host with the given memory and numbers of connections.
+func sizesWith(memoryBytes int64, conns, side, peers int) Sizes {
+	const (
+		// The collector allows 40 parts of garbage to 100 parts in use.
+		inUse, withGarbage   = 10, 14
+		goNumerator, goParts = 5, 8
+		minGoPart            = 4
+		// A peer's largest message must fit, but not at the cost of clients.
+		peerBytesPart, maxPeerBytesPart = 4, 3
+	)
+	requests := (spareBytes(memoryBytes) - int64(conns*connCost)) * inUse / withGarbage
+	peerBytes := max(requests/peerBytesPart, min(peerMessageBytes*peerByteCost, requests/maxPeerBytesPart))
 	return Sizes{
-		BudgetBytes:     requests - requests/peerPart,
-		PeerBytes:       requests / peerPart,
-		Connections:     max(minConns, min(conns, descriptors/descriptorPart)),
-		SideConnections: min(max(minSideConns, descriptors/sidePart), maxSideConns),
-		GoBytes:         memoryBytes / goParts * goNumerator,
+		BudgetBytes:     requests - peerBytes,
+		PeerBytes:       peerBytes,
+		Connections:     conns,
+		SideConnections: side,
+		PeerConnections: peers,
+		GoBytes: max(memoryBytes/minGoPart, min(memoryBytes/goParts*goNumerator,
+			memoryBytes-programBytes-memoryBytes/socketPart-memoryBytes/overshootPart)),
 	}
 }
 
--- a/guard/peer.go
+++ b/guard/peer.go
@@ -39,8 +39,16 @@
 	}
 }
 
-// ListenPeers bounds the number of connections that are accepted from l, and charges for what they hold.
-func (g *Guard) ListenPeers(l net.Listener, maxConns int) net.Listener {
+// ListenPeers listens for peers at an address, bounds the number of their connections, and charges for what they hold.
+func (g *Guard) ListenPeers(ctx context.Context, address string, maxConns int) (net.Listener, error) {
+	l, err := listenTCP(ctx, "tcp", address, peerBuffers)
+	if err != nil {
+		return nil, err
+	}
+	return g.boundPeers(l, maxConns), nil
+}
+
+func (g *Guard) boundPeers(l net.Listener, maxConns int) *peerListener {
 	p := &peerListener{Listener: l, g: g, maxConns: maxConns, conns: map[string]*peerConn{}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/guard/peer_calls_test.go
+++ b/guard/peer_calls_test.go
@@ -22,7 +22,7 @@
 	g := New(roomySizes, Limits{}, func(Cause) {}, log)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	l := g.ListenPeers(inner, 10).(*peerListener)
+	l := g.boundPeers(inner, 10)
 	server := grpc.NewServer(g.PeerServerOptions()...)
 	entered, release := make(chan struct{}), make(chan struct{})
 	method := func(name string, f func()) grpc.MethodDesc {
--- a/guard/peer_test.go
+++ b/guard/peer_test.go
@@ -17,7 +17,7 @@
 	g := New(roomySizes, Limits{}, func(Cause) {}, log)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	l := g.ListenPeers(inner, 10)
+	l := g.boundPeers(inner, 10)
 	defer l.Close()
 	peer, err := net.Dial("tcp", inner.Addr().String())
 	c.Assert(err, qt.IsNil)
