Guard: count a descriptor for the table with each client's connection

What callers saw: a host beside whose clients no descriptor was left, so that it reached neither the table nor its workers.

Cause: clients' connections could take half of the descriptors, and each request that waits for the table takes one more, so that both together could take all. 200 of the descriptors are for files.

Evidence: TestCrowdBehindSilentTable, new, on the code before: 346 and 345 descriptors of the 312 that sockets may use (2 of 2 runs).

Why it works: with a connection to the table for each request, clients take half of the sockets at most.

With the change: the test passes.

--- a/guard/limits.go
+++ b/guard/limits.go
@@ -133,8 +133,9 @@
 	const (
 		// fileDescriptors are not for sockets.
 		fileDescriptors = 200
-		// Half of the sockets are for workers, peers and the platform.
-		connsPart                  = 2
+		// A client's request that is being handled may need a connection to the table beside its own. The other half of the sockets is for workers,
+		// peers and the platform.
+		connsPart                  = 4
 		peersPart, sidePart        = 16, 64
 		minSideConns, maxSideConns = 16, 32
 		minPeerConns, maxPeerConns = 16, 128
