Guard: a connection whose response isn't read gives way to a new one

What callers saw: no host took their connections while clients that don't read their responses held all places, each for 20 s, and again after that.

Cause: a connection whose request is being handled is never closed for another one, and writing the response is part of that.

Evidence: TestUnreadResponsesGiveWay, new: on the code before, a third client gets no response within the 30 s of the test's connections.

Change: a connection whose write has taken more than 100 ms may be closed for another one, like one that has been refused.

Why it works: responses fit into the socket's buffer, so only a client that reads nothing keeps a write waiting. A slow reader is closed only if all places are taken.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -17,7 +17,8 @@
 const (
 	// writeTimeout is the default of Guard.writeTime.
 	writeTimeout = 20 * time.Second
-	// refusalWriteTimeout bounds writing a refusal, which fits into the socket's buffer unless the client reads nothing.
+	// refusalWriteTimeout bounds writing a refusal, which fits into the socket's buffer unless the client reads nothing. A response that takes
+	// longer may be given up for another connection.
 	refusalWriteTimeout = 100 * time.Millisecond
 	// After a refusal, what the client still sends is dropped for a while, as closing the connection at once would keep a client that sends its
 	// whole body first from reading the response. That ends when nothing arrives for lingerTime, after lingerRounds times that, and after
@@ -60,6 +61,8 @@
 	stage  atomic.Int32
 	since  atomic.Int64
 	served atomic.Bool
+	// writingSince is when the write began that is in progress, in nanoseconds since the Unix epoch; 0 if there is none.
+	writingSince atomic.Int64
 	// closed says that the socket has been closed, so that no further request is to be handled.
 	closed atomic.Bool
 	// expelled is the error with which another goroutine wants the request refused.
@@ -74,9 +77,9 @@
 func (c *conn) dispensability() int {
 	const refused, fresh, served = 3, 2, 1
 	switch stage := c.stage.Load(); {
-	case stage == stageHandling:
+	case stage == stageHandling && !c.writeBlocked():
 		return 0
-	case stage == stageRefused:
+	case stage == stageHandling, stage == stageRefused:
 		return refused
 	case c.served.Load():
 		return served
@@ -85,6 +88,12 @@
 	}
 }
 
+// writeBlocked reports whether the client doesn't read its response.
+func (c *conn) writeBlocked() bool {
+	since := c.writingSince.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) > refusalWriteTimeout
+}
+
 // evict makes the connection's goroutine refuse its request for lack of memory. Any goroutine may call it.
 func (c *conn) evict() {
 	c.expelled.CompareAndSwap(nil, errMemory)
@@ -94,6 +103,10 @@
 // expel makes the connection's goroutine give its place up within a moment, and reports false if a request is being handled. Any goroutine
 // may call it.
 func (c *conn) expel() bool {
+	if c.stage.Load() == stageHandling && c.writeBlocked() {
+		_ = c.Close()
+		return true
+	}
 	if !c.stage.CompareAndSwap(stageIdle, stageRefused) && !c.stage.CompareAndSwap(stageArriving, stageRefused) &&
 		c.stage.Load() != stageRefused {
 		return false
@@ -114,8 +127,11 @@
 // the next response would be taken for the rest of this one.
 func (c *conn) Write(p []byte) (int, error) {
 	c.wrote = true
-	_ = c.SetWriteDeadline(time.Now().Add(c.g.writeTime))
+	now := time.Now()
+	_ = c.SetWriteDeadline(now.Add(c.g.writeTime))
+	c.writingSince.Store(now.UnixNano())
 	n, err := c.TCPConn.Write(p)
+	c.writingSince.Store(0)
 	if err != nil {
 		_ = c.Close()
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -264,8 +264,8 @@
 }
 
 // mostDispensable returns the connection at p to be closed first: one whose request has been refused already, then one that has been idle
-// for longest or has been sending its request for longest, first among those that have had no response yet. It returns nil if all requests are
-// being handled. The guard must be locked.
+// for longest or has been sending its request for longest, first among those that have had no response yet. One that doesn't read its response
+// counts as refused. It returns nil if all other requests are being handled. The guard must be locked.
 func (g *Guard) mostDispensable(p *place) *conn {
 	var best *conn
 	bestRank, bestSince := 0, int64(0)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -269,6 +269,30 @@
 	s.c.Assert(s.ends.count(CauseConnections), qt.Equals, 2)
 }
 
+// Clients that don't read their responses used to keep their places until the write timed out, so that no other client got one.
+func TestUnreadResponsesGiveWay(t *testing.T) {
+	sizes := roomySizes
+	sizes.Connections = 2
+	s := startServer(t, sizes, Limits{}, false)
+	s.guard.writeTime = time.Hour
+	for range sizes.Connections {
+		conn, _ := s.dial()
+		_, err := io.WriteString(conn, "GET /large HTTP/1.1\r\n\r\n")
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(<-s.entered, qt.Equals, "/large")
+	}
+	for answered := false; !answered; {
+		// While the responses are being written, a new connection is closed.
+		conn, in := s.dial()
+		_, _ = io.WriteString(conn, getHead+"\r\n")
+		res, err := http.ReadResponse(in, nil)
+		if answered = err == nil; answered {
+			s.c.Assert(res.Body.Close(), qt.IsNil)
+			s.c.Assert(res.StatusCode, qt.Equals, http.StatusOK)
+		}
+	}
+}
+
 // A large request that stops must give way to another one, and must not reach the handler. Its response used to be a 503, which promises that the
 // job never runs: untrue if an earlier request with the same ID, whose response was lost, has been accepted.
 func TestStoppedRequestGivesWay(t *testing.T) {
