Guard: charge peers for replies until they are sent; close connections that take none

What callers saw: hosts that ended for lack of memory while a peer didn't take what it had asked for, and connections of peers that stayed stuck for good.

Cause: gRPC queues a reply and ends its call, whose charge is then returned; the reply stays in memory until the peer takes it, for any number of calls. Nothing bounds the time of a write, and while one waits, gRPC reads nothing more either.

Change: a connection is charged for the replies that were handed to gRPC less the data frames that were written. A reply that is given up stays counted until the connection is quiet and is closed.

Why it works: the charge follows the bytes and not the calls, whatever keeps them from being sent, be it the socket or the HTTP/2 windows.

--- a/guard/frames.go
+++ b/guard/frames.go
@@ -9,25 +9,34 @@
 // frameHeaderBytes is the size of the header of an HTTP/2 frame: three bytes of the length, the type, the flags and the stream.
 const frameHeaderBytes = 9
 
-// frameCounter follows the HTTP/2 frames of a connection. The bytes of header blocks and messages belong to a call until its end; others, such
-// as those of pings and of frames that open windows, are used at once.
+// frameCounter follows the HTTP/2 frames of one direction of a connection, and counts the bytes of those of some types.
 type frameCounter struct {
+	// counts says which types of frames count.
+	counts func(http2.FrameType) bool
 	// left is what remains of the connection's preface or of the current frame.
 	left int
-	// held says that the current frame's bytes belong to a call.
-	held   bool
-	header [frameHeaderBytes]byte
+	// counted says that the current frame's bytes count.
+	counted bool
+	header  [frameHeaderBytes]byte
 	// known is how many bytes of the next frame's header have arrived.
 	known int
 }
 
-// count returns how many of the next bytes belong to calls.
+// isOfCall reports whether the bytes of a frame belong to a call until its end, as those of header blocks and messages. Others, such as those of
+// pings and of frames that open windows, are used at once.
+func isOfCall(t http2.FrameType) bool {
+	return t == http2.FrameData || t == http2.FrameHeaders || t == http2.FrameContinuation
+}
+
+func isData(t http2.FrameType) bool { return t == http2.FrameData }
+
+// count returns how many of the next bytes count.
 func (f *frameCounter) count(p []byte) int64 {
 	sum := int64(0)
 	for len(p) > 0 {
 		if f.left > 0 {
 			n := min(f.left, len(p))
-			if f.held {
+			if f.counted {
 				sum += int64(n)
 			}
 			f.left -= n
@@ -41,12 +50,7 @@
 		}
 		const typeBits = 8
 		f.known, f.left = 0, int(binary.BigEndian.Uint32(f.header[:])>>typeBits)
-		switch http2.FrameType(f.header[3]) {
-		case http2.FrameData, http2.FrameHeaders, http2.FrameContinuation:
-			f.held = true
-		default:
-			f.held = false
-		}
+		f.counted = f.counts(http2.FrameType(f.header[3]))
 	}
 	return sum
 }
--- a/guard/frames_test.go
+++ b/guard/frames_test.go
@@ -24,7 +24,7 @@
 	c.Assert(f.WriteWindowUpdate(0, 5), qt.IsNil)
 	c.Assert(f.WriteData(1, true, make([]byte, 3)), qt.IsNil)
 	for _, piece := range []int{1, 5, 9, 1000, stream.Len()} {
-		counter := frameCounter{left: len(http2.ClientPreface)}
+		counter := frameCounter{counts: isOfCall, left: len(http2.ClientPreface)}
 		sum := int64(0)
 		for rest := stream.Bytes(); len(rest) > 0; rest = rest[min(piece, len(rest)):] {
 			sum += counter.count(rest[:min(piece, len(rest))])
--- a/guard/peer.go
+++ b/guard/peer.go
@@ -71,7 +71,10 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &peerConn{Conn: nc, l: l, opened: time.Now(), frames: frameCounter{left: len(http2.ClientPreface)}}
+		c := &peerConn{
+			Conn: nc, l: l, opened: time.Now(), received: frameCounter{counts: isOfCall, left: len(http2.ClientPreface)},
+			sent: frameCounter{counts: isData},
+		}
 		// gRPC may wait for handlers before it notices that the connection is closed.
 		c.account.prompt = true
 		c.account.evict = func() {
@@ -129,12 +132,17 @@
 	l      *peerListener
 	opened time.Time
 	calls  atomic.Int64
-	// frames is used by the goroutine that reads.
-	frames frameCounter
+	// received is used by the goroutine that reads, and sent by the one that writes.
+	received, sent frameCounter
 	// held is the number of bytes of header blocks and messages that have arrived and don't belong to a call that has ended.
-	held    atomic.Int64
+	held atomic.Int64
+	// unsent is the number of bytes of replies that have not been sent. gRPC keeps them after the ends of their calls, until the peer takes them or
+	// gives the call up; what is then dropped stays counted until the connection ends.
+	unsent  atomic.Int64
 	mu      sync.Mutex
 	charged bool
+	// stalled closes the connection if no byte of a reply is sent for long though there are some to be sent.
+	stalled *time.Timer
 	// closed says that the connection takes no charge any more.
 	closed  bool
 	account account
@@ -143,16 +151,59 @@
 // Read counts the bytes that arrive.
 func (c *peerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.held.Add(c.frames.count(p[:n]))
+	c.held.Add(c.received.count(p[:n]))
 	if !c.charge() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// Write counts the bytes of replies that are sent. A peer that doesn't take them in time loses the connection.
+func (c *peerConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(c.l.g.writeTime))
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		_ = c.Close()
+		return n, err
+	}
+	if sent := c.sent.count(p[:n]); sent > 0 {
+		if c.unsent.Add(-sent) <= 0 {
+			c.recharge()
+		}
+		c.watchReplies()
+	}
+	return n, err
+}
+
+// queued counts a reply that has been handed to gRPC.
+func (c *peerConn) queued(bytes int64) {
+	c.unsent.Add(bytes)
+	c.charge()
+	c.watchReplies()
+}
+
+// watchReplies begins to wait anew for the next byte of a reply to be sent, if there is one.
+func (c *peerConn) watchReplies() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch waiting := c.unsent.Load() > 0 && !c.closed; {
+	case !waiting && c.stalled != nil:
+		c.stalled.Stop()
+		c.stalled = nil
+	case waiting && c.stalled == nil:
+		c.stalled = time.AfterFunc(c.l.g.writeTime, func() {
+			if c.unsent.Load() > 0 {
+				_ = c.Close()
+			}
+		})
+	case waiting:
+		c.stalled.Reset(c.l.g.writeTime)
+	}
+}
+
 // charge charges for what the connection holds, and reports false if it has been closed for that.
 func (c *peerConn) charge() bool {
-	charge := c.held.Load()*peerByteCost + c.calls.Load()*peerCallCost
+	charge := c.held.Load()*peerByteCost + c.calls.Load()*peerCallCost + max(0, c.unsent.Load())
 	if charge <= peerFreeCharge {
 		return true
 	}
@@ -176,6 +227,11 @@
 	} else if c.held.Add(-bytes) < 0 {
 		c.held.Store(0)
 	}
+	c.recharge()
+}
+
+// recharge charges only for what the connection still holds.
+func (c *peerConn) recharge() {
 	c.mu.Lock()
 	if c.charged {
 		c.charged = false
@@ -196,6 +252,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.charged, c.closed = false, true
+	if c.stalled != nil {
+		c.stalled.Stop()
+	}
 	c.l.g.peerBudget.release(&c.account)
 	return err
 }
@@ -253,6 +312,8 @@
 		c.bytes += int64(s.WireLength)
 	case *stats.InPayload:
 		c.bytes += int64(s.WireLength)
+	case *stats.OutPayload:
+		c.conn.queued(int64(s.WireLength))
 	case *stats.End:
 		c.conn.release(c.bytes)
 	}
