Relay: bound the calls that are passed on for peers, and the rows that these keep in memory

What callers saw: a host that ended for lack of memory while peers read rows of the table through it, without taking them; or one with more open descriptors than it may have.

Cause: each call that is passed on takes a connection to the table, and its answer of up to 1 MB is in memory four times until it is handed over. Calls were only charged 16 kB each.

Change: an eighth of the sockets is for calls that are passed on; one more is refused at once, as when the table is unreachable, and its caller asks another host. Before a read, the memory of the largest page that it can return is reserved, in the order of arrival. The answer to a call that waits for changes is read only if there is memory for it at its arrival; the connection to the table is closed otherwise.

Why it works: memory is set aside before a page is read, and the descriptors are counted with those of clients.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -186,7 +186,7 @@
 	a.grpcServer = grpc.NewServer(append(a.guard.PeerServerOptions(),
 		grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	cellpb.RegisterCellsServer(a.grpcServer, &peerServer{a: a})
-	cellpb.RegisterRowsServer(a.grpcServer, &rowServer{direct: a.direct})
+	cellpb.RegisterRowsServer(a.grpcServer, &rowServer{direct: a.direct, memory: newRelayMemory(a.sizes(), a.settings.RowBytes)})
 	go func() {
 		if err := a.grpcServer.Serve(l); err != nil {
 			a.log.WithError(err).Error("server for peer hosts failed")
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -5,7 +5,10 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/corianderdrift/corianderdrift/cellpb"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
@@ -112,21 +115,91 @@
 type rowServer struct {
 	cellpb.UnimplementedRowsServer
 	direct *table.Health
+	memory relayMemory
 }
 
-// route returns the direct route to the table, or *table.RefusedError if it is unreachable.
-func (r *rowServer) route(op string) (table.Store, error) {
-	if !r.direct.Reachable(time.Now()) {
+const (
+	// maxPageBytes is the size of the largest answer of the table.
+	maxPageBytes = 1 << 20
+	// pageCopies is how often a page is in memory until it is handed over: as received, decoded and encoded.
+	pageCopies = 4
+	// freePageBytes is the size of answers that are covered by what a call is charged.
+	freePageBytes = 4 << 10
+)
+
+// relayMemory bounds the calls that are passed on at the same time, and what the table's answers to them take until they are handed over.
+type relayMemory struct {
+	calls, bytes *semaphore.Weighted
+	// total is the size of bytes, and rowBytes that of the largest row; 0 means that it is not known.
+	total    int64
+	rowBytes int
+}
+
+func newRelayMemory(sizes guard.Sizes, rowBytes int) relayMemory {
+	return relayMemory{
+		calls: semaphore.NewWeighted(int64(sizes.RelayCalls)), bytes: semaphore.NewWeighted(sizes.RelayBytes), total: sizes.RelayBytes,
+		rowBytes: rowBytes,
+	}
+}
+
+// cost returns the memory for an answer of the given size.
+func (m *relayMemory) cost(bytes int) int64 { return min(int64(bytes)*pageCopies, m.total) }
+
+// begin admits a call, and returns the function that is to be called at its end.
+func (m *relayMemory) begin(op string) (func(), error) {
+	if !m.calls.TryAcquire(1) {
 		return nil, &table.RefusedError{Op: op}
 	}
-	return r.direct, nil
+	return func() { m.calls.Release(1) }, nil
+}
+
+// reservePage waits for the memory for a page of up to limit rows, and returns the function that returns it.
+func (m *relayMemory) reservePage(ctx context.Context, op string, limit int) (func(), error) {
+	bytes := maxPageBytes
+	if limit > 0 && m.rowBytes > 0 {
+		bytes = min(bytes, limit*m.rowBytes)
+	}
+	n := m.cost(bytes)
+	if err := m.bytes.Acquire(ctx, n); err != nil {
+		return nil, &table.RefusedError{Op: op, Err: err}
+	}
+	return func() { m.bytes.Release(n) }, nil
+}
+
+// limitAnswer returns a context for a call whose answer comes at any time, and is only read if there is memory for it then. The returned function
+// returns that memory.
+func (m *relayMemory) limitAnswer(ctx context.Context) (context.Context, func()) {
+	taken := int64(0)
+	ctx = table.WithAnswerLimit(ctx, func(bytes int) bool {
+		if bytes <= freePageBytes {
+			return true
+		}
+		n := m.cost(bytes)
+		if !m.bytes.TryAcquire(n) {
+			return false
+		}
+		taken += n
+		return true
+	})
+	return ctx, func() { m.bytes.Release(taken) }
+}
+
+// begin returns the direct route to the table and the function that is to be called at the end of the call, or *table.RefusedError if the table
+// is unreachable or too many calls are being passed on.
+func (r *rowServer) begin(op string) (table.Store, func(), error) {
+	if !r.direct.Reachable(time.Now()) {
+		return nil, nil, &table.RefusedError{Op: op}
+	}
+	end, err := r.memory.begin(op)
+	return r.direct, end, err
 }
 
 // Commit implements cellpb.RowsServer.
 func (r *rowServer) Commit(ctx context.Context, req *cellpb.CommitRequest) (*cellpb.CommitReply, error) {
-	s, err := r.route("commit")
+	s, end, err := r.begin("commit")
 	reply := &cellpb.CommitReply{}
 	if err == nil {
+		defer end()
 		reply.Version, err = s.Commit(ctx, txFromProto(req))
 	}
 	reply.Failure = failureToProto(err)
@@ -135,26 +208,40 @@
 
 // Read implements cellpb.RowsServer.
 func (r *rowServer) Read(ctx context.Context, req *cellpb.ReadRequest) (*cellpb.ReadReply, error) {
-	s, err := r.route("read")
 	reply := &cellpb.ReadReply{}
-	if err == nil {
-		var page table.Page
-		page, err = s.Read(ctx, table.Range{
-			Table: req.GetTable(), Partition: req.GetPart(), From: req.GetFrom(), To: req.GetTo(), Limit: int(req.GetLimit()),
-		})
-		reply.Rows, reply.More, reply.Version = rowsToProto(page.Rows), page.More, page.Version
-	}
+	page, err := r.readPage(ctx, req)
+	reply.Rows, reply.More, reply.Version = rowsToProto(page.Rows), page.More, page.Version
 	reply.Failure = failureToProto(err)
 	return reply, nil
 }
 
+func (r *rowServer) readPage(ctx context.Context, req *cellpb.ReadRequest) (table.Page, error) {
+	const op = "read"
+	s, end, err := r.begin(op)
+	if err != nil {
+		return table.Page{}, err
+	}
+	defer end()
+	release, err := r.memory.reservePage(ctx, op, int(req.GetLimit()))
+	if err != nil {
+		return table.Page{}, err
+	}
+	defer release()
+	return s.Read(ctx, table.Range{
+		Table: req.GetTable(), Partition: req.GetPart(), From: req.GetFrom(), To: req.GetTo(), Limit: int(req.GetLimit()),
+	})
+}
+
 // Changes implements cellpb.RowsServer.
 func (r *rowServer) Changes(ctx context.Context, req *cellpb.ChangesRequest) (*cellpb.ChangesReply, error) {
-	s, err := r.route("changes")
+	s, end, err := r.begin("changes")
 	reply := &cellpb.ChangesReply{}
 	if err == nil {
+		defer end()
+		limited, release := r.memory.limitAnswer(ctx)
+		defer release()
 		var got table.Changes
-		got, err = s.Changes(ctx, req.GetTable(), req.GetAfter(), time.Duration(req.GetWaitNanos()))
+		got, err = s.Changes(limited, req.GetTable(), req.GetAfter(), time.Duration(req.GetWaitNanos()))
 		reply.Rows, reply.Version = rowsToProto(got.Rows), got.Version
 	}
 	reply.Failure = failureToProto(err)
--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
@@ -22,7 +23,7 @@
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	server := grpc.NewServer()
-	cellpb.RegisterRowsServer(server, &rowServer{direct: table.NewHealth(s)})
+	cellpb.RegisterRowsServer(server, &rowServer{direct: table.NewHealth(s), memory: newRelayMemory(guard.SizesOf(0, 0), 0)})
 	go func() { _ = server.Serve(l) }()
 	h := newHosts("self", "here")
 	c.Cleanup(func() {
--- a/agent/yield_test.go
+++ b/agent/yield_test.go
@@ -13,6 +13,7 @@
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/fakes"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/table"
 )
 
@@ -50,7 +51,7 @@
 			l, err := (&net.ListenConfig{}).Listen(c.Context(), "tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
 			server := grpc.NewServer()
-			cellpb.RegisterRowsServer(server, &rowServer{direct: table.NewHealth(others)})
+			cellpb.RegisterRowsServer(server, &rowServer{direct: table.NewHealth(others), memory: newRelayMemory(guard.SizesOf(0, 0), 0)})
 			if test.otherDead {
 				c.Assert(l.Close(), qt.IsNil)
 			} else {
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -72,14 +72,18 @@
 
 // Sizes are the bounds of a process that follow from the resources of its host.
 type Sizes struct {
-	// BudgetBytes bounds what clients' requests take together and PeerBytes what peers' calls take.
+	// BudgetBytes bounds what clients' requests take together, PeerBytes what peers' calls take, and RelayBytes what the table's answers take that are
+	// passed on to peers.
 	BudgetBytes int64
 	PeerBytes   int64
+	RelayBytes  int64
 	// Connections bounds the clients' connections, SideConnections those at each of the addresses for metrics and readiness checks, and
 	// PeerConnections those of peers.
 	Connections     int
 	SideConnections int
 	PeerConnections int
+	// RelayCalls bounds the calls to the table that are passed on for peers at the same time.
+	RelayCalls int
 	// GoBytes is the soft limit of the Go runtime's memory.
 	GoBytes int64
 }
@@ -133,9 +137,9 @@
 	const (
 		// fileDescriptors are not for sockets.
 		fileDescriptors = 200
-		// A client's request that is being handled may need a connection to the table beside its own. The other half of the sockets is for workers,
-		// peers and the platform.
-		connsPart                  = 4
+		// A client's request that is being handled may need a connection to the table beside its own, and a call that is passed on needs one. The
+		// other sockets are for workers, peers and the platform.
+		connsPart, relayCallsPart  = 4, 8
 		peersPart, sidePart        = 16, 64
 		minSideConns, maxSideConns = 16, 32
 		minPeerConns, maxPeerConns = 16, 128
@@ -151,7 +155,9 @@
 	side := min(max(minSideConns, sockets/sidePart), maxSideConns)
 	peers := min(max(minPeerConns, min(sockets/peersPart, int(memoryBytes/memoryPerPeer))), maxPeerConns)
 	conns := max(minConns, min(connectionsFor(memoryBytes, side, peers), sockets/connsPart))
-	return sizesWith(memoryBytes, conns, side, peers)
+	sizes := sizesWith(memoryBytes, conns, side, peers)
+	sizes.RelayCalls = sockets / relayCallsPart
+	return sizes
 }
 
 // sizesWith returns the sizes for a host with the given memory and numbers of connections.
@@ -163,12 +169,15 @@
 		minGoPart            = 4
 		// A peer's largest message must fit, but not at the cost of clients.
 		peerBytesPart, maxPeerBytesPart = 4, 3
+		relayPart                       = 8
 	)
 	requests := (spareBytes(memoryBytes) - int64(conns*connCost)) * inUse / withGarbage
 	peerBytes := max(requests/peerBytesPart, min(peerMessageBytes*peerByteCost, requests/maxPeerBytesPart))
+	relayBytes := max(requests/relayPart, relayPageBytes)
 	return Sizes{
-		BudgetBytes:     requests - peerBytes,
+		BudgetBytes:     requests - peerBytes - relayBytes,
 		PeerBytes:       peerBytes,
+		RelayBytes:      relayBytes,
 		Connections:     conns,
 		SideConnections: side,
 		PeerConnections: peers,
--- a/guard/peer.go
+++ b/guard/peer.go
@@ -27,6 +27,8 @@
 	peerFreeCharge = 128 << 10
 	peerByteCost   = 2
 	peerCallCost   = 16 << 10
+	// relayPageBytes is what the largest page of the table takes that is passed on to a peer: 1 MB as received, decoded and encoded again.
+	relayPageBytes = 4 << 20
 )
 
 // PeerServerOptions returns options that bound what peers' connections may take. Calls and their bytes count towards the peers'
