Guard: end TLS itself, so that all limits apply to callers over TLS

What callers saw: in the own mode with a certificate, a host on which a caller's head had no limit of size or time, and nothing counted the memory of requests; connections without a handshake kept their places.

Cause: the engine reads TLS connections below any wrapper, so the guard bounded only their number, and none of them ever gave way.

Change: the guard puts crypto/tls between the socket and the engine, for which the address is a plain one. A handshake has the time of a head. 64 kB are counted for a TLS connection beside the 16 kB of a plain one, so fewer are accepted where memory is short.

TestEndOfTLSConnectionLeavesNextOneFromSameAddress called functions that are gone. It now does the same through a server with TLS: a connection is reset, the next one comes from the same address, and must be served and counted alone.

Why it works: scanner, budget and places see the bytes after decryption, as on a plain connection.

--- a/front/server.go
+++ b/front/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -10,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -138,35 +138,13 @@
 		Network: "tcp", Handler: s, KeepaliveTime: s.cfg.Host.Guard.IdleTimeout, ServerExecutor: func(f func()) { go f() },
 	}
 	s.guard.Apply(&config)
-	addr := []string{s.cfg.Host.Listen.String()}
-	withTLS := s.cfg.Host.TLS.Cert != ""
-	if withTLS {
-		tlsConfig, err := callerTLS(s.cfg.Host.TLS)
-		if err != nil {
-			return err
-		}
-		config.AddrsTLS, config.TLSConfig = addr, tlsConfig
-		// The engine reads TLS connections itself, so that only its own limits apply.
-		config.MaxHTTPBodySize = s.cfg.Host.Guard.MaxBodyBytes
-		config.ReadLimit = s.cfg.Host.Guard.MaxBodyBytes + s.cfg.Host.Guard.MaxHeaderBytes
-	} else {
-		config.Addrs = addr
-	}
+	config.Addrs = []string{s.cfg.Host.Listen.String()}
 	s.engine = nbhttp.NewEngine(config)
 	s.engine.OnOpen(func(nc net.Conn) {
 		s.conns.onOpen(socketOf(nc))
-		if withTLS {
-			s.guard.OnOpenTLS(nc)
-		} else {
-			s.guard.OnOpen(nc)
-		}
-	})
-	s.engine.OnClose(func(nc net.Conn, err error) {
-		s.conns.onClose(nc, err)
-		if withTLS {
-			s.guard.OnCloseTLS(nc)
-		}
+		s.guard.OnOpen(nc)
 	})
+	s.engine.OnClose(s.conns.onClose)
 	return s.engine.Start()
 }
 
@@ -188,7 +166,8 @@
 	if memory == 0 {
 		memory = unknownMemoryMiB
 	}
-	sizes := guard.SizesFor(int64(memory)<<20, set.MaxConnections)
+	withTLS := s.cfg.Host.TLS.Cert != ""
+	sizes := guard.SizesFor(int64(memory)<<20, set.MaxConnections, withTLS)
 	limits := guard.Limits{
 		HeadBytes: set.MaxHeaderBytes, BodyBytes: set.MaxBodyBytes, HeadTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout,
 	}
@@ -201,7 +180,15 @@
 		debug.SetMemoryLimit(sizes.GoBytes)
 	}
 	s.guard = guard.New(sizes, limits, func(cause guard.Cause) { s.cfg.Metrics.GuardEnd(string(cause)) }, s.cfg.Log)
-	s.guard.AddPlace("callers", s.cfg.Host.Listen.String(), sizes.Connections, false)
+	if !withTLS {
+		s.guard.AddPlace("callers", s.cfg.Host.Listen.String(), sizes.Connections, false)
+	} else {
+		tlsConfig, err := callerTLS(s.cfg.Host.TLS)
+		if err != nil {
+			return err
+		}
+		s.guard.AddTLSPlace("callers", s.cfg.Host.Listen.String(), sizes.Connections, tlsConfig)
+	}
 	s.cfg.Metrics.Gauge("guard_budget_bytes", "Memory for requests that are incomplete or being handled.",
 		func() float64 { return float64(s.guard.Budget().Total()) })
 	s.cfg.Metrics.Gauge("guard_budget_used_bytes", "Part of the memory for requests that is in use.",
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -1,6 +1,8 @@
 package guard
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -41,9 +43,12 @@
 // which the handler runs, too.
 type conn struct {
 	*net.TCPConn
-	g     *Guard
-	place *place
-	nb    *nbhttp.Conn
+	// tls is the TLS connection over the socket, or nil; handshaken says that its handshake is complete.
+	tls        *tls.Conn
+	handshaken bool
+	g          *Guard
+	place      *place
+	nb         *nbhttp.Conn
 
 	scanner Scanner
 	account account
@@ -130,7 +135,7 @@
 	now := time.Now()
 	_ = c.SetWriteDeadline(now.Add(c.g.writeTime))
 	c.writingSince.Store(now.UnixNano())
-	n, err := c.TCPConn.Write(p)
+	n, err := c.stream().Write(p)
 	c.writingSince.Store(0)
 	if err != nil {
 		_ = c.Close()
@@ -138,6 +143,24 @@
 	return n, err
 }
 
+// stream returns what requests are read from and responses are written to.
+func (c *conn) stream() net.Conn {
+	if c.tls != nil {
+		return c.tls
+	}
+	return c.TCPConn
+}
+
+// CloseWrite tells the client that nothing follows.
+func (c *conn) CloseWrite() error {
+	if c.tls != nil {
+		if err := c.tls.CloseWrite(); err != nil {
+			return err
+		}
+	}
+	return c.TCPConn.CloseWrite()
+}
+
 // Close closes the socket. Any goroutine may call it.
 func (c *conn) Close() error {
 	c.closed.Store(true)
@@ -205,7 +228,15 @@
 	if c.expelled.Load() != nil {
 		return 0, os.ErrDeadlineExceeded
 	}
-	return c.TCPConn.Read(p)
+	if c.tls != nil && !c.handshaken {
+		_ = c.SetWriteDeadline(c.deadline())
+		if err := c.tls.HandshakeContext(context.Background()); err != nil {
+			return 0, err
+		}
+		c.handshaken = true
+		return 0, nil
+	}
+	return c.stream().Read(p)
 }
 
 // deadline returns until when the next bytes must arrive.
@@ -213,6 +244,8 @@
 	limits := c.g.limits.Load()
 	began := time.Unix(0, c.since.Load())
 	switch {
+	case c.tls != nil && !c.handshaken:
+		return began.Add(limits.HeadTimeout)
 	case !c.scanner.Started():
 		return began.Add(limits.IdleTimeout)
 	case !c.scanner.InBody():
@@ -329,7 +362,7 @@
 	c.stage.Store(stageRefused)
 	c.g.onEnd(refused.Cause)
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	if _, err := c.TCPConn.Write(responses[refused]); err != nil || c.unwanted.Load() || c.CloseWrite() != nil {
+	if _, err := c.stream().Write(responses[refused]); err != nil || c.unwanted.Load() || c.CloseWrite() != nil {
 		return c.close()
 	}
 	return c.detach(func() { go c.linger() })
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -9,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
@@ -55,6 +55,7 @@
 	name     string
 	address  string
 	side     bool
+	tls      *tls.Config
 	maxConns int
 	// open is guarded by the guard's mutex.
 	open int
@@ -89,6 +90,11 @@
 	g.places = append(g.places, &place{name: name, address: address, maxConns: maxConns, side: side})
 }
 
+// AddTLSPlace is AddPlace for an address at which clients are served over TLS, which the guard ends: for the engine, the address is a plain one.
+func (g *Guard) AddTLSPlace(name, address string, maxConns int, cfg *tls.Config) {
+	g.places = append(g.places, &place{name: name, address: address, maxConns: maxConns, tls: cfg})
+}
+
 // Open returns the number of open connections at the named address.
 func (g *Guard) Open(name string) int {
 	g.mu.Lock()
@@ -146,39 +152,6 @@
 	nb.Conn = c
 }
 
-// OnOpenTLS is OnOpen for an engine that serves TLS, which reads below any wrapper of its connections. Only the number of connections is
-// bounded then. OnCloseTLS is to be called when the engine has closed the connection.
-func (g *Guard) OnOpenTLS(nc net.Conn) {
-	nb, ok := nc.(*nbhttp.Conn)
-	if !ok {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c := g.conns[nb.Conn]; c != nil {
-		// The engine's connections are never closed to make room for others, since what they do isn't known.
-		c.stage.Store(stageHandling)
-	}
-}
-
-// OnCloseTLS forgets a connection of OnOpenTLS. Its remote address does not identify it, as the next connection may come from the same one.
-func (g *Guard) OnCloseTLS(nc net.Conn) {
-	nb, ok := nc.(*nbhttp.Conn)
-	if !ok {
-		return
-	}
-	tlsConn, ok := nb.Conn.(*tls.Conn)
-	if !ok {
-		return
-	}
-	g.mu.Lock()
-	c := g.conns[tlsConn.Conn()]
-	g.mu.Unlock()
-	if c != nil {
-		c.closeSocket()
-	}
-}
-
 func (g *Guard) listen(network, address string) (net.Listener, error) {
 	place := &place{address: address, maxConns: minListenerConns}
 	for _, p := range g.places {
@@ -257,6 +230,9 @@
 	}
 	p.open++
 	c := &conn{TCPConn: tcp, g: g, place: p}
+	if p.tls != nil {
+		c.tls = tls.Server(tcp, p.tls)
+	}
 	c.account.evict = c.evict
 	c.since.Store(time.Now().UnixNano())
 	g.conns[nc] = c
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -51,13 +52,24 @@
 }
 
 func startServer(t *testing.T, sizes Sizes, limits Limits, side bool, opened ...func(*conn)) *server {
+	t.Helper()
+	return startServerAt(t, sizes, limits, func(g *Guard) { g.AddPlace("test", "127.0.0.1:0", sizes.Connections, side) }, opened...)
+}
+
+func startTLSServer(t *testing.T, sizes Sizes, limits Limits) *server {
+	t.Helper()
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{testCertificate(qt.New(t))}}
+	return startServerAt(t, sizes, limits, func(g *Guard) { g.AddTLSPlace("test", "127.0.0.1:0", sizes.Connections, cfg) })
+}
+
+func startServerAt(t *testing.T, sizes Sizes, limits Limits, addPlace func(*Guard), opened ...func(*conn)) *server {
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
 	s := &server{
 		c: qt.New(t), ends: &ends{counts: map[Cause]int{}}, entered: make(chan string, 1000), release: make(chan struct{}),
 	}
 	s.guard = New(sizes, limits, s.ends.add, log)
-	s.guard.AddPlace("test", "127.0.0.1:0", sizes.Connections, side)
+	addPlace(s.guard)
 	config := nbhttp.Config{Network: "tcp", Addrs: []string{"127.0.0.1:0"}, Handler: s, ServerExecutor: func(f func()) { go f() }}
 	s.guard.Apply(&config)
 	engine := nbhttp.NewEngine(config)
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -60,6 +60,8 @@
 	bodyByteCost = 8
 	// connCost covers what a connection takes beside its account: a goroutine, buffers, and a request of up to freeCharge.
 	connCost = 16 << 10
+	// tlsCost covers the state, records and handshake messages of a TLS connection.
+	tlsCost = 64 << 10
 	// freeCharge is the cost of a request that needs no account: about 1 kB of head with 20 lines, or less head and some body.
 	freeCharge = 8 << 10
 )
@@ -119,17 +121,23 @@
 }
 
 // connectionsFor returns the number of clients' connections for which a host with the given memory has room beside its other sockets.
-func connectionsFor(memoryBytes int64, side, peers int) int {
+func connectionsFor(memoryBytes, bytesPerConn int64, side, peers int) int {
 	const sideAddresses = 2
 	queues := clientBuffers.ReceiveBytes + sideAddresses*sideBuffers.ReceiveBytes + peerBuffers.ReceiveBytes
 	kernel := memoryBytes/socketPart - int64(queuedConns*queues) -
 		int64(sideAddresses*side)*sideBuffers.bytes() - int64(peers)*peerBuffers.bytes()
-	return int(min(kernel/clientBuffers.bytes(), spareBytes(memoryBytes)/connPart/connCost))
+	return int(min(kernel/clientBuffers.bytes(), spareBytes(memoryBytes)/connPart/bytesPerConn))
 }
 
-// SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections if there is room for them.
-func SizesFor(memoryBytes int64, maxConns int) Sizes {
-	return sizesWith(memoryBytes, min(maxConns, max(minConns, connectionsFor(memoryBytes, 0, 0))), 0, 0)
+// SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections, over TLS or not, if there is room
+// for them.
+func SizesFor(memoryBytes int64, maxConns int, overTLS bool) Sizes {
+	bytesPerConn := int64(connCost)
+	if overTLS {
+		bytesPerConn += tlsCost
+	}
+	conns := min(maxConns, max(minConns, connectionsFor(memoryBytes, bytesPerConn, 0, 0)))
+	return sizesWith(memoryBytes, int64(conns)*bytesPerConn, conns, 0, 0)
 }
 
 // SizesOf returns the sizes for a host with the given memory and file descriptors; 0 stands for the default.
@@ -154,14 +162,14 @@
 	sockets := max(descriptors-fileDescriptors, descriptors/2)
 	side := min(max(minSideConns, sockets/sidePart), maxSideConns)
 	peers := min(max(minPeerConns, min(sockets/peersPart, int(memoryBytes/memoryPerPeer))), maxPeerConns)
-	conns := max(minConns, min(connectionsFor(memoryBytes, side, peers), sockets/connsPart))
-	sizes := sizesWith(memoryBytes, conns, side, peers)
+	conns := max(minConns, min(connectionsFor(memoryBytes, connCost, side, peers), sockets/connsPart))
+	sizes := sizesWith(memoryBytes, int64(conns)*connCost, conns, side, peers)
 	sizes.RelayCalls = sockets / relayCallsPart
 	return sizes
 }
 
-// sizesWith returns the sizes for a host with the given memory and numbers of connections.
-func sizesWith(memoryBytes int64, conns, side, peers int) Sizes {
+// sizesWith returns the sizes for a host with the given memory and numbers of connections, those of clients with what they take.
+func sizesWith(memoryBytes, connBytes int64, conns, side, peers int) Sizes {
 	const (
 		// The collector allows 40 parts of garbage to 100 parts in use.
 		inUse, withGarbage   = 10, 14
@@ -171,7 +179,7 @@
 		peerBytesPart, maxPeerBytesPart = 4, 3
 		relayPart                       = 8
 	)
-	requests := (spareBytes(memoryBytes) - int64(conns*connCost)) * inUse / withGarbage
+	requests := (spareBytes(memoryBytes) - connBytes) * inUse / withGarbage
 	peerBytes := max(requests/peerBytesPart, min(peerMessageBytes*peerByteCost, requests/maxPeerBytesPart))
 	relayBytes := max(requests/relayPart, relayPageBytes)
 	return Sizes{
