Bound the memory of accepted jobs by the smallest host

What callers saw: clients that send jobs of legal size, which are accepted and don't end, take memory at the group's holder without limit. A host that ended beside them would leave them to the next one.

Cause: the door charges a request until its response is written. Accepted jobs stay in memory until they end, whatever the host's size.

Change: cells keep an estimate of what their jobs take, holders tell it with their renewals, and hosts tell their memory with their addresses. A host refuses jobs while all together take an eighth of the memory of the smallest host, since any host may take any group over. What a host has accepted since the last renewal counts too; a holder that has not loaded its jobs yet tells nothing.

Ruled out: counting at the holder only.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -114,6 +114,7 @@
 	a.intake = &intake.Intake{Store: a.store, Health: a.health, Recheck: a.relay.Check, Groups: a.groups, Log: log}
 	a.front = &platform.Front{
 		Jobs: a.intake, Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes, Reserve: a.guard.Budget().Reserve,
+		Full:        a.groups.full,
 		OnRefusal:   func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() },
 		OnSubmitted: a.countSubmitted, Log: log,
 	}
@@ -284,7 +285,7 @@
 func (a *Agent) self() host {
 	return host{
 		Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Incarnation: a.incarnation,
-		Cores: a.settings.CPUShare,
+		Cores: a.settings.CPUShare, MemoryBytes: a.settings.MemoryBytes,
 	}
 }
 
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -19,6 +19,7 @@
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/graph"
+	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
@@ -359,8 +360,22 @@
 	return int(reply.GetJobs()), reply.GetKnown() && appliesTo(header, caller)
 }
 
+// full reports whether the accepted jobs take all the memory that the smallest host has for them: any host may have to take all groups over.
+func (g *groups) full() bool {
+	loaded, bytes := map[string]bool{}, int64(0)
+	for _, r := range g.runners() {
+		if n := r.JobBytes(); n >= 0 {
+			loaded[r.Group()] = true
+			bytes += n
+		}
+	}
+	bytes += g.a.leases.JobBytes(func(group string) bool { return loaded[group] })
+	return bytes > guard.JobBytesFor(g.a.hosts.minMemory(g.a.settings.MemoryBytes))
+}
+
 // Accepted implements intake.Groups.
 func (g *groups) Accepted(doc *graph.Job) {
+	g.a.leases.Accepted(doc.Service, doc.MemoryBytes())
 	if r := g.localRunner(doc.Service); r != nil {
 		r.AddJob(doc)
 	}
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -39,6 +39,8 @@
 	Incarnation string `json:"life"`
 	// Cores is the host's CPU share, in cores.
 	Cores float64 `json:"cores"`
+	// MemoryBytes is the memory that the host may use; 0 means that it is not known.
+	MemoryBytes int64 `json:"memory,omitempty"`
 }
 
 // hosts holds the known entry hosts, this one included, and the connections to them.
@@ -106,6 +108,18 @@
 	}
 }
 
+// minMemory returns the memory of the host that has least, or the given one if that is less; 0 means that none is known.
+func (h *hosts) minMemory(least int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, peer := range h.known {
+		if peer.MemoryBytes > 0 && (least == 0 || peer.MemoryBytes < least) {
+			least = peer.MemoryBytes
+		}
+	}
+	return least
+}
+
 // distance returns 0 for this host, 1 for one of its data centre and 2 for any other.
 func (h *hosts) distance(peer host) int {
 	switch {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -69,6 +70,8 @@
 	parked map[requirements]parkedSteps
 	// speculativeSteps holds the steps with runs that may get speculative copies.
 	speculativeSteps map[graph.StepID]*step
+	// jobBytes is the memory that the jobs take, the finished ones included.
+	jobBytes atomic.Int64
 	// nextSpeculationAt is when tasks that need a speculative copy are searched for next.
 	nextSpeculationAt time.Time
 	dataCenters       map[string]*dataCenter
@@ -127,6 +130,20 @@
 	stats           Stats
 }
 
+// finishedJobBytes is about how much memory a finished job takes.
+const finishedJobBytes = 256
+
+// keepFinished keeps the final state of a job.
+func (c *Cell) keepFinished(id string, f finishedJob) {
+	if _, ok := c.finished[id]; !ok {
+		c.jobBytes.Add(finishedJobBytes)
+	}
+	c.finished[id] = f
+}
+
+// JobBytes returns about how much memory the jobs take, the finished ones included, without that of running tasks. It doesn't wait for a plan.
+func (c *Cell) JobBytes() int64 { return c.jobBytes.Load() }
+
 // finishedJob is what is kept of a finished job.
 type finishedJob struct {
 	state      graph.State
@@ -261,6 +278,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
-		delete(c.finished, id)
+		if _, ok := c.finished[id]; ok {
+			delete(c.finished, id)
+			c.jobBytes.Add(-finishedJobBytes)
+		}
 	}
 }
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -145,7 +145,7 @@
 			if _, counted := c.finished[ch.Job]; !counted && c.settings.OnFinished != nil {
 				c.settings.OnFinished(j.doc.Team, ch.Progress.State)
 			}
-			c.finished[ch.Job] = finishedJob{ch.Progress.State, j.doc.Queue, j.doc.Team, now}
+			c.keepFinished(ch.Job, finishedJob{ch.Progress.State, j.doc.Queue, j.doc.Team, now})
 			c.teamLog(j.doc.Team).WithFields(logrus.Fields{
 				fieldJob: ch.Job, "queue": j.doc.Queue, "state": ch.Progress.State, "reason": ch.Progress.Reason,
 				fieldTook: now.Sub(j.doc.AcceptedAt).Round(time.Millisecond).String(),
@@ -188,6 +188,9 @@
 
 // dropJob drops a job whose final state is durable and that has no placements.
 func (c *Cell) dropJob(j *job) {
+	if !j.dropped {
+		c.jobBytes.Add(-j.doc.MemoryBytes())
+	}
 	j.dropped = true
 	delete(c.jobs, j.doc.ID)
 	delete(c.dirty, j.doc.ID)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -217,7 +217,7 @@
 	defer c.mu.Unlock()
 	_, known := c.jobs[id]
 	if _, finished := c.finished[id]; !known && !finished {
-		c.finished[id] = finishedJob{progress.State, progress.Queue, progress.Team, now}
+		c.keepFinished(id, finishedJob{progress.State, progress.Queue, progress.Team, now})
 	}
 }
 
@@ -254,6 +254,7 @@
 	j := &job{doc: doc, state: graph.Queued, version: version, restored: progress != nil, longRunning: doc.LongRunning()}
 	j.sensitive = !j.longRunning && j.declaredSlack() < maxSensitiveSlack
 	c.jobs[doc.ID] = j
+	c.jobBytes.Add(doc.MemoryBytes())
 	if doc.Team != "" {
 		c.fairness.newJobs = append(c.fairness.newJobs, j)
 	}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -112,10 +112,18 @@
 	unrenewed seenUnrenewed
 }
 
+// groupJobs is what is known of the memory that the jobs of a group take at its holder.
+type groupJobs struct {
+	// told is what the holder has told last. accepted is that of the jobs which this host has accepted since then, and acceptedBefore that of those
+	// which it accepted between the last two times, of which the holder may have known or not.
+	told, accepted, acceptedBefore int64
+}
+
 // View is a host's view of all leases and their holders.
 type View struct {
 	mu     sync.Mutex
 	leases map[string]leaseState
+	jobs   map[string]groupJobs
 	// lastAnswerAt is when the table last replied, and answeringSince the start of the period without a gap above maxAnswerGap.
 	lastAnswerAt   time.Time
 	answeringSince time.Time
@@ -132,7 +140,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{leases: map[string]leaseState{}, incarnations: map[string]incarnation{}}
+	return &View{leases: map[string]leaseState{}, jobs: map[string]groupJobs{}, incarnations: map[string]incarnation{}}
 }
 
 // TableAnswered records that the table has replied.
@@ -167,6 +175,10 @@
 			s.epoch, s.lastChange, s.epochSeenAt = e, now, now
 		case r.Name == rowRenewal:
 			s.lastChange, s.renewal = now, r
+			var value renewal
+			if json.Unmarshal(r.Value, &value) == nil && value.JobBytes != nil {
+				v.jobs[r.Partition] = groupJobs{told: *value.JobBytes, acceptedBefore: v.jobs[r.Partition].accepted}
+			}
 		case r.Name == rowUnrenewed && r.Version > s.unrenewed.version && !r.Deleted:
 			if err := s.unrenewed.apply(r, now); err != nil {
 				decodeErr = fmt.Errorf("decode unrenewed workers of group %s: %w", r.Partition, err)
@@ -180,6 +192,28 @@
 	return decodeErr
 }
 
+// Accepted records that this host has accepted a job of a group, which takes the given memory.
+func (v *View) Accepted(group string, bytes int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	j := v.jobs[group]
+	j.accepted += bytes
+	v.jobs[group] = j
+}
+
+// JobBytes returns about how much memory the jobs of all groups take at their holders, without the groups that skip names.
+func (v *View) JobBytes(skip func(group string) bool) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	sum := int64(0)
+	for group, j := range v.jobs {
+		if !skip(group) {
+			sum += j.told + j.accepted + j.acceptedBefore
+		}
+	}
+	return sum
+}
+
 // correctHeldSince moves heldSince back if the holder's last renewal says that it has held the lease for longer.
 func (s *leaseState) correctHeldSince(now time.Time) {
 	if s.renewal.Version <= s.epoch.Version || s.epoch.Holder == "" {
@@ -319,26 +353,31 @@
 type renewal struct {
 	// Held is how long the holder had held the lease at the renewal, for hosts that have not seen when it was acquired.
 	Held time.Duration `json:"held"`
+	// JobBytes is the memory that the group's jobs take at the holder; nil before it has loaded them.
+	JobBytes *int64 `json:"job-bytes,omitempty"`
 }
 
 func renewalKey(group string) table.Key {
 	return table.Key{Table: Table, Partition: group, Name: rowRenewal}
 }
 
-// RenewWrite returns the write that renews a lease which its holder has held for the given time.
-func RenewWrite(group string, held time.Duration) table.Write {
-	return table.Write{
-		Key: renewalKey(group), Value: fmt.Appendf(nil, `{"held":%d}`, held),
+// RenewWrite returns the write that renews a lease which its holder has held for the given time. It tells how much memory the group's jobs take;
+// negative means that the holder doesn't know it yet.
+func RenewWrite(group string, held time.Duration, jobBytes int64) table.Write {
+	value := fmt.Appendf(nil, `{"held":%d}`, held)
+	if jobBytes >= 0 {
+		value = fmt.Appendf(nil, `{"held":%d,"job-bytes":%d}`, held, jobBytes)
 	}
+	return table.Write{Key: renewalKey(group), Value: value}
 }
 
-// Renew renews a lease that has been held for the given time; *LostError means that another host holds it.
-func Renew(ctx context.Context, s table.Store, e Epoch, held time.Duration) error {
+// Renew renews a lease like RenewWrite; *LostError means that another host holds it.
+func Renew(ctx context.Context, s table.Store, e Epoch, held time.Duration, jobBytes int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.Commit(ctx, table.Tx{
 		Checks: []table.Check{e.Check()},
-		Writes: []table.Write{RenewWrite(e.Group, held)},
+		Writes: []table.Write{RenewWrite(e.Group, held, jobBytes)},
 	})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -29,8 +29,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(second.Token, qt.Equals, uint64(2))
 	var lost *elect.LostError
-	c.Assert(errors.As(elect.Renew(ctx, store, first, 0), &lost), qt.IsTrue)
-	c.Assert(elect.Renew(ctx, store, second, 0), qt.IsNil)
+	c.Assert(errors.As(elect.Renew(ctx, store, first, 0, 0), &lost), qt.IsTrue)
+	c.Assert(elect.Renew(ctx, store, second, 0, 0), qt.IsNil)
 }
 
 func TestLeaseIsAcquirable(t *testing.T) {
@@ -149,7 +149,7 @@
 	epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
 	c.Assert(err, qt.IsNil)
 	for _, held := range []time.Duration{0, time.Minute} {
-		c.Assert(elect.Renew(ctx, store, epoch, held), qt.IsNil)
+		c.Assert(elect.Renew(ctx, store, epoch, held, 0), qt.IsNil)
 		page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
 		c.Assert(err, qt.IsNil)
 		view := elect.NewView()
@@ -161,6 +161,27 @@
 	}
 }
 
+// Hosts know of the memory of all jobs: what the holders tell, and what they have accepted themselves since then.
+func TestJobBytesOfAllGroups(t *testing.T) {
+	c := qt.New(t)
+	store, ctx := fakes.NewTable(), context.Background()
+	epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
+	c.Assert(err, qt.IsNil)
+	view := elect.NewView()
+	const notLoaded = -1
+	for _, step := range []struct{ told, accepted, want int64 }{
+		{notLoaded, 10, 10}, {notLoaded, 5, 15}, {100, 0, 115}, {120, 3, 123}, {notLoaded, 4, 127}, {120, 0, 127}, {0, 0, 0},
+	} {
+		c.Assert(elect.Renew(ctx, store, epoch, 0, step.told), qt.IsNil)
+		page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
+		c.Assert(err, qt.IsNil)
+		c.Assert(view.Apply(page.Rows, time.Unix(1_000_000, 0)), qt.IsNil)
+		view.Accepted(group, step.accepted)
+		c.Check(view.JobBytes(func(string) bool { return false }), qt.Equals, step.want)
+	}
+	c.Check(view.JobBytes(func(string) bool { return true }), qt.Equals, int64(0))
+}
+
 // A renewal that the new holder has not seen before it acquires the lease lets the old one send orders for longer than assumed.
 func TestUnseenRenewalCountsTowardsOrders(t *testing.T) {
 	c := qt.New(t)
@@ -178,7 +199,7 @@
 		v.TableAnswered(now)
 	}
 	renewedAt := start.Add(2100 * time.Millisecond)
-	c.Assert(elect.Renew(ctx, store, held, 2100*time.Millisecond), qt.IsNil)
+	c.Assert(elect.Renew(ctx, store, held, 2100*time.Millisecond, 0), qt.IsNil)
 	now = start.Add(elect.TakeoverTimeout + 10*time.Millisecond)
 	previous, acquirable := v.Acquirable(group, 0, now)
 	c.Assert(acquirable, qt.IsTrue)
@@ -206,7 +227,7 @@
 	c.Assert(err, qt.IsNil)
 	apply(0)
 	const renewedAt = 10 * time.Second
-	c.Assert(elect.Renew(ctx, store, first, renewedAt), qt.IsNil)
+	c.Assert(elect.Renew(ctx, store, first, renewedAt, 0), qt.IsNil)
 	apply(renewedAt)
 	// The second host acquires the lease of one that is cut off, and stops.
 	second, err := elect.Acquire(ctx, store, first, elect.Candidate{Name: "b", Incarnation: "1"})
--- a/graph/job.go
+++ b/graph/job.go
@@ -138,6 +138,12 @@
 	return n
 }
 
+// MemoryBytes returns about how much memory the scheduler takes for the job until it has ended, without that of its running tasks.
+func (j *Job) MemoryBytes() int64 {
+	const jobBytes, stepBytes, taskBytes = 2 << 10, 1 << 10, 16
+	return int64(jobBytes + len(j.Spec) + len(j.Steps)*stepBytes + j.NumTasks()*taskBytes)
+}
+
 // LongRunning reports whether the job has a long-running step and so runs until it is cancelled.
 func (j *Job) LongRunning() bool {
 	for i := range j.Steps {
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -129,6 +129,15 @@
 	return int(min(kernel/clientBuffers.bytes(), spareBytes(memoryBytes)/connPart/bytesPerConn))
 }
 
+// JobBytesFor returns the part of what the program takes itself that is for accepted jobs, on a host with the given memory; 0 stands for the default.
+func JobBytesFor(memoryBytes int64) int64 {
+	const jobPart = 8
+	if memoryBytes <= 0 {
+		memoryBytes = DefaultMemoryBytes
+	}
+	return memoryBytes / jobPart
+}
+
 // SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections, over TLS or not, if there is room
 // for them.
 func SizesFor(memoryBytes int64, maxConns int, overTLS bool) Sizes {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -144,6 +144,14 @@
 	return r.loaded.Load() && r.LeaseAge() < elect.FreshTimeout
 }
 
+// JobBytes returns about how much memory the group's jobs take, without that of running tasks; negative if they are not loaded yet.
+func (r *Runner) JobBytes() int64 {
+	if !r.loaded.Load() {
+		return -1
+	}
+	return r.cell.JobBytes()
+}
+
 // Run runs the group until ctx is done or the lease is lost; acquiredAt is when the request that acquired the lease was sent, on
 // the boot clock.
 func (r *Runner) Run(ctx context.Context, acquiredAt time.Duration) error {
@@ -350,7 +358,7 @@
 	if r.cfg.SinceBoot()-time.Duration(r.renewedAt.Load()) < elect.RenewInterval/2 {
 		return false
 	}
-	tx.Writes = append(tx.Writes, elect.RenewWrite(r.cfg.Epoch.Group, r.heldFor()))
+	tx.Writes = append(tx.Writes, elect.RenewWrite(r.cfg.Epoch.Group, r.heldFor(), r.JobBytes()))
 	r.renewalSentAt.Store(int64(r.cfg.SinceBoot()))
 	return true
 }
@@ -388,7 +396,7 @@
 		}
 		drain(r.renewWake)
 		sent := r.cfg.SinceBoot()
-		err := elect.Renew(ctx, r.cfg.Store, r.cfg.Epoch, r.heldFor())
+		err := elect.Renew(ctx, r.cfg.Store, r.cfg.Epoch, r.heldFor(), r.JobBytes())
 		if lost, ok := asLostError(err); ok {
 			r.cancel(lost)
 			return lost
