Guard: refuse a body at once for which there is never memory

What callers saw: on a host whose configuration allows larger bodies than its memory has room for, a large body was read until the budget was used up, and answered 408 with Retry-After, so that the client sends it again, in vain.

Cause: the scanner knew the limit of the configuration only.

Evidence: TestBodyBeyondMemoryIsRefusedAtOnce, on the code before: no 413, but 408 after 10 s.

Why it works: what the budget never grants to one request is a limit like the configuration's, and is checked with the declared length.

--- a/guard/budget.go
+++ b/guard/budget.go
@@ -49,6 +49,9 @@
 	return b
 }
 
+// maxCharge returns the largest charge that the budget ever allows.
+func (b *Budget) maxCharge() int64 { return b.total - b.reserve }
+
 // maxSmallCharge is the charge of a request of about 8 kB.
 const maxSmallCharge = 64 << 10
 
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -296,7 +296,8 @@
 	}
 	inBody := c.scanner.InBody()
 	limits := c.g.limits.Load()
-	sizes := SizeLimits{HeadBytes: limits.HeadBytes, BodyBytes: limits.BodyBytes}
+	// There is never memory for a larger body than the budget allows.
+	sizes := SizeLimits{HeadBytes: limits.HeadBytes, BodyBytes: min(limits.BodyBytes, int(c.g.budget.maxCharge()/bodyByteCost))}
 	if c.place.side {
 		sizes = SizeLimits{HeadBytes: min(limits.HeadBytes, maxSideHead), BodyBytes: min(limits.BodyBytes, maxSideBody), ReadOnly: true}
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -421,6 +421,16 @@
 	s.c.Assert(res.status, qt.Equals, http.StatusRequestEntityTooLarge)
 }
 
+// A body for which there is never memory used to be read until the budget was used up, and was answered 408, after which clients send it again.
+func TestBodyBeyondMemoryIsRefusedAtOnce(t *testing.T) {
+	s := startServer(t, roomySizes, Limits{BodyBytes: 64 << 20}, false)
+	conn, in := s.dial()
+	_, err := io.WriteString(conn, postHead+fmt.Sprintf("Content-Length: %d\r\n\r\n", roomySizes.BudgetBytes/bodyByteCost))
+	s.c.Assert(err, qt.IsNil)
+	res, _ := s.response(in)
+	s.c.Assert(res.status, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
 // The log must not get a line for each refused request.
 func TestLogTellsOnceThatRequestsAreTurnedAway(t *testing.T) {
 	c := qt.New(t)
