--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts of cases 11 to 15 start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/standin-3 ./review/_standin-3
