--- a/review/_standin-3/cases.go
+++ b/review/_standin-3/cases.go
@@ -14,6 +14,7 @@
 	"lasting": playLasting,
 	"label":   playLabel,
 	"ended":   playEnded,
+	"keys":    playKeys,
 }
 
 // Sizes of a small deployment.
@@ -31,6 +32,9 @@
 	finishTime, idleTime = 14 * time.Second, 3 * time.Second
 )
 
+// applyTime is longer than config_apply_ms and revoke_ms of the deployment with tenants.
+const applyTime = 8 * time.Second
+
 // ordinary is the job of an ordinary client: some tasks of half a second.
 const ordinary = `{"spec":"work 500","phases":[{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":500}]}`
 
@@ -228,3 +232,59 @@
 	c.judge()
 	return true
 }
+
+// tenant is an entry of a configuration.
+func tenant(name string, keys ...string) any {
+	return map[string]any{"name": name, "api_keys": keys, "priority": 1, "weight": 5.0, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpus": 0}}
+}
+
+// playKeys: the last tenant leaves, so that the next configuration has none. Without the trouble, the tenant stays and has no keys any more.
+func playKeys(t *trial) bool {
+	const dropped, unknown = "key-of-yard", "key-of-nobody"
+	t.tenants = []any{tenant("yard", dropped)}
+	if !t.setUp(numHosts, numWorkers) {
+		return false
+	}
+	ask := func(h *host, tenantKey, method, id, body string) int {
+		status, text := h.sendAs(tenantKey, method, queuePath+id, body, 3*time.Second)
+		t.note("client with key %q: %s %s at %s: %d %s", tenantKey, method, id, h.name, status, text)
+		return status
+	}
+	const job, other = "aaaaaaaa00000001", "aaaaaaaa00000002"
+	const long = `{"spec":"work 40000","phases":[{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":40000}]}`
+	if ask(t.hosts[0], dropped, http.MethodPost, job, long) != http.StatusOK {
+		return false
+	}
+	if ask(t.hosts[0], unknown, http.MethodGet, job, "") != http.StatusUnauthorized || ask(t.hosts[0], "", http.MethodGet, job, "") != http.StatusUnauthorized {
+		return false
+	}
+	time.Sleep(2 * time.Second)
+	t.tenants = []any{tenant("yard")}
+	if t.trouble {
+		t.tenants = []any{}
+	}
+	t.configure(8)
+	time.Sleep(applyTime)
+	for _, h := range t.hosts {
+		for _, k := range []string{dropped, unknown, ""} {
+			rule := "ROUTE"
+			if k == dropped {
+				rule = "CONFIG"
+			}
+			if status := ask(h, k, http.MethodGet, job, ""); status == http.StatusOK {
+				t.breaks("%s: %s shows the state of the tenant's job to a client with the key %q", rule, h.name, k)
+			}
+		}
+	}
+	if ask(t.hosts[1], unknown, http.MethodPost, other, ordinary) == http.StatusOK {
+		t.breaks("ROUTE: a job runs whose key no configuration ever held")
+	}
+	if ask(t.hosts[2], dropped, http.MethodPost, "aaaaaaaa00000003", ordinary) == http.StatusOK {
+		t.breaks("CONFIG: a job runs with a key that was dropped %v before", applyTime)
+	}
+	if ask(t.hosts[3], "", http.MethodDelete, job, "") == http.StatusOK {
+		t.breaks("ROUTE: a client without a key cancels the tenant's job")
+	}
+	time.Sleep(2 * time.Second)
+	return true
+}
--- a/review/_standin-3/host.go
+++ b/review/_standin-3/host.go
@@ -228,8 +228,13 @@
 	h.signal(syscall.SIGKILL)
 }
 
-// send sends one request to a host; the status is 0 without an answer.
+// send sends one request without a key to a host; the status is 0 without an answer.
 func (h *host) send(method, path, body string, timeout time.Duration) (int, string) {
+	return h.sendAs("", method, path, body, timeout)
+}
+
+// sendAs sends one request with the key of a tenant, if it isn't empty.
+func (h *host) sendAs(tenantKey, method, path, body string, timeout time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, strings.NewReader(body))
@@ -239,6 +244,9 @@
 	req.Host = clientHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Corianderdrift-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	if tenantKey != "" {
+		req.Header.Set("Authorization", "Bearer "+tenantKey)
+	}
 	tr := &http.Transport{DisableKeepAlives: true}
 	defer tr.CloseIdleConnections()
 	res, err := (&http.Client{Transport: tr}).Do(req)
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -33,6 +33,9 @@
 	hosts        []*host
 	trouble      bool
 
+	// tenants are those of the next configuration; nil where there are none.
+	tenants []any
+
 	mu     sync.Mutex
 	began  time.Time
 	record *bufio.Writer
@@ -140,8 +143,9 @@
 	}()
 }
 
+// configure writes a version of the configuration, as the operator does.
 func (t *trial) configure(version int) {
-	t.store.put("op", "config", map[string]any{
+	config := map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "r-jobs", "host": clientHost, "prefix": queuePath, "kind": "unsafe", "timeout_ms": 3000, "slo_ms": 1000, "priority": 1,
@@ -151,7 +155,12 @@
 			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "enforce_capacity": false, "standby": false,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if t.tenants != nil {
+		config["tenants"] = t.tenants
+	}
+	t.store.put("op", "config", config)
+	t.note("operator: version %d is acknowledged", version)
 }
 
 // setUp starts a deployment and waits until all hosts are ready.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/standin-3 ./review/_standin-3
+go build -o target/standin-3.new ./review/_standin-3
+mv target/standin-3.new target/standin-3
