--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Plays case 15; see claim.txt. TROUBLE=0 leaves the disruption out. Exits with 1 if a rule was broken, 0 if not, 2 if the case couldn't run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x target/corianderdrift ] && [ -x target/standin-3 ] || exit 2
+TROUBLE=${TROUBLE:-1} exec timeout -k 2 118 target/standin-3 keys target/corianderdrift "$here"
