Bound the tasks that run by the memory of the smallest host

What callers saw: a client hands in eight jobs of 20,000 lasting tasks of a thousandth of a core each, all answered 200.

Cause: a host was said to be full by graph.Job.MemoryBytes, which counts 16 bytes a task. What a task takes from its start on was counted nowhere, and nothing bounded the tasks at work: 750 to 1,000 bytes for the task, its placement and its progress, and a goroutine with the order for each start and stop, also while it waits for one of the three places at its worker.

Evidence: gctrace on, one host of 96 MB beside jobs of 7,000 tasks, shows 26 MB of stacks and 31 MB of heap while the starts are sent and 63 MB of live heap later.

Change: a holder knows at most as many tasks as fit in an eighth of the memory of the smallest host; the rest start as others end, and where says so. Lasting tasks beyond it and gangs that fit on no host are refused on arrival. Orders wait in a queue for each worker, the jobs in turn, and not in goroutines; plans list at most 1,024 starts.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -115,6 +115,7 @@
 	a.front = &platform.Front{
 		Jobs: a.intake, Queues: a.queues, Ready: a.ready, RowBytes: s.RowBytes, Reserve: a.guard.Budget().Reserve,
 		Full:        a.groups.full,
+		Admit:       a.groups.admit,
 		OnRefusal:   func(reason string) { a.metrics.refusals.WithLabelValues(reason).Inc() },
 		OnSubmitted: a.countSubmitted, Log: log,
 	}
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -27,7 +27,7 @@
 		epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: testService}, elect.Candidate{Name: "a", Incarnation: "second"})
 		c.Assert(err, qt.IsNil)
 		time.Sleep(7 * time.Second)
-		c.Assert(elect.Renew(ctx, store, epoch, 7*time.Second, 0), qt.IsNil)
+		c.Assert(elect.Renew(ctx, store, epoch, elect.Renewal{Held: 7 * time.Second}), qt.IsNil)
 		b := newTestAgent("b")
 		for _, partition := range []string{testService, hostsPartition} {
 			rows, _, err := table.ReadAll(ctx, store, table.Range{Table: elect.Table, Partition: partition})
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -14,12 +14,14 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 
+	"github.com/corianderdrift/corianderdrift/budget"
 	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/clock"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/guard"
+	"github.com/corianderdrift/corianderdrift/platform"
 	"github.com/corianderdrift/corianderdrift/queues"
 	"github.com/corianderdrift/corianderdrift/runner"
 	"github.com/corianderdrift/corianderdrift/table"
@@ -81,6 +83,10 @@
 	holdsTimeout time.Duration
 	wg           sync.WaitGroup
 	stopping     bool
+
+	// admitting guards admitted, which is what the jobs take that are being accepted.
+	admitting sync.Mutex
+	admitted  elect.Usage
 }
 
 // storedHandover is the handover state of a runner that held its lease under token.
@@ -238,10 +244,13 @@
 
 func (g *groups) run(ctx context.Context, acquired elect.Attempt) {
 	epoch, previous := acquired.Epoch, acquired.Previous
+	settings := g.a.cellSettings()
+	settings.TaskLimit = func() budget.Limit { return g.taskLimit(epoch.Group) }
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: g.a.store, Workers: g.a.workers, Registry: g.a.registry, Advisors: g.a.advisors,
-		Queues: g.a.queues, Settings: g.a.cellSettings(), PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
+		Queues: g.a.queues, Settings: settings, PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
 		Previous: previous, SinceBoot: clock.SinceBoot, Log: g.a.log, RowBytes: g.a.settings.RowBytes,
+		MemoryBytes:   g.a.settings.MemoryBytes,
 		FetchHandover: func(ctx context.Context) (cell.Handover, bool) { return g.fetchHandover(ctx, previous) },
 		Timeout:       func(base time.Duration) time.Duration { return g.a.health.Timeout(base, time.Now()) },
 	})
@@ -360,22 +369,73 @@
 	return int(reply.GetJobs()), reply.GetKnown() && appliesTo(header, caller)
 }
 
-// full reports whether the accepted jobs take all the memory that the smallest host has for them: any host may have to take all groups over.
-func (g *groups) full() bool {
-	loaded, bytes := map[string]bool{}, int64(0)
+// usage returns what the jobs of all groups but one take; none is left out if that is empty.
+func (g *groups) usage(except string) elect.Usage {
+	skip, sum := map[string]bool{except: true}, elect.Usage{}
 	for _, r := range g.runners() {
-		if n := r.JobBytes(); n >= 0 {
-			loaded[r.Group()] = true
-			bytes += n
+		if u, ok := r.Usage(); ok && !skip[r.Group()] {
+			skip[r.Group()] = true
+			sum = sum.Plus(u)
 		}
 	}
-	bytes += g.a.leases.JobBytes(func(group string) bool { return loaded[group] })
-	return bytes > guard.JobBytesFor(g.a.hosts.minMemory(g.a.settings.MemoryBytes))
+	return sum.Plus(g.a.leases.Usage(func(group string) bool { return skip[group] }))
+}
+
+// minMemory returns the memory of the smallest host: any host may have to take all groups over.
+func (g *groups) minMemory() int64 { return g.a.hosts.minMemory(g.a.settings.MemoryBytes) }
+
+// full reports whether the accepted jobs take all the memory that the smallest host has for them.
+func (g *groups) full() bool { return g.usage("").JobBytes > int64(guard.JobBytesFor(g.minMemory())) }
+
+// room tells whether the smallest host has room for a job beside the accepted ones; admitting is held.
+func (g *groups) room(doc *graph.Job) platform.Room {
+	memory := g.minMemory()
+	tasks, longRunning := guard.TasksFor(memory), doc.LongRunningTasks()
+	used := g.usage("").Plus(g.admitted)
+	switch {
+	case !tasks.Admits(0, longRunning) || !tasks.Admits(0, int64(doc.LargestGang())):
+		return platform.RoomNever
+	case !tasks.Admits(used.LongRunning, longRunning) || !guard.JobBytesFor(memory).Admits(used.JobBytes, doc.MemoryBytes()):
+		return platform.RoomLater
+	default:
+		return platform.RoomNow
+	}
+}
+
+// taskLimit returns of how many tasks the host that runs a group may keep what is known of them: what the other groups leave of the smallest host's
+// memory, and an equal part at least.
+func (g *groups) taskLimit(group string) budget.Limit {
+	limit, numGroups := guard.TasksFor(g.minMemory()), 1
+	if cfg := g.a.queues.Current(); cfg != nil {
+		numGroups = max(1, len(cfg.Services))
+	}
+	return max(limit/budget.Limit(numGroups), limit-budget.Limit(g.usage(group).Tasks))
+}
+
+// admit tells whether the smallest host has room for a job, and counts the job among those that are accepted until release is called.
+func (g *groups) admit(doc *graph.Job) (room platform.Room, release func()) {
+	g.admitting.Lock()
+	defer g.admitting.Unlock()
+	if room = g.room(doc); room != platform.RoomNow {
+		return room, func() {}
+	}
+	usage := usageOf(doc)
+	g.admitted = g.admitted.Plus(usage)
+	return room, func() {
+		g.admitting.Lock()
+		defer g.admitting.Unlock()
+		g.admitted = g.admitted.Minus(usage)
+	}
+}
+
+// usageOf returns what a job takes before it has started.
+func usageOf(doc *graph.Job) elect.Usage {
+	return elect.Usage{JobBytes: doc.MemoryBytes(), LongRunning: doc.LongRunningTasks()}
 }
 
 // Accepted implements intake.Groups.
 func (g *groups) Accepted(doc *graph.Job) {
-	g.a.leases.Accepted(doc.Service, doc.MemoryBytes())
+	g.a.leases.Accepted(doc.Service, usageOf(doc))
 	if r := g.localRunner(doc.Service); r != nil {
 		r.AddJob(doc)
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -117,6 +117,17 @@
 	gauge("group_workers", "Workers of the groups that this host runs.", sum(func(w, _, _ int) int { return w }))
 	gauge("group_jobs", "Unfinished jobs of the groups that this host runs.", sum(func(_, j, _ int) int { return j }))
 	gauge("group_runs", "Runs placed by the groups that this host runs.", sum(func(_, _, p int) int { return p }))
+	gauge("group_known_tasks", "Tasks of the groups that this host runs that run, or wait after a run.", func() float64 {
+		n := int64(0)
+		for _, r := range a.groups.runners() {
+			known, _ := r.Cell().Tasks()
+			n += known
+		}
+		return float64(n)
+	})
+	gauge("known_tasks_limit", "Such tasks of all groups for which the smallest host has the memory.", func() float64 {
+		return float64(guard.TasksFor(a.groups.minMemory()))
+	})
 	sumStats := func(selectCount func(s cell.Stats) uint64) func() float64 {
 		return func() float64 {
 			n := uint64(0)
--- a/agent/where.go
+++ b/agent/where.go
@@ -183,6 +183,15 @@
 		if errors.As(quota.CheckGangs(doc, cfg.CapOf(doc.Team)), &gang) {
 			return &WhereRefusal{http.StatusTooManyRequests, platform.ReasonGangCap, 0}
 		}
+		room, release := a.groups.admit(doc)
+		release()
+		switch room {
+		case platform.RoomNow:
+		case platform.RoomLater:
+			return &WhereRefusal{http.StatusServiceUnavailable, platform.ReasonMemory, platform.RetryAfterSeconds(platform.MemoryRetryAfter)}
+		case platform.RoomNever:
+			return &WhereRefusal{http.StatusTooManyRequests, platform.ReasonTooManyTasks, 0}
+		}
 	}
 	if refused := a.intake.Refusal(r.Context()); refused != nil {
 		return &WhereRefusal{http.StatusServiceUnavailable, refused.Reason, platform.RetryAfterSeconds(refused.RetryAfter)}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -1,12 +1,14 @@
 package cell
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/corianderdrift/corianderdrift/budget"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/queues"
@@ -33,11 +35,22 @@
 	// RunsPerToken is how many run numbers are reserved for each token, so that new runs don't reuse numbers of unreported
 	// runs of an earlier scheduler.
 	RunsPerToken int
+	// TaskLimit returns of how many tasks the group may keep what is known of them: those that run, and those that wait after a run. nil means that
+	// they are not limited.
+	TaskLimit func() budget.Limit
 	// OnFinished is called with the team and the final state of each job whose end becomes durable; nil means not at all. It must not block,
 	// nor call the group.
 	OnFinished func(team string, state graph.State)
 }
 
+// taskLimit returns the present limit of known tasks.
+func (s *Settings) taskLimit() budget.Limit {
+	if s.TaskLimit == nil {
+		return math.MaxInt64
+	}
+	return s.TaskLimit()
+}
+
 // Timing of leases and of the memory of finished jobs.
 const (
 	// leaseMargin covers a worker's clock that is 2% slow over a lease of 6 s, and the transit of an order.
@@ -72,6 +85,12 @@
 	speculativeSteps map[graph.StepID]*step
 	// jobBytes is the memory that the jobs take, the finished ones included.
 	jobBytes atomic.Int64
+	// longRunningTasks is the number of tasks of the jobs that run until they are cancelled.
+	longRunningTasks atomic.Int64
+	// knownTasks counts the tasks of which something is known, and the copies of them.
+	knownTasks taskCounter
+	// taskLimit is the limit of knownTasks in the present plan.
+	taskLimit budget.Limit
 	// nextSpeculationAt is when tasks that need a speculative copy are searched for next.
 	nextSpeculationAt time.Time
 	dataCenters       map[string]*dataCenter
@@ -144,6 +163,12 @@
 // JobBytes returns about how much memory the jobs take, the finished ones included, without that of running tasks. It doesn't wait for a plan.
 func (c *Cell) JobBytes() int64 { return c.jobBytes.Load() }
 
+// Tasks returns the number of tasks of which something is known, and that of the tasks that run until their jobs are cancelled, whether they have been
+// started or not. It doesn't wait for a plan.
+func (c *Cell) Tasks() (known, longRunning int64) {
+	return c.knownTasks.n.Load(), c.longRunningTasks.Load()
+}
+
 // finishedJob is what is kept of a finished job.
 type finishedJob struct {
 	state      graph.State
@@ -167,7 +192,7 @@
 // New returns an empty group that is scheduled under a fencing token.
 func New(settings Settings, token uint64, log logrus.FieldLogger) *Cell {
 	return &Cell{
-		settings: settings, log: log, token: token, firstRun: int(token-1)*settings.RunsPerToken + 1,
+		settings: settings, log: log, token: token, taskLimit: math.MaxInt64, firstRun: int(token-1)*settings.RunsPerToken + 1,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, finished: map[string]finishedJob{},
 		dirty: map[string]*job{}, stepsToPlace: map[graph.StepID]*step{}, parked: map[requirements]parkedSteps{},
 		speculativeSteps: map[graph.StepID]*step{}, dataCenters: map[string]*dataCenter{}, stopRequested: map[*placement]struct{}{},
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -190,6 +190,7 @@
 func (c *Cell) dropJob(j *job) {
 	if !j.dropped {
 		c.jobBytes.Add(-j.doc.MemoryBytes())
+		c.longRunningTasks.Add(-j.doc.LongRunningTasks())
 	}
 	j.dropped = true
 	delete(c.jobs, j.doc.ID)
@@ -197,6 +198,7 @@
 	delete(c.scheduled, j.doc.ID)
 	for _, occ := range j.occurrences {
 		for _, s := range occ.steps {
+			s.countKnown(-s.knownTasks)
 			delete(c.stepsToPlace, s.id)
 			delete(c.speculativeSteps, s.id)
 		}
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -119,10 +119,7 @@
 	if !s.doc.LongRunning || !j.failsElsewhere(p.w) {
 		c.recordFailure(p.w, j.doc.ID, now)
 	}
-	if t.avoidWorkers == nil {
-		t.avoidWorkers = map[string]bool{}
-	}
-	t.avoidWorkers[p.w.info.ID] = true
+	t.avoid(p.w)
 	if s.doc.LongRunning || t.done || slices.Contains(t.failedRuns, p.run) {
 		return
 	}
--- a/cell/explain.go
+++ b/cell/explain.go
@@ -49,6 +49,7 @@
 	StepTeamGang       StepReason = "team-gang"
 	StepAwaitsReports  StepReason = "awaits-reports"
 	StepRecord         StepReason = "record"
+	StepTaskLimit      StepReason = "task-limit"
 	StepRetryDelay     StepReason = "retry-delay"
 	StepAwaitsGangEnds StepReason = "awaits-gang-ends"
 	StepHeadroom       StepReason = "headroom"
@@ -134,7 +135,7 @@
 func (c *Cell) stepsToExplain(id string, doc *graph.Job) (*job, []*step) {
 	if doc != nil {
 		// The time for a commit of its record is left out.
-		j := &job{doc: doc, state: graph.Queued, version: 1, longRunning: doc.LongRunning()}
+		j := &job{doc: doc, state: graph.Queued, version: 1, longRunning: doc.LongRunning(), inAll: &taskCounter{}}
 		j.sensitive = !j.longRunning && j.declaredSlack() < maxSensitiveSlack
 		return j, c.newOccurrence(j, 0).steps
 	}
@@ -152,6 +153,9 @@
 	}
 	if len(j.occurrences) == 0 && j.nextOccurrence < j.doc.Occurrences() {
 		steps = c.newOccurrence(j, j.nextOccurrence).steps
+		for _, s := range steps {
+			s.countKnown(-s.knownTasks)
+		}
 	}
 	return j, steps
 }
@@ -303,6 +307,9 @@
 	if reason, until := x.tasksReason(s); reason != "" {
 		return reason, until
 	}
+	if c.heldByTaskLimit(s) {
+		return StepTaskLimit, time.Time{}
+	}
 	size := allocationOf(s.doc)
 	if s.doc.Gang {
 		if len(c.assignGang(s, advice != nil, now, func(w *worker) int { return c.fits(s, w, size) })) == s.doc.Count {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -10,9 +10,8 @@
 
 // planGang places all tasks of a gang at once, or none.
 func (c *Cell) planGang(plan *Plan, s *step, advice *queues.Advice, now time.Time) {
-	run := 0
-	for i := range s.tasks {
-		t := s.task(i)
+	run := c.firstRun
+	for t := range s.known {
 		if len(t.placements) > 0 {
 			return
 		}
@@ -22,6 +21,9 @@
 		}
 		run = max(run, c.nextRun(t))
 	}
+	if c.heldByTaskLimit(s) {
+		return
+	}
 	checkpoint := ""
 	for t := range s.known {
 		if t.checkpoint > checkpoint {
@@ -37,7 +39,8 @@
 		c.prepareGang(plan, s, advice, now)
 		return
 	}
-	for i, t := range s.tasks {
+	for i := range s.tasks {
+		t := s.task(i)
 		t.checkpoint = checkpoint
 		c.start(plan, t, assignments[i].w, assignments[i].ticket, run, now)
 	}
--- a/cell/handover_test.go
+++ b/cell/handover_test.go
@@ -1,14 +1,11 @@
 package cell_test
 
 import (
-	"io"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
-	"github.com/corianderdrift/corianderdrift/cell"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/order"
 )
@@ -31,9 +28,7 @@
 	handover, err := h.cell.Handover(h.now)
 	h.c.Assert(err, qt.IsNil)
 
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	h.cell = cell.New(cell.Settings{Lease: 6 * time.Second, RunsPerToken: 1000}, 2, log)
+	h.cell = newCell("", 2)
 	h.cell.Recorded([]string{"w0", "w1"})
 	h.cell.Add(doc, &graph.Progress{State: graph.Running, Queue: doc.Queue}, 1, h.now)
 	h.cell.TakeOver(handover, h.now)
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -55,6 +55,9 @@
 	sizeClass sizeClass
 	// sensitive says that a delay of some hundred milliseconds may make the job miss its objective.
 	sensitive bool
+	// knownTasks counts the tasks of the job of which something is known, and inAll those of all jobs.
+	knownTasks int64
+	inAll      *taskCounter
 }
 
 // occurrence is one occurrence of a job's steps.
@@ -92,6 +95,8 @@
 	numUnfinished int
 	// numWaiting is the number of tasks that wait for a worker.
 	numWaiting int
+	// knownTasks counts the tasks of which something is known.
+	knownTasks int64
 	ready      bool
 	// numPerWorker holds the number of placements on each worker.
 	numPerWorker map[*worker]int
@@ -138,9 +143,9 @@
 	step    *step
 	done    bool
 	lastRun int
-	// failedRuns lists the runs that failed, and avoidWorkers the workers on which they did.
+	// failedRuns lists the runs that failed, and avoidWorkers the workers on which the last ones did, at most maxAvoided.
 	failedRuns   []int
-	avoidWorkers map[string]bool
+	avoidWorkers []string
 	checkpoint   string
 	// placements are the runs that may be on workers; more than one only with speculative copies.
 	placements []*placement
@@ -251,10 +256,13 @@
 	if _, ok := c.jobs[doc.ID]; ok {
 		return nil
 	}
-	j := &job{doc: doc, state: graph.Queued, version: version, restored: progress != nil, longRunning: doc.LongRunning()}
+	j := &job{
+		doc: doc, state: graph.Queued, version: version, restored: progress != nil, longRunning: doc.LongRunning(), inAll: &c.knownTasks,
+	}
 	j.sensitive = !j.longRunning && j.declaredSlack() < maxSensitiveSlack
 	c.jobs[doc.ID] = j
 	c.jobBytes.Add(doc.MemoryBytes())
+	c.longRunningTasks.Add(doc.LongRunningTasks())
 	if doc.Team != "" {
 		c.fairness.newJobs = append(c.fairness.newJobs, j)
 	}
--- a/cell/occurrences.go
+++ b/cell/occurrences.go
@@ -124,6 +124,7 @@
 		for i := range s.tasks {
 			s.tasks[i] = doneTask
 		}
+		s.countKnown(-s.knownTasks)
 	}
 }
 
@@ -137,6 +138,7 @@
 		j.occurrences = slices.Delete(j.occurrences, i, i+1)
 	}
 	for _, s := range occ.steps {
+		s.countKnown(-s.knownTasks)
 		delete(c.stepsToPlace, s.id)
 		delete(c.speculativeSteps, s.id)
 	}
--- a/cell/outcome.go
+++ b/cell/outcome.go
@@ -93,12 +93,13 @@
 	c.release(p, order.EndStopped, "", now)
 }
 
-// Stopped handles the outcome of a stop, after which the run is either listed as ended or will never start.
+// Stopped handles the outcome of a stop that a plan has listed, sent or not. If it was answered, the run is either listed as ended or will never start.
 func (c *Cell) Stopped(o StopOrder, clock time.Duration, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := o.p
 	w := p.w
+	p.stopInFlight = false
 	if !p.isCurrent() || !FencesRun(err) {
 		return
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -70,11 +70,18 @@
 	return false
 }
 
+// maxStartsPerPlan limits the tasks, but for those of gangs, that a plan starts, so that it doesn't take long.
+const maxStartsPerPlan = 1024
+
+// startRoom returns how many tasks of a step the plan may start. A step leaves half of what is left to those that come after it.
+func (p *Plan) startRoom() int { return (max(0, maxStartsPerPlan-len(p.Starts)) + 1) / 2 }
+
 // Plan places waiting tasks and returns the resulting orders and requests; cfg may have changed since the last call.
 func (c *Cell) Plan(cfg *queues.Config, slots AdvisorSlots, now time.Time) Plan {
-	leaseAge := c.leaseAge()
+	leaseAge, taskLimit := c.leaseAge(), c.settings.taskLimit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.taskLimit = taskLimit
 	plan := Plan{slots: slots, exclusive: c.isExclusive(leaseAge)}
 	c.planExpiries(&plan, now, leaseAge)
 	c.planDrains(&plan, now)
@@ -123,14 +130,14 @@
 		return cmp.Or(a.task.id.Compare(b.task.id), cmp.Compare(a.run, b.run))
 	})
 	for _, p := range requested {
-		if p.w.missedPolls >= missedPollLimit {
+		if p.w.missedPolls >= missedPollLimit || p.stopInFlight {
 			continue
 		}
 		if !p.stopSentAt.IsZero() && now.Sub(p.stopSentAt) < stopRetryInterval {
 			plan.replanAt(p.stopSentAt.Add(stopRetryInterval))
 			continue
 		}
-		p.stopSentAt = now
+		p.stopSentAt, p.stopInFlight = now, true
 		plan.replanAt(now.Add(stopRetryInterval))
 		plan.Stops = append(plan.Stops, StopOrder{p.w.info, order.Stop{Task: p.task.id, Run: p.run, Token: c.token}, p})
 	}
@@ -209,10 +216,18 @@
 		c.planGang(plan, s, advice, now)
 		return
 	}
-	waiting := 0
+	waiting, newRoom := 0, c.taskRoom(s.job)
+	numStarts, startRoom := len(plan.Starts), plan.startRoom()
+	room = min(room, startRoom)
 	var w *worker
 	var ticket string
 	for i, t := range s.tasks {
+		if t == nil {
+			if newRoom == 0 {
+				continue
+			}
+			newRoom--
+		}
 		// Nothing is known of a nil task, which waits.
 		if t != nil && (!t.isWaiting() || c.mayRunElsewhere(t, plan.exclusive, now)) {
 			continue
@@ -227,9 +242,11 @@
 			continue
 		}
 		if room == 0 {
+			if len(plan.Starts)-numStarts == startRoom {
+				plan.replanAt(now)
+			}
 			break
 		}
-		t = s.task(i)
 		if c.needsHeadroom(s) {
 			plan.replanAt(now.Add(headroomRetryDelay))
 			if !c.mayPreemptTeams(s) {
@@ -238,7 +255,7 @@
 			waiting++
 			continue
 		}
-		if w == nil || t.avoidWorkers[w.info.ID] || c.fits(s, w, allocationOf(s.doc)) == 0 {
+		if w == nil || t.avoids(w) || c.fits(s, w, allocationOf(s.doc)) == 0 {
 			// The best worker remains the best with each task that it gets, since fuller workers are preferred.
 			w, ticket = c.bestWorker(s, t, nil, advice != nil, now)
 		}
@@ -246,10 +263,11 @@
 			waiting++
 			continue
 		}
-		if t.avoidWorkers[w.info.ID] && c.requestAdviceInRoom(plan, s, advice, 1, now) {
+		if t.avoids(w) && c.requestAdviceInRoom(plan, s, advice, 1, now) {
 			// The task has failed there; advice about other workers is being requested.
 			continue
 		}
+		t = s.task(i)
 		c.start(plan, t, w, ticket, c.nextRun(t), now)
 		room--
 	}
@@ -286,7 +304,7 @@
 	}
 }
 
-// bestWorker returns the best worker for a task, except one on which a copy of it runs; nil excepts none.
+// bestWorker returns the best worker for a task, which is nil if nothing is known of it, except one on which a copy of it runs; nil excepts none.
 func (c *Cell) bestWorker(s *step, t *task, except *worker, needsTicket bool, now time.Time) (*worker, string) {
 	size := allocationOf(s.doc)
 	var best *worker
@@ -297,7 +315,7 @@
 			continue
 		}
 		score := c.score(s, w, size, now)
-		if t.avoidWorkers[w.info.ID] {
+		if t.avoids(w) {
 			score += failedHerePenalty
 		}
 		if best == nil || score < bestScore || (score == bestScore && w.info.ID < best.info.ID) {
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -48,10 +49,8 @@
 // newHarnessAt returns a harness whose scheduler is in a data centre.
 func newHarnessAt(t *testing.T, workers int, cores int64, dataCenter string) *harness {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	h := &harness{
-		c: qt.New(t), cell: cell.New(cell.Settings{Lease: 6 * time.Second, DataCenter: dataCenter, RunsPerToken: 1000}, 1, log), now: startTime,
+		c: qt.New(t), cell: newCell(dataCenter, 1), now: startTime,
 		running: map[string][]order.Run{}, ends: map[string][]order.End{}, workers: map[string]order.Worker{},
 		cfg: &queues.Config{Version: 1, Queues: []queues.Queue{{Name: "short"}, {Name: "long"}}},
 	}
@@ -67,6 +66,27 @@
 	return h
 }
 
+// newCell returns an empty group whose scheduler is in a data centre.
+func newCell(dataCenter string, token uint64) *cell.Cell {
+	return cell.New(cell.Settings{Lease: 6 * time.Second, DataCenter: dataCenter, RunsPerToken: 1000}, token, discardLog())
+}
+
+func discardLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// useCell replaces the scheduler by one that knows the workers.
+func (h *harness) useCell(c *cell.Cell) {
+	h.cell = c
+	for _, w := range h.workers {
+		c.SetWorker(w, h.now)
+	}
+	c.Recorded(slices.Collect(maps.Keys(h.workers)))
+	h.pollAll()
+}
+
 func (h *harness) setWorker(info order.Worker) {
 	h.workers[info.ID] = info
 	h.cell.SetWorker(info, h.now)
--- a/cell/speculative.go
+++ b/cell/speculative.go
@@ -56,6 +56,9 @@
 		if !slow && !first.stopRequested && !c.isSuspect(first.w) {
 			continue
 		}
+		if c.taskRoom(s.job) == 0 {
+			return
+		}
 		if c.teamRoom(s) <= unplaced {
 			// The cap of its team leaves no room for another copy.
 			continue
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -54,7 +54,9 @@
 	// adopted says that an earlier scheduler started the run, at a time that is not known here.
 	adopted       bool
 	stopRequested bool
-	stopSentAt    time.Time
+	// stopSentAt is when a stop was last planned, and stopInFlight says that its outcome is not known yet.
+	stopSentAt   time.Time
+	stopInFlight bool
 	// ticketed says that the start carries a ticket.
 	ticketed bool
 	// unansweredAt is when the last attempt to start the run was sent, if one was not answered.
@@ -106,6 +108,8 @@
 	preemptible []unit.Size
 	numStopping int
 	placements  map[runKey]*placement
+	// maxPlacements is the largest number of placements since the map was made.
+	maxPlacements int
 	// toFence holds the runs whose start may still arrive and has to be refused by the worker, which has not confirmed that.
 	toFence map[runKey]struct{}
 	// unansweredStarts holds the starts without a ticket of which an attempt was not answered, and when that was sent.
@@ -279,13 +283,16 @@
 	if t.isWaiting() {
 		t.step.countWaiting(-1)
 	}
-	t.placements = append(t.placements, p)
+	if t.placements = append(t.placements, p); len(t.placements) > 1 {
+		t.step.countKnown(1)
+	}
 	t.lastRun = max(t.lastRun, run)
 	t.step.numPerWorker[w]++
 	t.step.job.numPlaced++
 	t.step.occ.numPlaced++
 	w.used = w.used.Add(p.size)
 	w.placements[runKey{t.id, run}] = p
+	w.maxPlacements = max(w.maxPlacements, len(w.placements))
 	c.countPlaced(p)
 	if t.step.doc.Speculative && !t.step.doc.Gang && !t.step.doc.LongRunning {
 		c.speculativeSteps[t.step.id] = t.step
@@ -300,6 +307,16 @@
 	return p
 }
 
+// minDroppedPlacements is from how many placements on a map is made anew once it is empty: maps don't shrink.
+const minDroppedPlacements = 256
+
+func (w *worker) removePlacement(key runKey) {
+	delete(w.placements, key)
+	if len(w.placements) == 0 && w.maxPlacements >= minDroppedPlacements {
+		w.placements, w.maxPlacements = map[runKey]*placement{}, 0
+	}
+}
+
 // allocationOf returns the resources that a task allocates on a worker; backfill tasks allocate no CPU.
 func allocationOf(s *graph.Step) unit.Size {
 	size := s.Size
@@ -313,7 +330,7 @@
 func (c *Cell) release(p *placement, kind order.EndKind, checkpoint string, now time.Time) {
 	t, w, s := p.task, p.w, p.task.step
 	j := s.job
-	delete(w.placements, runKey{t.id, p.run})
+	w.removePlacement(runKey{t.id, p.run})
 	delete(c.stopRequested, p)
 	delete(c.throttlesToSend, p)
 	w.used = w.used.Sub(p.size)
@@ -329,7 +346,9 @@
 	if s.numPerWorker[w]--; s.numPerWorker[w] <= 0 {
 		delete(s.numPerWorker, w)
 	}
-	t.placements = slices.DeleteFunc(t.placements, func(other *placement) bool { return other == p })
+	if t.placements = slices.DeleteFunc(t.placements, func(other *placement) bool { return other == p }); len(t.placements) > 0 {
+		s.countKnown(-1)
+	}
 	j.numPlaced--
 	s.occ.numPlaced--
 	if checkpoint != "" {
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -112,18 +112,18 @@
 	unrenewed seenUnrenewed
 }
 
-// groupJobs is what is known of the memory that the jobs of a group take at its holder.
-type groupJobs struct {
-	// told is what the holder has told last. accepted is that of the jobs which this host has accepted since then, and acceptedBefore that of those
-	// which it accepted between the last two times, of which the holder may have known or not.
-	told, accepted, acceptedBefore int64
+// groupUsage is what is known of what the jobs of a group take at its holder.
+type groupUsage struct {
+	// told is what the holder has told last. accepted is what those jobs take which this host has accepted since then, and acceptedBefore what those
+	// take which it accepted between the last two times, of which the holder may have known or not.
+	told, accepted, acceptedBefore Usage
 }
 
 // View is a host's view of all leases and their holders.
 type View struct {
 	mu     sync.Mutex
 	leases map[string]leaseState
-	jobs   map[string]groupJobs
+	usage  map[string]groupUsage
 	// lastAnswerAt is when the table last replied, and answeringSince the start of the period without a gap above maxAnswerGap.
 	lastAnswerAt   time.Time
 	answeringSince time.Time
@@ -140,7 +140,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{leases: map[string]leaseState{}, jobs: map[string]groupJobs{}, incarnations: map[string]incarnation{}}
+	return &View{leases: map[string]leaseState{}, usage: map[string]groupUsage{}, incarnations: map[string]incarnation{}}
 }
 
 // TableAnswered records that the table has replied.
@@ -175,9 +175,9 @@
 			s.epoch, s.lastChange, s.epochSeenAt = e, now, now
 		case r.Name == rowRenewal:
 			s.lastChange, s.renewal = now, r
-			var value renewal
-			if json.Unmarshal(r.Value, &value) == nil && value.JobBytes != nil {
-				v.jobs[r.Partition] = groupJobs{told: *value.JobBytes, acceptedBefore: v.jobs[r.Partition].accepted}
+			var value Renewal
+			if json.Unmarshal(r.Value, &value) == nil && value.Usage != nil {
+				v.usage[r.Partition] = groupUsage{told: *value.Usage, acceptedBefore: v.usage[r.Partition].accepted}
 			}
 		case r.Name == rowUnrenewed && r.Version > s.unrenewed.version && !r.Deleted:
 			if err := s.unrenewed.apply(r, now); err != nil {
@@ -192,23 +192,23 @@
 	return decodeErr
 }
 
-// Accepted records that this host has accepted a job of a group, which takes the given memory.
-func (v *View) Accepted(group string, bytes int64) {
+// Accepted records that this host has accepted a job of a group, and what it takes.
+func (v *View) Accepted(group string, job Usage) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	j := v.jobs[group]
-	j.accepted += bytes
-	v.jobs[group] = j
+	u := v.usage[group]
+	u.accepted = u.accepted.Plus(job)
+	v.usage[group] = u
 }
 
-// JobBytes returns about how much memory the jobs of all groups take at their holders, without the groups that skip names.
-func (v *View) JobBytes(skip func(group string) bool) int64 {
+// Usage returns what the jobs of all groups take at their holders, without the groups that skip names.
+func (v *View) Usage(skip func(group string) bool) Usage {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	sum := int64(0)
-	for group, j := range v.jobs {
+	var sum Usage
+	for group, u := range v.usage {
 		if !skip(group) {
-			sum += j.told + j.accepted + j.acceptedBefore
+			sum = sum.Plus(u.told).Plus(u.accepted).Plus(u.acceptedBefore)
 		}
 	}
 	return sum
@@ -219,7 +219,7 @@
 	if s.renewal.Version <= s.epoch.Version || s.epoch.Holder == "" {
 		return
 	}
-	var r renewal
+	var r Renewal
 	if err := json.Unmarshal(s.renewal.Value, &r); err == nil && now.Add(-r.Held).Before(s.heldSince) {
 		s.heldSince = now.Add(-r.Held)
 	}
@@ -349,35 +349,54 @@
 	return s.Commit(ctx, table.Tx{Checks: checks, Writes: []table.Write{{Key: old.Check().Key, Value: raw}}})
 }
 
-// renewal is the stored value of a renewal.
-type renewal struct {
+// Usage is what the jobs of a group take of the memory of its holder.
+type Usage struct {
+	// JobBytes is about how much memory the jobs take, without that of their tasks.
+	JobBytes int64 `json:"job-bytes"`
+	// Tasks is the number of tasks of which the holder keeps what is known.
+	Tasks int64 `json:"tasks"`
+	// LongRunning is the number of tasks that run until their jobs are cancelled, whether they have been started or not.
+	LongRunning int64 `json:"long-running"`
+}
+
+// Plus returns the sum.
+func (u Usage) Plus(other Usage) Usage {
+	return Usage{u.JobBytes + other.JobBytes, u.Tasks + other.Tasks, u.LongRunning + other.LongRunning}
+}
+
+// Minus returns the difference.
+func (u Usage) Minus(other Usage) Usage {
+	return Usage{u.JobBytes - other.JobBytes, u.Tasks - other.Tasks, u.LongRunning - other.LongRunning}
+}
+
+// Renewal is the stored value of a renewal of a lease.
+type Renewal struct {
 	// Held is how long the holder had held the lease at the renewal, for hosts that have not seen when it was acquired.
 	Held time.Duration `json:"held"`
-	// JobBytes is the memory that the group's jobs take at the holder; nil before it has loaded them.
-	JobBytes *int64 `json:"job-bytes,omitempty"`
+	// Usage is nil before the holder has loaded the jobs. Earlier versions tell only JobBytes.
+	*Usage
 }
 
 func renewalKey(group string) table.Key {
 	return table.Key{Table: Table, Partition: group, Name: rowRenewal}
 }
 
-// RenewWrite returns the write that renews a lease which its holder has held for the given time. It tells how much memory the group's jobs take;
-// negative means that the holder doesn't know it yet.
-func RenewWrite(group string, held time.Duration, jobBytes int64) table.Write {
-	value := fmt.Appendf(nil, `{"held":%d}`, held)
-	if jobBytes >= 0 {
-		value = fmt.Appendf(nil, `{"held":%d,"job-bytes":%d}`, held, jobBytes)
+// RenewWrite returns the write that renews a lease.
+func RenewWrite(group string, r Renewal) table.Write {
+	value := fmt.Appendf(nil, `{"held":%d}`, r.Held)
+	if u := r.Usage; u != nil {
+		value = fmt.Appendf(nil, `{"held":%d,"job-bytes":%d,"tasks":%d,"long-running":%d}`, r.Held, u.JobBytes, u.Tasks, u.LongRunning)
 	}
 	return table.Write{Key: renewalKey(group), Value: value}
 }
 
 // Renew renews a lease like RenewWrite; *LostError means that another host holds it.
-func Renew(ctx context.Context, s table.Store, e Epoch, held time.Duration, jobBytes int64) error {
+func Renew(ctx context.Context, s table.Store, e Epoch, r Renewal) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.Commit(ctx, table.Tx{
 		Checks: []table.Check{e.Check()},
-		Writes: []table.Write{RenewWrite(e.Group, held, jobBytes)},
+		Writes: []table.Write{RenewWrite(e.Group, r)},
 	})
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -29,8 +30,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(second.Token, qt.Equals, uint64(2))
 	var lost *elect.LostError
-	c.Assert(errors.As(elect.Renew(ctx, store, first, 0, 0), &lost), qt.IsTrue)
-	c.Assert(elect.Renew(ctx, store, second, 0, 0), qt.IsNil)
+	c.Assert(errors.As(elect.Renew(ctx, store, first, elect.Renewal{}), &lost), qt.IsTrue)
+	c.Assert(elect.Renew(ctx, store, second, elect.Renewal{}), qt.IsNil)
 }
 
 func TestLeaseIsAcquirable(t *testing.T) {
@@ -149,7 +150,7 @@
 	epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
 	c.Assert(err, qt.IsNil)
 	for _, held := range []time.Duration{0, time.Minute} {
-		c.Assert(elect.Renew(ctx, store, epoch, held, 0), qt.IsNil)
+		c.Assert(elect.Renew(ctx, store, epoch, elect.Renewal{Held: held}), qt.IsNil)
 		page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
 		c.Assert(err, qt.IsNil)
 		view := elect.NewView()
@@ -161,25 +162,45 @@
 	}
 }
 
-// Hosts know of the memory of all jobs: what the holders tell, and what they have accepted themselves since then.
-func TestJobBytesOfAllGroups(t *testing.T) {
+// Hosts know what all jobs take: what the holders tell, and what they have accepted themselves since then. Holders of earlier versions tell only the
+// memory of jobs without their tasks.
+func TestUsageOfAllGroups(t *testing.T) {
 	c := qt.New(t)
 	store, ctx := fakes.NewTable(), context.Background()
-	epoch, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
+	_, err := elect.Acquire(ctx, store, elect.Epoch{Group: group}, elect.Candidate{Name: "a", Incarnation: "1"})
 	c.Assert(err, qt.IsNil)
 	view := elect.NewView()
 	const notLoaded = -1
-	for _, step := range []struct{ told, accepted, want int64 }{
-		{notLoaded, 10, 10}, {notLoaded, 5, 15}, {100, 0, 115}, {120, 3, 123}, {notLoaded, 4, 127}, {120, 0, 127}, {0, 0, 0},
+	for _, step := range []struct {
+		told, accepted, want int64
+		earlier              bool
+	}{
+		{notLoaded, 10, 10, false},
+		{notLoaded, 5, 15, false},
+		{100, 0, 115, false},
+		{120, 3, 123, false},
+		{notLoaded, 4, 127, false},
+		{120, 0, 127, false},
+		{0, 0, 0, false},
+		{70, 0, 70, true},
 	} {
-		c.Assert(elect.Renew(ctx, store, epoch, 0, step.told), qt.IsNil)
+		renewal, want := elect.Renewal{}, elect.Usage{JobBytes: step.want, Tasks: 2 * step.want, LongRunning: 3 * step.want}
+		if step.told != notLoaded {
+			renewal.Usage = &elect.Usage{JobBytes: step.told, Tasks: 2 * step.told, LongRunning: 3 * step.told}
+		}
+		write := elect.RenewWrite(group, renewal)
+		if step.earlier {
+			write.Value, want = fmt.Appendf(nil, `{"held":1,"job-bytes":%d}`, step.told), elect.Usage{JobBytes: step.want}
+		}
+		_, err = store.Commit(ctx, table.Tx{Writes: []table.Write{write}})
+		c.Assert(err, qt.IsNil)
 		page, err := store.Read(ctx, table.Range{Table: elect.Table, Partition: group})
 		c.Assert(err, qt.IsNil)
 		c.Assert(view.Apply(page.Rows, time.Unix(1_000_000, 0)), qt.IsNil)
-		view.Accepted(group, step.accepted)
-		c.Check(view.JobBytes(func(string) bool { return false }), qt.Equals, step.want)
+		view.Accepted(group, elect.Usage{JobBytes: step.accepted, Tasks: 2 * step.accepted, LongRunning: 3 * step.accepted})
+		c.Check(view.Usage(func(string) bool { return false }), qt.Equals, want)
 	}
-	c.Check(view.JobBytes(func(string) bool { return true }), qt.Equals, int64(0))
+	c.Check(view.Usage(func(string) bool { return true }), qt.Equals, elect.Usage{})
 }
 
 // A renewal that the new holder has not seen before it acquires the lease lets the old one send orders for longer than assumed.
@@ -199,7 +220,7 @@
 		v.TableAnswered(now)
 	}
 	renewedAt := start.Add(2100 * time.Millisecond)
-	c.Assert(elect.Renew(ctx, store, held, 2100*time.Millisecond, 0), qt.IsNil)
+	c.Assert(elect.Renew(ctx, store, held, elect.Renewal{Held: 2100 * time.Millisecond}), qt.IsNil)
 	now = start.Add(elect.TakeoverTimeout + 10*time.Millisecond)
 	previous, acquirable := v.Acquirable(group, 0, now)
 	c.Assert(acquirable, qt.IsTrue)
@@ -227,7 +248,7 @@
 	c.Assert(err, qt.IsNil)
 	apply(0)
 	const renewedAt = 10 * time.Second
-	c.Assert(elect.Renew(ctx, store, first, renewedAt, 0), qt.IsNil)
+	c.Assert(elect.Renew(ctx, store, first, elect.Renewal{Held: renewedAt}), qt.IsNil)
 	apply(renewedAt)
 	// The second host acquires the lease of one that is cut off, and stops.
 	second, err := elect.Acquire(ctx, store, first, elect.Candidate{Name: "b", Incarnation: "1"})
--- a/graph/job.go
+++ b/graph/job.go
@@ -144,6 +144,29 @@
 	return int64(jobBytes + len(j.Spec) + len(j.Steps)*stepBytes + j.NumTasks()*taskBytes)
 }
 
+// LongRunningTasks returns the number of tasks that run until the job is cancelled, those of all occurrences included.
+func (j *Job) LongRunningTasks() int64 {
+	n := int64(0)
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			n += int64(j.Steps[i].Count)
+		}
+	}
+	// The product may exceed the largest integer.
+	return n * min(int64(j.Occurrences()), math.MaxInt64/max(1, n))
+}
+
+// LargestGang returns the number of tasks of the largest gang; 0 if the job has none.
+func (j *Job) LargestGang() int {
+	largest := 0
+	for i := range j.Steps {
+		if j.Steps[i].Gang {
+			largest = max(largest, j.Steps[i].Count)
+		}
+	}
+	return largest
+}
+
 // LongRunning reports whether the job has a long-running step and so runs until it is cancelled.
 func (j *Job) LongRunning() bool {
 	for i := range j.Steps {
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -1,6 +1,10 @@
 package guard
 
-import "time"
+import (
+	"time"
+
+	"github.com/corianderdrift/corianderdrift/budget"
+)
 
 // Limits restrict the requests and the connections of clients.
 type Limits struct {
@@ -130,12 +134,25 @@
 }
 
 // JobBytesFor returns the part of what the program takes itself that is for accepted jobs, on a host with the given memory; 0 stands for the default.
-func JobBytesFor(memoryBytes int64) int64 {
+func JobBytesFor(memoryBytes int64) budget.Limit {
 	const jobPart = 8
 	if memoryBytes <= 0 {
 		memoryBytes = DefaultMemoryBytes
 	}
-	return memoryBytes / jobPart
+	return budget.Limit(memoryBytes / jobPart)
+}
+
+// TaskBytes is about how much memory the host that runs a group takes for a task of which it keeps what is known: one that runs, or that waits after a
+// run.
+const TaskBytes = 1280
+
+// TasksFor returns for how many such tasks a host with the given memory has room, whichever groups they are of; 0 stands for the default.
+func TasksFor(memoryBytes int64) budget.Limit {
+	const taskPart = 8
+	if memoryBytes <= 0 {
+		memoryBytes = DefaultMemoryBytes
+	}
+	return budget.Limit(memoryBytes / taskPart / TaskBytes)
 }
 
 // SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections, over TLS or not, if there is room
--- a/intake/outage_test.go
+++ b/intake/outage_test.go
@@ -121,7 +121,7 @@
 		}
 		synctest.Wait()
 		startedAt := time.Now()
-		c.Assert(elect.Renew(t.Context(), store, epoch, time.Second, 0), qt.IsNil)
+		c.Assert(elect.Renew(t.Context(), store, epoch, elect.Renewal{Held: time.Second}), qt.IsNil)
 		renewal := time.Since(startedAt)
 		wg.Wait()
 		t.Logf("renewal %v, last acceptance %v", renewal, slices.Max(took))
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -551,7 +551,7 @@
 func (s *hostStore) loses(tx table.Tx) bool {
 	s.h.mu.Lock()
 	defer s.h.mu.Unlock()
-	renewal := elect.RenewWrite(s.h.n.groupName(), 0, 0).Key
+	renewal := elect.RenewWrite(s.h.n.groupName(), elect.Renewal{}).Key
 	return slices.ContainsFunc(tx.Writes, func(w table.Write) bool {
 		return (w.Partition == hostsPartition && s.h.process == unannouncedProcess) || (w.Key == renewal && s.h.renewalsLost)
 	})
--- a/runner/plan.go
+++ b/runner/plan.go
@@ -56,30 +56,22 @@
 	}
 }
 
-// execute sends the orders and advice requests of a plan, each in its own goroutine.
+// execute sends the orders and advice requests of a plan.
 func (r *Runner) execute(ctx context.Context, plan cell.Plan) {
 	for _, o := range plan.Stops {
-		r.sendAsync(func() { r.sendStop(ctx, o) })
+		r.sendOrder(o.Worker.ID, o.Order.Task.Job, func() { r.sendStop(ctx, o) })
 	}
 	for _, o := range plan.Starts {
-		r.sendAsync(func() { r.sendStart(ctx, o) })
+		r.sendOrder(o.Worker.ID, o.Order.Task.Job, func() { r.sendStart(ctx, o) })
 	}
 	for _, o := range plan.Throttles {
-		r.sendAsync(func() { r.sendThrottle(ctx, o) })
+		r.sendOrder(o.Worker.ID, o.Order.Task.Job, func() { r.sendThrottle(ctx, o) })
 	}
 	for _, request := range plan.AdviceRequests {
-		r.sendAsync(func() {
+		r.inFlight.Go(func() {
 			permits, validity, err := r.cfg.Advisors.Advise(ctx, request)
 			r.cell.Advised(request, permits, validity, err, time.Now())
 			r.wakePlan()
 		})
 	}
 }
-
-func (r *Runner) sendAsync(f func()) {
-	r.inFlight.Add(1)
-	go func() {
-		defer r.inFlight.Done()
-		f()
-	}()
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -47,6 +47,8 @@
 	Timeout func(base time.Duration) time.Duration
 	// RowBytes is the largest value of a row that the table takes; 0 means defaultRowBytes.
 	RowBytes int
+	// MemoryBytes is the memory of the host; 0 means that it is not known.
+	MemoryBytes int64
 	// SinceBoot returns the time since the machine booted, including the time it was suspended.
 	SinceBoot func() time.Duration
 	Log       logrus.FieldLogger
@@ -96,6 +98,8 @@
 	inFlight sync.WaitGroup
 	// orderSlots limits the concurrent orders to each worker.
 	orderSlots map[string]chan struct{}
+	// orderQueues holds the orders to each worker that wait to be sent.
+	orderQueues map[string]*orderQueue
 }
 
 // New returns a runner of the group whose lease was acquired.
@@ -110,7 +114,7 @@
 	r := &Runner{
 		cfg: cfg, log: log, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), sharesWake: make(chan struct{}, 1),
 		renewWake: make(chan struct{}, 1), retryWake: make(chan struct{}, 1), polling: map[string]bool{},
-		orderSlots: map[string]chan struct{}{}, segments: map[string]int{},
+		orderSlots: map[string]chan struct{}{}, orderQueues: map[string]*orderQueue{}, segments: map[string]int{},
 	}
 	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
 	r.unrenewed.key = elect.UnrenewedKey(cfg.Epoch.Group)
@@ -144,12 +148,20 @@
 	return r.loaded.Load() && r.LeaseAge() < elect.FreshTimeout
 }
 
-// JobBytes returns about how much memory the group's jobs take, without that of running tasks; negative if they are not loaded yet.
-func (r *Runner) JobBytes() int64 {
-	if !r.loaded.Load() {
-		return -1
+// Usage returns what the group's jobs and tasks take of the memory of this host; ok is false if they are not loaded yet.
+func (r *Runner) Usage() (u elect.Usage, ok bool) {
+	u.JobBytes = r.cell.JobBytes()
+	u.Tasks, u.LongRunning = r.cell.Tasks()
+	return u, r.loaded.Load()
+}
+
+// renewal returns the content of a renewal of the lease.
+func (r *Runner) renewal() elect.Renewal {
+	renewal := elect.Renewal{Held: r.heldFor()}
+	if u, ok := r.Usage(); ok {
+		renewal.Usage = &u
 	}
-	return r.cell.JobBytes()
+	return renewal
 }
 
 // Run runs the group until ctx is done or the lease is lost; acquiredAt is when the request that acquired the lease was sent, on
@@ -358,7 +370,7 @@
 	if r.cfg.SinceBoot()-time.Duration(r.renewedAt.Load()) < elect.RenewInterval/2 {
 		return false
 	}
-	tx.Writes = append(tx.Writes, elect.RenewWrite(r.cfg.Epoch.Group, r.heldFor(), r.JobBytes()))
+	tx.Writes = append(tx.Writes, elect.RenewWrite(r.cfg.Epoch.Group, r.renewal()))
 	r.renewalSentAt.Store(int64(r.cfg.SinceBoot()))
 	return true
 }
@@ -396,7 +408,7 @@
 		}
 		drain(r.renewWake)
 		sent := r.cfg.SinceBoot()
-		err := elect.Renew(ctx, r.cfg.Store, r.cfg.Epoch, r.heldFor(), r.JobBytes())
+		err := elect.Renew(ctx, r.cfg.Store, r.cfg.Epoch, r.renewal())
 		if lost, ok := asLostError(err); ok {
 			r.cancel(lost)
 			return lost
--- a/runner/workers.go
+++ b/runner/workers.go
@@ -33,8 +33,8 @@
 	holdCheckInterval = 50 * time.Millisecond
 )
 
-// errAbandoned is the cause of a start that the runner decided not to send.
-var errAbandoned = errors.New("the start was abandoned")
+// errAbandoned is the cause of an order that the runner decided not to send.
+var errAbandoned = errors.New("the order was abandoned")
 
 // setWorkers replaces the workers of the group by those in the registry's list.
 func (r *Runner) setWorkers(ctx context.Context, all []order.Worker) {
@@ -295,6 +295,7 @@
 	slot <- struct{}{}
 	defer func() { <-slot }()
 	if ctx.Err() != nil || !r.holds() {
+		r.cell.Stopped(o, 0, errAbandoned, time.Now())
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
