Require keys for good once a configuration has listed teams

What callers saw: the operator writes a version whose list of teams is empty.

Cause: platform.identify took a configuration without teams for a deployment without keys and returned a caller who sees the jobs of all teams. An empty list, a missing one and a deployment that never had teams were the same to it, and nothing kept what an earlier version said.

Change: a list of teams, also an empty one, requires keys for all later versions. Deployments that never had a list go on without keys, also after all processes have started again.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -246,8 +246,8 @@
 	}
 	a.applyLimits(c.Limits)
 	fields := logrus.Fields{"version": c.Version, "queues": len(c.Queues), "services": len(c.Services)}
-	if len(c.Teams) > 0 {
-		fields["teams"] = len(c.Teams)
+	if current := a.queues.Current(); current.NeedsKeys() {
+		fields["teams"] = len(current.Teams)
 	}
 	a.log.WithFields(fields).Info("configuration applied")
 	if old != nil {
@@ -263,12 +263,15 @@
 		if err := a.hosts.apply(rows, a.leases.SetIncarnation); err != nil {
 			a.log.WithError(err).Error("invalid host row in the table")
 		}
+		if slices.ContainsFunc(rows, platform.IsKeyRecord) {
+			a.queues.RequireKeys()
+		}
 	}
 	f := table.Follower{
 		Store: a.store, Table: elect.Table, Log: a.log, Load: apply, Apply: apply,
 		Pause: a.groups.leaseReadInterval, OnAnswer: func() { a.leases.TableAnswered(time.Now()) },
 		Partitions: func() []string {
-			partitions := []string{hostsPartition}
+			partitions := []string{hostsPartition, platform.KeyRecordPartition}
 			if cfg := a.queues.Current(); cfg != nil {
 				for i := range cfg.Services {
 					partitions = append(partitions, cfg.Services[i].Name)
--- a/queues/keys.go
+++ b/queues/keys.go
@@ -6,7 +6,7 @@
 type Caller struct {
 	// Team is the name of the team whose key the request carries; empty if it carries none.
 	Team string
-	// AnyTeam says that the request may see the jobs of all teams, like every request where the configuration has no teams.
+	// AnyTeam says that the request may see the jobs of all teams, as on a public queue.
 	AnyTeam bool
 }
 
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -83,8 +83,10 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
-	// Teams are the teams whose keys are accepted; if there are none, no request needs a key.
+	// Teams are the teams whose keys are accepted.
 	Teams []Team
+	// KeysRequired says that this version or an earlier one lists teams, be it none: then only requests for public queues need no key.
+	KeysRequired bool
 	// DroppedTeams are the teams that an earlier configuration of this process names and this one does not, without their keys. Their caps still
 	// hold for the jobs that they have submitted.
 	DroppedTeams []Team
@@ -160,8 +162,11 @@
 	return unit.Size{}
 }
 
-// withDropped returns the configuration with the capped teams of an older one that it does not name.
-func (c *Config) withDropped(old *Config) *Config {
+// NeedsKeys reports whether requests need a key of a team unless their queue is public.
+func (c *Config) NeedsKeys() bool { return c.KeysRequired || len(c.Teams) > 0 }
+
+// after returns the configuration with what it keeps of an older one: the need of keys, and the capped teams that it does not name.
+func (c *Config) after(old *Config) *Config {
 	if old == nil {
 		return c
 	}
@@ -171,11 +176,9 @@
 			dropped = append(dropped, Team{Name: t.Name, Weight: t.Weight, Cap: t.Cap, Priority: t.Priority})
 		}
 	}
-	if len(dropped) == 0 {
-		return c
-	}
 	next := *c
 	next.DroppedTeams = dropped
+	next.KeysRequired = c.KeysRequired || old.NeedsKeys()
 	return &next
 }
 
@@ -187,8 +190,8 @@
 // Current returns the current configuration, or nil before the first Install.
 func (s *Store) Current() *Config { return s.current.Load() }
 
-// Install makes c the current configuration if it is newer, and reports whether it did. Teams that it drops keep their last caps. The queues and
-// teams of c must not change afterwards.
+// Install makes c the current configuration if it is newer, and reports whether it did. Teams that it drops keep their last caps, and keys stay
+// required. The queues and teams of c must not change afterwards.
 func (s *Store) Install(c *Config) bool {
 	var indexed *Config
 	for {
@@ -202,8 +205,23 @@
 			installed.index = newIndex(&installed)
 			indexed = &installed
 		}
-		if s.current.CompareAndSwap(old, indexed.withDropped(old)) {
+		if s.current.CompareAndSwap(old, indexed.after(old)) {
 			return true
 		}
 	}
 }
+
+// RequireKeys makes the current configuration and all later ones require keys.
+func (s *Store) RequireKeys() {
+	for {
+		old := s.current.Load()
+		if old == nil || old.KeysRequired {
+			return
+		}
+		next := *old
+		next.KeysRequired = true
+		if s.current.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
--- a/queues/queues_test.go
+++ b/queues/queues_test.go
@@ -55,6 +55,7 @@
 		{Name: "red", Keys: []queues.KeyDigest{{1}}, Cap: limit}, {Name: "blue", Keys: []queues.KeyDigest{{2}}}, {Name: "green", Cap: limit},
 	}})
 	s.Install(&queues.Config{Version: 2, Teams: []queues.Team{{Name: "green"}}})
+	c.Check(s.Current().NeedsKeys(), qt.IsTrue)
 	cfg := s.Current()
 	c.Check(cfg.Teams, qt.HasLen, 1)
 	c.Check(cfg.DroppedTeams, qt.DeepEquals, []queues.Team{{Name: "red", Cap: limit}})
