Let witnesses tell for how long a lost holder sent orders

What callers saw: workers are lost for good and the host that runs their group 0.3 s later.

Cause: a holder may send orders for 6 s after its last renewal, so that work goes on while the table is away from all hosts. The next holder can't tell a dead one from one that is cut off, and waits for these 6 s and for the lease of a worker before it runs tasks of a worker that it can't reach.

Change: a holder sends orders for one second after its last renewal, and up to 6 s only once most of its witnesses, three other processes, have agreed. The next holder asks the same ones to refuse, and counts with one second if most do and have not agreed before. Both need more than half of the same processes, so one of them has answered both. Their record is a row that acquiring the lease checks.

Tests: TestLastingTaskRunsAgainSoonAfterWorkerAndHolderDie was always red and passes. TestOrdersGoOnWithMostWitnesses shows that work goes on for 6 s while the table is away.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,6 +76,8 @@
 	hosts      *hosts
 	advisors   *advisorBalancer
 	groups     *groups
+	witness    elect.Witness
+	witnesses  *witnesses
 	front      *platform.Front
 	intake     *intake.Intake
 	engine     *nbhttp.Engine
@@ -97,6 +99,7 @@
 		started: time.Now(), settings: s, settingsPath: path, shutdownTimeout: s.ShutdownTimeout, incarnation: uuid.NewString(), log: log,
 		queues: &queues.Store{}, leases: elect.NewView(), hosts: newHosts(s.Name, s.DataCenter),
 	}
+	a.witnesses = newWitnesses(a)
 	a.advisor = newAdvisorQueue(platform.NewAdvisor(s.Advisor), s.Name)
 	a.groups = newGroups(a)
 	a.metrics = newMetrics(a)
@@ -289,7 +292,7 @@
 func (a *Agent) self() host {
 	return host{
 		Name: a.settings.Name, Address: a.peerAddress(), DataCenter: a.settings.DataCenter, Incarnation: a.incarnation,
-		Cores: a.settings.CPUShare, MemoryBytes: a.settings.MemoryBytes,
+		Cores: a.settings.CPUShare, MemoryBytes: a.settings.MemoryBytes, Witness: true,
 	}
 }
 
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -251,6 +251,7 @@
 		Queues: g.a.queues, Settings: settings, PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
 		Previous: previous, SinceBoot: clock.SinceBoot, Log: g.a.log, RowBytes: g.a.settings.RowBytes,
 		MemoryBytes:   g.a.settings.MemoryBytes,
+		LastWitnesses: acquired.Witnesses, UnextendedUntil: acquired.UnextendedUntil, Witnesses: g.a.witnesses,
 		FetchHandover: func(ctx context.Context) (cell.Handover, bool) { return g.fetchHandover(ctx, previous) },
 		Timeout:       func(base time.Duration) time.Duration { return g.a.health.Timeout(base, time.Now()) },
 	})
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -41,6 +41,8 @@
 	Cores float64 `json:"cores"`
 	// MemoryBytes is the memory that the host may use; 0 means that it is not known.
 	MemoryBytes int64 `json:"memory,omitempty"`
+	// Witness says that the process answers as a witness of leases, as those of earlier versions don't.
+	Witness bool `json:"witness,omitempty"`
 }
 
 // hosts holds the known entry hosts, this one included, and the connections to them.
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -42,7 +42,10 @@
 }
 
 // Holds implements cellpb.CellsServer.
-func (p *peerServer) Holds(_ context.Context, r *cellpb.HoldsRequest) (*cellpb.HoldsReply, error) {
+func (p *peerServer) Holds(ctx context.Context, r *cellpb.HoldsRequest) (*cellpb.HoldsReply, error) {
+	if q, asked := p.a.asWitness(ctx, r); asked {
+		return &cellpb.HoldsReply{Holds: p.a.answerWitness(q)}, nil
+	}
 	groupRunner := p.a.groups.localRunner(r.GetService())
 	return &cellpb.HoldsReply{
 		Holds: groupRunner != nil && groupRunner.Cell().Token() == r.GetToken() && !p.a.stopping.Load(),
--- a/elect/attempt.go
+++ b/elect/attempt.go
@@ -11,15 +11,21 @@
 	// OrdersUntil is the latest time at which earlier holders may have sent orders, and Unconfirmed maps workers to the time until which runs
 	// may be active there.
 	OrdersUntil time.Time
-	Unconfirmed map[string]time.Time
+	// Witnesses are those of the last holder; none if they can't tell anything. If most of them refuse it, it has not sent orders after
+	// UnextendedUntil.
+	Witnesses       Witnesses
+	UnextendedUntil time.Time
+	Unconfirmed     map[string]time.Time
 	// Previous is the epoch that the attempt replaces.
 	Previous Epoch
 }
 
 // NewAttempt returns an attempt to acquire the lease that previous is the last epoch of.
 func (v *View) NewAttempt(previous Epoch, sentAt time.Duration, now time.Time) Attempt {
+	witnesses, unextendedUntil := v.witnesses(previous.Group, now)
 	return Attempt{
-		SentAt: sentAt, OrdersUntil: v.OrdersUntil(previous.Group, now), Unconfirmed: v.Unconfirmed(previous.Group), Previous: previous,
+		SentAt: sentAt, OrdersUntil: v.OrdersUntil(previous.Group, now), Witnesses: witnesses, UnextendedUntil: unextendedUntil,
+		Unconfirmed: v.Unconfirmed(previous.Group), Previous: previous,
 	}
 }
 
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -32,8 +32,8 @@
 	// TakeoverTimeout is how long other hosts must see no renewal before they acquire a lease: FreshTimeout and a margin for
 	// slow clocks.
 	TakeoverTimeout = 2300 * time.Millisecond
-	// HoldTimeout is how long after sending its last successful renewal a holder may send orders, so that work continues while
-	// the table is unreachable for all hosts. A new holder fences the old one by its token on every worker that it reaches; for
+	// HoldTimeout is how long after sending its last successful renewal a holder may send orders at most, so that work continues while
+	// the table is unreachable for all hosts; see UnextendedTimeout. A new holder fences the old one by its token on every worker that it reaches; for
 	// HoldTimeout and the lease of a worker it does not replace runs that may be active on the others.
 	HoldTimeout = 6000 * time.Millisecond
 	// callTimeout limits a call that writes a lease: long enough for a slow table to reply, shorter than FreshTimeout.
@@ -70,8 +70,8 @@
 	OrdersFor *time.Duration `json:"orders-for,omitempty"`
 	// Version is the version of the lease's row, which every write of the holder checks.
 	Version uint64 `json:"-"`
-	// seen are the checks that the rows of the last renewal and of the unrenewed workers are as the view has seen them; none if the epoch
-	// is not from a view.
+	// seen are the checks that the rows of the last renewal, the unrenewed workers and the witnesses are as the view has seen them; none if the
+	// epoch is not from a view.
 	seen []table.Check
 	// unconfirmed are, in an epoch from a view, the workers whose leases the next holder must not renew before it has recorded that.
 	unconfirmed []UnconfirmedWorker
@@ -108,8 +108,9 @@
 	heldSince   time.Time
 	// renewal is the row of the last renewal.
 	renewal table.Row
-	// unrenewed is the last record of unrenewed workers.
+	// unrenewed is the last record of unrenewed workers, and witnesses that of the holder's witnesses.
 	unrenewed seenUnrenewed
+	witnesses seenWitnesses
 }
 
 // groupUsage is what is known of what the jobs of a group take at its holder.
@@ -183,6 +184,10 @@
 			if err := s.unrenewed.apply(r, now); err != nil {
 				decodeErr = fmt.Errorf("decode unrenewed workers of group %s: %w", r.Partition, err)
 			}
+		case r.Name == rowWitnesses && r.Version > s.witnesses.version && !r.Deleted:
+			if err := s.witnesses.apply(r, now); err != nil {
+				decodeErr = fmt.Errorf("decode witnesses of group %s: %w", r.Partition, err)
+			}
 		default:
 			continue
 		}
@@ -251,7 +256,9 @@
 	s := v.leases[group]
 	s.epoch.Group = group
 	s.epoch.seen = []table.Check{
-		{Key: renewalKey(group), Version: s.renewal.Version}, {Key: UnrenewedKey(group), Version: s.unrenewed.version},
+		{Key: renewalKey(group), Version: s.renewal.Version},
+		{Key: UnrenewedKey(group), Version: s.unrenewed.version},
+		{Key: WitnessesKey(group), Version: s.witnesses.version},
 	}
 	s.epoch.unconfirmed = s.toInherit(now)
 	if now.Sub(v.lastAnswerAt) > TakeoverTimeout/2 || now.Sub(v.answeringSince) < delay {
@@ -279,6 +286,11 @@
 func (v *View) OrdersUntil(group string, now time.Time) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.ordersUntil(group, now, HoldTimeout)
+}
+
+// ordersUntil is OrdersUntil if the last holder could send orders until a timeout after its last renewal.
+func (v *View) ordersUntil(group string, now time.Time, timeout time.Duration) time.Time {
 	s, ok := v.leases[group]
 	if !ok || s.epoch.Token == 0 {
 		return now
@@ -288,7 +300,7 @@
 	}
 	// A holder that was replaced by the last one had not renewed its lease for TakeoverTimeout.
 	until := s.heldSince.Add(HoldTimeout - TakeoverTimeout)
-	lastOrders := s.lastChange.Add(HoldTimeout)
+	lastOrders := s.lastChange.Add(timeout)
 	switch {
 	case s.epoch.Holder == "":
 		lastOrders = s.epochSeenAt
@@ -324,7 +336,7 @@
 }
 
 // Acquire acquires the lease that old is the last epoch of; it fails if old is from a view that has not seen the last renewal and the last
-// record of unrenewed workers.
+// records of unrenewed workers and of witnesses.
 func Acquire(ctx context.Context, s table.Store, old Epoch, candidate Candidate) (Epoch, error) {
 	e := Epoch{
 		Group: old.Group, Holder: candidate.Name, Incarnation: candidate.Incarnation, Address: candidate.Address, Token: old.Token + 1,
--- a/runner/host_test.go
+++ b/runner/host_test.go
@@ -181,6 +181,8 @@
 	confirmedAt time.Time
 	// unanswered is the last attempt to acquire the lease that failed; only the campaign uses it.
 	unanswered elect.Attempt
+	// witness is what the host keeps as a witness of the other hosts' leases.
+	witness elect.Witness
 }
 
 // startHost starts a process of the host with the given rank.
@@ -480,6 +482,7 @@
 	r := runner.New(runner.Config{
 		Epoch: epoch, Store: &hostStore{h}, Workers: &hostWorkers{h}, Registry: &hostRegistry{h}, Advisors: h.n.advisor, Queues: h.n.configs,
 		Settings: cell.Settings{Lease: lease, RunsPerToken: 1000}, PreviousOrdersUntil: acquired.OrdersUntil, Unconfirmed: acquired.Unconfirmed,
+		LastWitnesses: acquired.Witnesses, UnextendedUntil: acquired.UnextendedUntil, Witnesses: &hostWitnesses{h},
 		SinceBoot: h.sinceBoot, Log: log,
 		Previous:      previous,
 		FetchHandover: func(context.Context) (cell.Handover, bool) { return h.fetchHandover(previous) },
@@ -512,6 +515,54 @@
 	})
 }
 
+// hostWitnesses are the other hosts as one host reaches them.
+type hostWitnesses struct {
+	h *host
+}
+
+// Candidates implements runner.Witnesses.
+func (w *hostWitnesses) Candidates() []elect.Peer {
+	w.h.n.mu.Lock()
+	hosts := slices.Clone(w.h.n.hosts)
+	w.h.n.mu.Unlock()
+	var peers []elect.Peer
+	for _, other := range hosts {
+		if other != nil && other.name != w.h.name && w.h.canCall(other) {
+			peers = append(peers, elect.Peer{Host: other.name, Incarnation: other.process})
+		}
+	}
+	return peers
+}
+
+// Extend implements runner.Witnesses.
+func (w *hostWitnesses) Extend(ctx context.Context, p elect.Peer, group string, token uint64) bool {
+	return w.ask(ctx, p, func(other *host) bool { return other.witness.Extend(group, token, time.Since(w.h.n.startedAt)) })
+}
+
+// Refuse implements runner.Witnesses.
+func (w *hostWitnesses) Refuse(ctx context.Context, p elect.Peer, group string, token uint64, within time.Duration) bool {
+	return w.ask(ctx, p, func(other *host) bool { return other.witness.Refuse(group, token, within, time.Since(w.h.n.startedAt)) })
+}
+
+// Probe implements runner.Witnesses.
+func (w *hostWitnesses) Probe(ctx context.Context, p elect.Peer) bool {
+	return w.ask(ctx, p, func(*host) bool { return true })
+}
+
+// ask asks another process; one that is frozen answers late.
+func (w *hostWitnesses) ask(ctx context.Context, p elect.Peer, question func(*host) bool) bool {
+	if w.h.awaitThaw() != nil {
+		return false
+	}
+	other := w.h.n.findHost(p.Host)
+	if other == nil || other.process != p.Incarnation || (!other.isFrozen() && !w.h.canCall(other)) || other.awaitThaw() != nil {
+		<-ctx.Done()
+		return false
+	}
+	yes := question(other)
+	return w.h.awaitThaw() == nil && ctx.Err() == nil && w.h.canCall(other) && yes
+}
+
 // hostStore is the table as one host reaches it.
 type hostStore struct {
 	h *host
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -36,6 +36,11 @@
 	Settings cell.Settings
 	// PreviousOrdersUntil is the latest time at which earlier runners may have sent orders; the zero time means now.
 	PreviousOrdersUntil time.Time
+	// LastWitnesses are the witnesses of the last runner. If most of them refuse it, it has not sent orders after UnextendedUntil.
+	LastWitnesses   elect.Witnesses
+	UnextendedUntil time.Time
+	// Witnesses reaches the witnesses; nil means that this runner has none, and asks none.
+	Witnesses Witnesses
 	// Unconfirmed maps the workers of which the last runner has told until when runs may be active there to that time. The leases of those that
 	// Epoch.Inherited names are not renewed until the record of unrenewed workers has been replaced.
 	Unconfirmed map[string]time.Time
@@ -71,6 +76,8 @@
 	record groupRow
 	// unrenewed is the row of the record of unrenewed workers; only unrenewedLoop uses it.
 	unrenewed groupRow
+	// extension is what permits orders while the lease is not renewed.
+	extension extension
 	// segments holds how many segments the stored progress of a job has, or may have; only loadProgress, then commitLoop and then flush use it.
 	segments map[string]int
 	// references holds the rows of jobs that other services run.
@@ -118,6 +125,8 @@
 	}
 	r.record.key = table.Key{Table: elect.Table, Partition: cfg.Epoch.Group, Name: rowWorkers}
 	r.unrenewed.key = elect.UnrenewedKey(cfg.Epoch.Group)
+	r.extension.row.key = elect.WitnessesKey(cfg.Epoch.Group)
+	r.extension.extended.Store(noExtension)
 	cfg.Settings.LeaseAge, cfg.Settings.ExclusiveFor = r.LeaseAge, elect.FreshTimeout
 	if cfg.Workers != nil {
 		cfg.Settings.OldestConn = cfg.Workers.OldestConn
@@ -176,6 +185,10 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return r.renewLoop(ctx) })
 	eg.Go(func() error { return r.runLoops(ctx) })
+	if r.cfg.Witnesses != nil {
+		eg.Go(func() error { return r.witnessLoop(ctx) })
+		eg.Go(func() error { return r.extendLoop(ctx) })
+	}
 	err := eg.Wait()
 	r.inFlight.Wait()
 	r.flush()
@@ -193,7 +206,12 @@
 	progress, loaded := make(chan map[string]storedProgress, 1), make(chan struct{})
 	eg.Go(func() error { r.followJobs(ctx, progress, loaded); return nil })
 	eg.Go(func() error {
+		var narrowing sync.WaitGroup
+		if r.cfg.Witnesses != nil {
+			narrowing.Go(func() { r.narrowOrders(ctx) })
+		}
 		progressByJob, err := r.loadProgress(ctx)
+		narrowing.Wait()
 		if err != nil {
 			return err
 		}
@@ -274,7 +292,7 @@
 func (r *Runner) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	for dirty, _ := r.cell.Dirty(); dirty && r.holds() && ctx.Err() == nil; dirty, _ = r.cell.Dirty() {
+	for dirty, _ := r.cell.Dirty(); dirty && r.LeaseAge() < elect.HoldTimeout && ctx.Err() == nil; dirty, _ = r.cell.Dirty() {
 		if _, err := r.commitOnce(ctx); err != nil {
 			r.log.WithError(err).Warn("the last progress of the group can't be stored")
 			return
@@ -351,7 +369,7 @@
 }
 
 // holds reports whether the lease still permits sending orders.
-func (r *Runner) holds() bool { return r.LeaseAge() < elect.HoldTimeout }
+func (r *Runner) holds() bool { return r.ordersPermitted(r.cfg.SinceBoot()) }
 
 // orderTime returns the time from which the lease that an order gives counts, and whether orders may be sent. The clock is read before the
 // group's lease is checked: if the process stands still in between, or before it sends the order, the worker's lease is shorter.
--- a/runner/table_outage_test.go
+++ b/runner/table_outage_test.go
@@ -79,14 +79,22 @@
 // newOutage returns a network whose host runs 600 tasks of 0.3 s and has just lost the table.
 func newOutage(t *testing.T) (*network, *host) {
 	t.Helper()
-	n := newNetwork(1)
+	return newOutageOf(t, 1)
+}
+
+// newOutageOf returns a network of several hosts, of which the first runs 600 tasks of 0.3 s, and which have just lost the table.
+func newOutageOf(t *testing.T, numHosts int) (*network, *host) {
+	t.Helper()
+	n := newNetwork(numHosts)
 	n.workers.Outcome = fixedDuration(shortRun)
 	h := n.findHost("host0")
 	n.submitTasks(t)
 	for n.workers.NumStarts() < 20 {
 		time.Sleep(time.Millisecond)
 	}
-	h.setTableFault(fakes.TableUnavailable)
+	for _, each := range n.hosts {
+		each.setTableFault(fakes.TableUnavailable)
+	}
 	return n, h
 }
 
