Refuse jobs whose counts exceed the largest integer

What callers saw: one request of 127 bytes, a job with counts of 1 and of 9,223,372,036,854,775,807, is answered 200.

Cause: graph.Job.Validate added the counts and compared the sum, which wraps to a negative number. The check accepted the job on arrival and whenever it was read again, and the scheduler made a slice of that length.

Change: each count is compared with what the steps before it leave of the limit.

Tests: TestNumberOfTasksIsLimited accepted a negative sum and one that wraps to a small number before.

--- a/graph/job.go
+++ b/graph/job.go
@@ -95,13 +95,14 @@
 	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		tasks += s.Count
 		switch {
-		case s.Count < 1 || tasks > MaxTasks:
+		// Compared before they are added: the sum may exceed the largest integer.
+		case s.Count < 1 || s.Count > MaxTasks-tasks:
 			return &InvalidError{fmt.Sprintf("steps[%d].count", i), fmt.Sprintf("must be at least 1 and %d in all", MaxTasks)}
 		case s.Size.CPUMilli < 0 || s.Size.MemoryMiB < 0 || s.Size.Accelerators < 0:
 			return &InvalidError{fmt.Sprintf("steps[%d].size", i), "must not be negative"}
 		}
+		tasks += s.Count
 		for _, dep := range s.After {
 			if dep < 0 || dep >= i {
 				return &InvalidError{fmt.Sprintf("steps[%d].after", i), "must name earlier steps"}
