Count all texts of a job towards the memory of accepted jobs

What callers saw: 6,000 jobs whose label is a text of 60,000 bytes are answered 200.

Cause: graph.Job.MemoryBytes counted the spec and 1 KB a step, but not labels, racks, images and dependencies.

Change: all texts and dependencies count, and what the allocator adds.

--- a/graph/job.go
+++ b/graph/job.go
@@ -141,8 +141,16 @@
 
 // MemoryBytes returns about how much memory the scheduler takes for the job until it has ended, without that of its running tasks.
 func (j *Job) MemoryBytes() int64 {
-	const jobBytes, stepBytes, taskBytes = 2 << 10, 1 << 10, 16
-	return int64(jobBytes + len(j.Spec) + len(j.Steps)*stepBytes + j.NumTasks()*taskBytes)
+	const jobBytes, stepBytes, dependencyBytes, taskBytes = 2 << 10, 1 << 10, 16, 16
+	texts := len(j.ID) + len(j.Queue) + len(j.Service) + len(j.Spec) + len(j.Team)
+	n := jobBytes + j.NumTasks()*taskBytes
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		texts += len(s.Label) + len(s.DataRack) + len(s.Image)
+		n += stepBytes + len(s.After)*dependencyBytes
+	}
+	// The allocator rounds texts up by a quarter at most.
+	return int64(n + texts + texts/4)
 }
 
 // LongRunningTasks returns the number of tasks that run until the job is cancelled, those of all occurrences included.
--- a/graph/job_test.go
+++ b/graph/job_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"math"
+	"runtime"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -47,3 +49,57 @@
 		})
 	}
 }
+
+// Guards against parts of a job that count nothing towards what a host may hold: a label, rack or image of 60,000 bytes used to.
+func TestMemoryOfJobIsCounted(t *testing.T) {
+	const numJobs = 50
+	text := strings.Repeat("x", 60_000)
+	one := func(set func(j *graph.Job, s *graph.Step)) *graph.Job {
+		j := &graph.Job{Steps: []graph.Step{{Count: 1}}}
+		set(j, &j.Steps[0])
+		return j
+	}
+	many := &graph.Job{Steps: []graph.Step{{Count: 1}}}
+	for range graph.MaxSteps - 1 {
+		many.Steps = append(many.Steps, graph.Step{Count: 1, Label: "label", After: make([]int, 100)})
+	}
+	for _, test := range []struct {
+		name string
+		job  *graph.Job
+	}{
+		{"spec", one(func(j *graph.Job, _ *graph.Step) { j.Spec = text })},
+		{"team", one(func(j *graph.Job, _ *graph.Step) { j.Team = text })},
+		{"queue", one(func(j *graph.Job, _ *graph.Step) { j.Queue = text })},
+		{"service", one(func(j *graph.Job, _ *graph.Step) { j.Service = text })},
+		{"label", one(func(_ *graph.Job, s *graph.Step) { s.Label = text })},
+		{"rack", one(func(_ *graph.Job, s *graph.Step) { s.DataRack = text })},
+		{"image", one(func(_ *graph.Job, s *graph.Step) { s.Image = text })},
+		{"steps with dependencies", many},
+		{"one step with dependencies", &graph.Job{Steps: []graph.Step{{Count: 1}, {Count: 1, After: make([]int, 30_000)}}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			raw, err := test.job.Encode()
+			c.Assert(err, qt.IsNil)
+			before := heapBytes()
+			var jobs []*graph.Job
+			for range numJobs {
+				job, err := graph.DecodeJob(raw)
+				c.Assert(err, qt.IsNil)
+				jobs = append(jobs, job)
+			}
+			took := heapBytes() - before
+			c.Check(took <= numJobs*test.job.MemoryBytes(), qt.IsTrue, qt.Commentf("%d bytes a job, counted as %d", took/numJobs, test.job.MemoryBytes()))
+			runtime.KeepAlive(jobs)
+		})
+	}
+}
+
+// heapBytes returns the size of what is reachable.
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
