Keep no documents of finished jobs at a take-over

Cause: the rows of finished jobs stay for ten minutes, and a process that takes over read all rows of jobs into memory before it looked at the first, though it needs no document of a finished job. It did so again when the table had dropped the changes.

Change: rows pass a filter page by page, which drops what is known and the documents of finished jobs. Until it is known which jobs have finished, a 64th of the host's memory is kept at most.

--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -226,6 +226,15 @@
 	}
 }
 
+// Knows reports whether a job is known, finished or not.
+func (c *Cell) Knows(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.jobs[id]
+	_, finished := c.finished[id]
+	return known || finished
+}
+
 // Add adds an accepted job that has not finished, with its durable progress if there is any; a known job is left unchanged.
 func (c *Cell) Add(doc *graph.Job, progress *graph.Progress, version uint64, now time.Time) {
 	c.mu.Lock()
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -80,6 +80,10 @@
 	sweepInterval = 5 * time.Second
 	sweepJobs     = 500
 	maxSweepKeys  = 90
+	// unjudgedDivisor is the part of the host's memory for rows of jobs of which is not known yet whether they have finished, and defaultUnjudgedBytes
+	// what they may take if the memory is not known.
+	unjudgedDivisor      = 64
+	defaultUnjudgedBytes = 4 << 20
 )
 
 // storedProgress is the progress of a job as read from the table, nil if it can't be decoded, and the version of its row.
@@ -144,6 +148,25 @@
 func (r *Runner) followJobs(ctx context.Context, progress <-chan map[string]storedProgress, loaded chan<- struct{}) {
 	var progressByJob map[string]storedProgress
 	first := true
+	unjudged := 0
+	// keep drops what is not needed of the rows of finished and of known jobs, as they are read: there may be far more of them than fit in memory.
+	// Rows that are read before the progress is known are kept up to a limit.
+	keep := func(ctx context.Context, rows []table.Row) []table.Row {
+		if progressByJob == nil {
+			for i := range rows {
+				unjudged += len(rows[i].Value)
+			}
+			if unjudged < r.maxUnjudgedBytes() {
+				return rows
+			}
+			select {
+			case progressByJob = <-progress:
+			case <-ctx.Done():
+				return rows
+			}
+		}
+		return r.dropFinished(rows, progressByJob)
+	}
 	addRows := func(rows []table.Row) {
 		now := time.Now()
 		var marks []table.Row
@@ -194,8 +217,9 @@
 	}
 	f := table.Follower{
 		Store: r.cfg.Store, Table: TableJobs(r.cfg.Epoch.Group), Log: r.log, Partitions: func() []string { return partitionNames(r.cfg.Epoch.Group) },
+		Keep: keep,
 		Load: func(rows []table.Row) {
-			if first {
+			if progressByJob == nil {
 				select {
 				case progressByJob = <-progress:
 				case <-ctx.Done():
@@ -215,6 +239,30 @@
 	f.Run(ctx)
 }
 
+// maxUnjudgedBytes bounds the rows that are kept before it is known which of their jobs have finished.
+func (r *Runner) maxUnjudgedBytes() int {
+	if r.cfg.MemoryBytes == 0 {
+		return defaultUnjudgedBytes
+	}
+	return int(r.cfg.MemoryBytes / unjudgedDivisor)
+}
+
+// dropFinished drops the rows of jobs that the cell knows, and the documents of finished jobs.
+func (r *Runner) dropFinished(rows []table.Row, progressByJob map[string]storedProgress) []table.Row {
+	kept := rows[:0]
+	for _, row := range rows {
+		if r.cell.Knows(row.Name) {
+			continue
+		}
+		if p := progressByJob[row.Name].progress; p != nil && p.State.Terminal() {
+			r.restoreTeam(p, row)
+			row.Value = nil
+		}
+		kept = append(kept, row)
+	}
+	return kept
+}
+
 // teamField is in the row of each job that has a team.
 var teamField = []byte(`"team":`)
 
--- a/runner/stale_holder_test.go
+++ b/runner/stale_holder_test.go
@@ -123,7 +123,12 @@
 // submit accepts a job of one task that needs a ticket.
 func (n *network) submit(t *testing.T, id string) {
 	t.Helper()
-	step := graph.Step{Count: 1, Size: cores(1)}
+	n.submitStep(t, id, graph.Step{Count: 1, Size: cores(1)})
+}
+
+// submitStep accepts a job of one step that needs tickets.
+func (n *network) submitStep(t *testing.T, id string, step graph.Step) {
+	t.Helper()
 	doc := &graph.Job{
 		ID: id, Queue: guardedQueue, Service: service, Steps: []graph.Step{step}, AcceptedAt: time.Now(), MaxAttempts: 3, Stretch: 2,
 	}
--- a/table/follow.go
+++ b/table/follow.go
@@ -32,7 +32,9 @@
 	Load     func(rows []Row)
 	Apply    func(rows []Row)
 	OnAnswer func()
-	Log      logrus.FieldLogger
+	// Keep, if set, returns what Load needs of the rows of a page.
+	Keep func(ctx context.Context, rows []Row) []Row
+	Log  logrus.FieldLogger
 	// Pause returns the delay after each batch of changes, for tables whose changes need not be received at once; nil means none.
 	Pause func() time.Duration
 
@@ -73,6 +75,7 @@
 	}
 	l := Loader{
 		Store: f.Store, Timeout: func() time.Duration { return followWait + followSlack }, OnAnswer: f.recordAnswer, OnFailure: f.logFailure,
+		Keep: f.Keep,
 	}
 	rows, version, err := l.Load(ctx, ranges)
 	if err != nil {
--- a/table/load.go
+++ b/table/load.go
@@ -39,6 +39,8 @@
 	// OnAnswer and OnFailure, if set, are called after every call.
 	OnAnswer  func()
 	OnFailure func(err error)
+	// Keep, if set, returns what is kept of the rows of a page until all are read. More is read once it has returned.
+	Keep func(ctx context.Context, rows []Row) []Row
 
 	budget, rowBytes, pageBytes float64
 	// shrunkAt is when budget was last reduced: answers to calls sent before say nothing about the present budget.
@@ -108,7 +110,7 @@
 			l.OnAnswer()
 		}
 		l.adapt(p)
-		if !parts[p.index].add(p.page) {
+		if !parts[p.index].add(ctx, p.page, l.Keep) {
 			waiting = append(waiting, p.index)
 		}
 	}
@@ -135,16 +137,19 @@
 }
 
 // add adds a page, and reports whether the range is complete.
-func (p *partialRange) add(page Page) bool {
+func (p *partialRange) add(ctx context.Context, page Page, keep func(context.Context, []Row) []Row) bool {
 	if p.version == 0 {
 		p.version = page.Version
 	}
-	p.rows = append(p.rows, page.Rows...)
-	if !page.More || len(page.Rows) == 0 {
-		return true
+	complete := !page.More || len(page.Rows) == 0
+	if !complete {
+		p.next.From = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+	if keep != nil {
+		page.Rows = keep(ctx, page.Rows)
 	}
-	p.next.From = page.Rows[len(page.Rows)-1].Name + "\x00"
-	return false
+	p.rows = append(p.rows, page.Rows...)
+	return complete
 }
 
 // window returns how many calls may be in flight.
