--- a/runner/witness.go
+++ b/runner/witness.go
@@ -163,6 +163,7 @@
 
 // extendLoop asks the witnesses whenever the lease has not been renewed for some time.
 func (r *Runner) extendLoop(ctx context.Context) error {
+	warnedAfter := noExtension
 	for clock.Pause(ctx, holdCheckInterval) {
 		renewedAt := r.renewedAt.Load()
 		age := r.cfg.SinceBoot() - time.Duration(renewedAt)
@@ -176,6 +177,9 @@
 		if agreed {
 			r.extension.grant(asked, renewedAt)
 			r.wakePlan()
+		} else if !r.holds() && warnedAfter != renewedAt {
+			warnedAfter = renewedAt
+			r.log.Warn("too few witnesses agree; no orders are sent until the lease is renewed")
 		}
 	}
 	return ctx.Err()
