Admit the largest job of lasting tasks on small hosts

What callers saw: where the smallest host has 144 MB, a valid job of more than 11,059 lasting tasks, or with a larger gang, was refused (429) though it fits there.

Change: the tasks may take up to a quarter of the memory where an eighth is too little for a job of 20,000. Hosts of 261 MiB and more keep their limit.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -15,5 +15,10 @@
 	return max(0, int64(l)/largeParts*largeNumerator-used, min(int64(l)-used, int64(l)/smallPart-own))
 }
 
+// ForLarge returns the least limit that admits a large holder of an amount.
+func ForLarge(amount int64) Limit {
+	return Limit((amount + largeNumerator - 1) / largeNumerator * largeParts)
+}
+
 // Admits reports whether a new holder may take an amount beside what is used.
 func (l Limit) Admits(used, amount int64) bool { return amount <= l.Room(used, 0) }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -8,6 +8,14 @@
 	"github.com/corianderdrift/corianderdrift/budget"
 )
 
+func TestLimitForLargeHolderAdmitsIt(t *testing.T) {
+	for _, amount := range []int64{1, 2, 3, 4, 100, 20_000} {
+		limit := budget.ForLarge(amount)
+		qt.Check(t, limit.Admits(0, amount), qt.IsTrue)
+		qt.Check(t, (limit-4).Admits(0, amount), qt.IsFalse)
+	}
+}
+
 func TestRoom(t *testing.T) {
 	const limit = budget.Limit(6400)
 	for _, test := range []struct {
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderdrift/corianderdrift/budget"
+	"github.com/corianderdrift/corianderdrift/graph"
 )
 
 // Limits restrict the requests and the connections of clients.
@@ -146,13 +147,15 @@
 // run.
 const TaskBytes = 1280
 
-// TasksFor returns for how many such tasks a host with the given memory has room, whichever groups they are of; 0 stands for the default.
+// TasksFor returns for how many such tasks a host with the given memory has room, whichever groups they are of; 0 stands for the default. It is an eighth
+// of the memory, and up to a quarter where that is too little for a job of graph.MaxTasks.
 func TasksFor(memoryBytes int64) budget.Limit {
-	const taskPart = 8
+	const usualPart, largestPart = 8, 4
 	if memoryBytes <= 0 {
 		memoryBytes = DefaultMemoryBytes
 	}
-	return budget.Limit(memoryBytes / taskPart / TaskBytes)
+	usual, largest := budget.Limit(memoryBytes/usualPart/TaskBytes), budget.Limit(memoryBytes/largestPart/TaskBytes)
+	return max(usual, min(budget.ForLarge(graph.MaxTasks), largest))
 }
 
 // SizesFor returns the sizes for a host with the given memory, where clients may open up to maxConns connections, over TLS or not, if there is room
