--- a/cell/tasklimit_test.go
+++ b/cell/tasklimit_test.go
@@ -10,21 +10,13 @@
 
 	"github.com/corianderdrift/corianderdrift/budget"
 	"github.com/corianderdrift/corianderdrift/cell"
+	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
 	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/order"
 	"github.com/corianderdrift/corianderdrift/unit"
 )
 
-// heapBytes returns the size of what is reachable.
-func heapBytes() int64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
-
 // Jobs were accepted as if their tasks took nothing once they were started, so that a few jobs of many small tasks ended every host that took the group
 // over. The sizes that hosts count with are what the tasks take in each state, with the records that are being stored.
 func TestTasksTakeNoMoreMemoryThanCounted(t *testing.T) {
@@ -71,7 +63,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			before := heapBytes()
+			before := fakes.HeapBytes()
 			h := newHarness(t, numWorkers, 16)
 			for _, id := range h.jobIDs(8) {
 				h.add(h.job(id, test.step))
@@ -82,7 +74,7 @@
 			c.Assert(known, qt.Equals, test.known*numTasks)
 			batch := h.cell.Collect(8)
 			h.running, h.ends = nil, nil
-			took := heapBytes() - before
+			took := fakes.HeapBytes() - before
 			t.Logf("%.0f bytes a task", float64(took)/numTasks)
 			counted := test.known*numTasks*guard.TaskBytes + 8*h.job("x", test.step).MemoryBytes()
 			c.Check(took <= counted, qt.IsTrue, qt.Commentf("%d bytes, counted as %d", took, counted))
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -109,8 +109,8 @@
 	// renewal is the row of the last renewal.
 	renewal table.Row
 	// unrenewed is the last record of unrenewed workers, and witnesses that of the holder's witnesses.
-	unrenewed seenUnrenewed
-	witnesses seenWitnesses
+	unrenewed seenRecord[Unrenewed]
+	witnesses seenRecord[Witnesses]
 }
 
 // groupUsage is what is known of what the jobs of a group take at its holder.
--- a/elect/unrenewed.go
+++ b/elect/unrenewed.go
@@ -18,17 +18,17 @@
 	return table.Key{Table: Table, Partition: group, Name: rowUnrenewed}
 }
 
-// seenUnrenewed is a record of unrenewed workers with its version, and when it was first seen.
-type seenUnrenewed struct {
-	record  Unrenewed
+// seenRecord is a record of a holder as a view has seen it: with its version, and when it was first seen.
+type seenRecord[T any] struct {
+	record  T
 	version uint64
 	seenAt  time.Time
 }
 
 // apply stores a newer record. Of one that can't be decoded, only the version counts.
-func (u *seenUnrenewed) apply(r table.Row, now time.Time) error {
-	*u = seenUnrenewed{version: r.Version, seenAt: now}
-	return json.Unmarshal(r.Value, &u.record)
+func (s *seenRecord[T]) apply(r table.Row, now time.Time) error {
+	*s = seenRecord[T]{version: r.Version, seenAt: now}
+	return json.Unmarshal(r.Value, &s.record)
 }
 
 // unconfirmed returns the workers that the last holder could not reach, or that were idle, and since when their remaining times count, by the
--- a/elect/witness.go
+++ b/elect/witness.go
@@ -1,7 +1,6 @@
 package elect
 
 import (
-	"encoding/json"
 	"math"
 	"sync"
 	"time"
@@ -52,19 +51,6 @@
 	return table.Key{Table: Table, Partition: group, Name: rowWitnesses}
 }
 
-// seenWitnesses is a record of witnesses with its version, and when it was first seen.
-type seenWitnesses struct {
-	record  Witnesses
-	version uint64
-	seenAt  time.Time
-}
-
-// apply stores a newer record. Of one that can't be decoded, only the version counts.
-func (w *seenWitnesses) apply(r table.Row, now time.Time) error {
-	*w = seenWitnesses{version: r.Version, seenAt: now}
-	return json.Unmarshal(r.Value, &w.record)
-}
-
 // witnesses returns the witnesses of the lease's holder, and until when it may have sent orders if they have not extended that; none if there is no
 // holder, or if it has not recorded any.
 func (v *View) witnesses(group string, now time.Time) (w Witnesses, ordersUntil time.Time) {
@@ -85,24 +71,24 @@
 // Witness is what a process keeps as a witness. The zero value is ready for use.
 type Witness struct {
 	mu     sync.Mutex
-	groups map[string]*testimony
+	groups map[string]*witnessState
 }
 
-// testimony is what a witness has told the holders of a group.
-type testimony struct {
+// witnessState is what a witness has told the holders of a group.
+type witnessState struct {
 	// extendedAt is when a holder was last told that it may go on, on the boot clock.
 	extendedAt time.Duration
 	// refused is the highest token whose holder may not be told that any more.
 	refused uint64
 }
 
-func (w *Witness) of(group string) *testimony {
+func (w *Witness) of(group string) *witnessState {
 	t, ok := w.groups[group]
 	if !ok {
 		if w.groups == nil {
-			w.groups = map[string]*testimony{}
+			w.groups = map[string]*witnessState{}
 		}
-		t = &testimony{extendedAt: math.MinInt64 / 2}
+		t = &witnessState{extendedAt: math.MinInt64 / 2}
 		w.groups[group] = t
 	}
 	return t
--- a/graph/job_test.go
+++ b/graph/job_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/graph"
 )
 
@@ -81,25 +82,16 @@
 			c := qt.New(t)
 			raw, err := test.job.Encode()
 			c.Assert(err, qt.IsNil)
-			before := heapBytes()
+			before := fakes.HeapBytes()
 			var jobs []*graph.Job
 			for range numJobs {
 				job, err := graph.DecodeJob(raw)
 				c.Assert(err, qt.IsNil)
 				jobs = append(jobs, job)
 			}
-			took := heapBytes() - before
+			took := fakes.HeapBytes() - before
 			c.Check(took <= numJobs*test.job.MemoryBytes(), qt.IsTrue, qt.Commentf("%d bytes a job, counted as %d", took/numJobs, test.job.MemoryBytes()))
 			runtime.KeepAlive(jobs)
 		})
 	}
 }
-
-// heapBytes returns the size of what is reachable.
-func heapBytes() int64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
--- a/runner/completed_test.go
+++ b/runner/completed_test.go
@@ -20,8 +20,8 @@
 func TestDocumentsOfCompletedJobsAreNotKept(t *testing.T) {
 	const (
 		numJobs, imageBytes = 400, 20_000
-		// maxUnjudged is what may be read before it is known which jobs have completed, and maxPage a page beyond it.
-		maxUnjudged, maxPage = 4 << 20, 1 << 20
+		// maxUnfiltered is what may be read before it is known which jobs have completed, and maxPage a page beyond it.
+		maxUnfiltered, maxPage = 4 << 20, 1 << 20
 	)
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(2)
@@ -51,7 +51,7 @@
 		}
 		hook.Reset()
 		n.findHost("host0").kill()
-		qt.Check(t, awaitLoad() < maxUnjudged+maxPage, qt.IsTrue)
+		qt.Check(t, awaitLoad() < maxUnfiltered+maxPage, qt.IsTrue)
 		n.submitStep(t, "later", graph.Step{Count: 1, Size: cores(1)})
 		n.store.DropHistory()
 		qt.Check(t, awaitLoad() < 1000, qt.IsTrue)
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -80,10 +80,10 @@
 	sweepInterval = 5 * time.Second
 	sweepJobs     = 500
 	maxSweepKeys  = 90
-	// unjudgedDivisor is the part of the host's memory for rows of jobs of which is not known yet whether they have finished, and defaultUnjudgedBytes
+	// unfilteredDivisor is the part of the host's memory for rows of jobs of which is not known yet whether they have finished, and defaultUnfilteredBytes
 	// what they may take if the memory is not known.
-	unjudgedDivisor      = 64
-	defaultUnjudgedBytes = 4 << 20
+	unfilteredDivisor      = 64
+	defaultUnfilteredBytes = 4 << 20
 )
 
 // storedProgress is the progress of a job as read from the table, nil if it can't be decoded, and the version of its row.
@@ -148,15 +148,15 @@
 func (r *Runner) followJobs(ctx context.Context, progress <-chan map[string]storedProgress, loaded chan<- struct{}) {
 	var progressByJob map[string]storedProgress
 	first := true
-	unjudged := 0
+	unfiltered := 0
 	// keep drops what is not needed of the rows of finished and of known jobs, as they are read: there may be far more of them than fit in memory.
 	// Rows that are read before the progress is known are kept up to a limit.
 	keep := func(ctx context.Context, rows []table.Row) []table.Row {
 		if progressByJob == nil {
 			for i := range rows {
-				unjudged += len(rows[i].Value)
+				unfiltered += len(rows[i].Value)
 			}
-			if unjudged < r.maxUnjudgedBytes() {
+			if unfiltered < r.maxUnfilteredBytes() {
 				return rows
 			}
 			select {
@@ -239,12 +239,12 @@
 	f.Run(ctx)
 }
 
-// maxUnjudgedBytes bounds the rows that are kept before it is known which of their jobs have finished.
-func (r *Runner) maxUnjudgedBytes() int {
+// maxUnfilteredBytes bounds the rows that are kept before it is known which of their jobs have finished.
+func (r *Runner) maxUnfilteredBytes() int {
 	if r.cfg.MemoryBytes == 0 {
-		return defaultUnjudgedBytes
+		return defaultUnfilteredBytes
 	}
-	return int(r.cfg.MemoryBytes / unjudgedDivisor)
+	return int(r.cfg.MemoryBytes / unfilteredDivisor)
 }
 
 // dropFinished drops the rows of jobs that the cell knows, and the documents of finished jobs.
