Log every failed and slow call between the table and a configuration

What operators saw: after the first failed call of a follower nothing was logged until it resumed, calls for the record of required keys failed without a line, and neither said which hosts were asked. So the logs could not tell why a host had a version late.

Change: a follower logs each failed call with how long it took and why each path failed, slow answers, and, when it resumes, the number of failures and the time since the first. A host that passes calls on says why it refuses one.

TestFollowerReceivesEveryRow asks for the lines; they were missing before.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -46,19 +47,46 @@
 // unanswered backs off from the host, which did not respond, and returns the error for the call.
 func (s *relayStore) unanswered(op string, err error) error {
 	s.hosts.backOff(s.host.Name, time.Now())
-	return &table.UnansweredError{Op: op, Err: err}
+	return &table.UnansweredError{Op: op, Err: &viaError{s.host.Name, err}}
 }
 
 // failure returns the error of a call that the host has answered.
 func (s *relayStore) failure(op string, f *cellpb.Failure) error {
 	err := failureFromProto(op, f)
 	var refused *table.RefusedError
-	if errors.As(err, &refused) {
+	var unanswered *table.UnansweredError
+	switch {
+	case errors.As(err, &refused):
 		s.hosts.setWithoutTable(s.host.Name, time.Now())
+		refused.Err = &viaError{s.host.Name, refused.Err}
+	case errors.As(err, &unanswered):
+		unanswered.Err = &viaError{s.host.Name, unanswered.Err}
 	}
 	return err
 }
 
+// viaError is the error of a call through another host; err is nil if there is only the status of the answer.
+type viaError struct {
+	host string
+	err  error
+}
+
+// Error names the host.
+func (e *viaError) Error() string {
+	if e.err == nil {
+		return "via " + e.host
+	}
+	return fmt.Sprintf("via %s: %v", e.host, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *viaError) Unwrap() error { return e.err }
+
+// answer returns how the host answered; nanos is the table's time.
+func (s *relayStore) answer(nanos int64) table.Answer {
+	return table.Answer{TableTime: time.Duration(nanos), Via: s.host.Name}
+}
+
 // Commit implements table.Store.
 func (s *relayStore) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
 	const op = "commit"
@@ -88,7 +116,9 @@
 	if err != nil {
 		return table.Page{}, s.unanswered(op, err)
 	}
-	page := table.Page{Rows: rowsFromProto(reply.GetRows()), More: reply.GetMore(), Version: reply.GetVersion()}
+	page := table.Page{
+		Rows: rowsFromProto(reply.GetRows()), More: reply.GetMore(), Version: reply.GetVersion(), Answer: s.answer(reply.GetTableNanos()),
+	}
 	return page, s.failure(op, reply.GetFailure())
 }
 
@@ -108,7 +138,7 @@
 	if errors.As(err, &lost) {
 		lost.Table, lost.After = name, after
 	}
-	return table.Changes{Rows: rowsFromProto(reply.GetRows()), Version: reply.GetVersion()}, err
+	return table.Changes{Rows: rowsFromProto(reply.GetRows()), Version: reply.GetVersion(), Answer: s.answer(reply.GetTableNanos())}, err
 }
 
 // rowServer forwards other hosts' calls to the table, over this host's direct route only.
@@ -148,7 +178,7 @@
 // begin admits a call, and returns the function that is to be called at its end.
 func (m *relayMemory) begin(op string) (func(), error) {
 	if !m.calls.TryAcquire(1) {
-		return nil, &table.RefusedError{Op: op}
+		return nil, &table.RefusedError{Op: op, Err: errTooManyCalls}
 	}
 	return func() { m.calls.Release(1) }, nil
 }
@@ -184,11 +214,17 @@
 	return ctx, func() { m.bytes.Release(taken) }
 }
 
+// Reasons for which calls are not passed on.
+var (
+	errTooManyCalls = errors.New("too many calls are being passed on")
+	errNoDirectPath = errors.New("the table doesn't answer this host either")
+)
+
 // begin returns the direct route to the table and the function that is to be called at the end of the call, or *table.RefusedError if the table
 // is unreachable or too many calls are being passed on.
 func (r *rowServer) begin(op string) (table.Store, func(), error) {
 	if !r.direct.Reachable(time.Now()) {
-		return nil, nil, &table.RefusedError{Op: op}
+		return nil, nil, &table.RefusedError{Op: op, Err: errNoDirectPath}
 	}
 	end, err := r.memory.begin(op)
 	return r.direct, end, err
@@ -210,7 +246,7 @@
 func (r *rowServer) Read(ctx context.Context, req *cellpb.ReadRequest) (*cellpb.ReadReply, error) {
 	reply := &cellpb.ReadReply{}
 	page, err := r.readPage(ctx, req)
-	reply.Rows, reply.More, reply.Version = rowsToProto(page.Rows), page.More, page.Version
+	reply.Rows, reply.More, reply.Version, reply.TableNanos = rowsToProto(page.Rows), page.More, page.Version, int64(page.TableTime)
 	reply.Failure = failureToProto(err)
 	return reply, nil
 }
@@ -242,7 +278,7 @@
 		defer release()
 		var got table.Changes
 		got, err = s.Changes(limited, req.GetTable(), req.GetAfter(), time.Duration(req.GetWaitNanos()))
-		reply.Rows, reply.Version = rowsToProto(got.Rows), got.Version
+		reply.Rows, reply.Version, reply.TableNanos = rowsToProto(got.Rows), got.Version, int64(got.TableTime)
 	}
 	reply.Failure = failureToProto(err)
 	return reply, nil
--- a/agent/rows_proto.go
+++ b/agent/rows_proto.go
@@ -70,7 +70,11 @@
 	case errors.As(err, &conflict):
 		return &cellpb.Failure{Kind: cellpb.Failure_CONFLICT, Rows: rowsToProto(conflict.Rows)}
 	case errors.As(err, &refused):
-		return &cellpb.Failure{Kind: cellpb.Failure_REFUSED, Status: int32(refused.Status)}
+		failure := &cellpb.Failure{Kind: cellpb.Failure_REFUSED, Status: int32(refused.Status)}
+		if refused.Err != nil {
+			failure.Text = refused.Err.Error()
+		}
+		return failure
 	case errors.As(err, &lost):
 		return &cellpb.Failure{Kind: cellpb.Failure_HISTORY_LOST}
 	default:
@@ -85,7 +89,11 @@
 	case cellpb.Failure_CONFLICT:
 		return &table.ConflictError{Rows: rowsFromProto(f.GetRows())}
 	case cellpb.Failure_REFUSED:
-		return &table.RefusedError{Op: op, Status: int(f.GetStatus())}
+		refused := &table.RefusedError{Op: op, Status: int(f.GetStatus())}
+		if text := f.GetText(); text != "" {
+			refused.Err = errors.New(text)
+		}
+		return refused
 	case cellpb.Failure_HISTORY_LOST:
 		return &table.HistoryLostError{}
 	default:
--- a/runner/jobs.go
+++ b/runner/jobs.go
@@ -101,7 +101,7 @@
 func (r *Runner) loadProgress(ctx context.Context) (map[string]storedProgress, error) {
 	l := table.Loader{
 		Store: r.cfg.Store, Timeout: func() time.Duration { return r.cfg.Timeout(tableTimeout) },
-		OnFailure: func(err error) { r.log.WithError(err).Warn("progress of jobs can't be read") },
+		OnFailure: func(err error, _ time.Time) { r.log.WithError(err).Warn("progress of jobs can't be read") },
 	}
 	rows, _, err := l.Load(ctx, []table.Range{{Table: TableRuns, Partition: r.cfg.Epoch.Group}})
 	if err != nil {
--- a/table/follow.go
+++ b/table/follow.go
@@ -20,6 +20,8 @@
 	maxFollowSlack = 5 * time.Second
 	// followRetryDelay is the delay after a failed call.
 	followRetryDelay = 150 * time.Millisecond
+	// slowAnswerTime is how much longer than it may wait for a change an answered call takes before it is logged.
+	slowAnswerTime = 300 * time.Millisecond
 )
 
 // Follower reads a table and then follows its changes; it reloads the table when the change history is lost.
@@ -32,6 +34,8 @@
 	Load     func(rows []Row)
 	Apply    func(rows []Row)
 	OnAnswer func()
+	// OnReceived, if set, is called before Load and Apply.
+	OnReceived func(Received)
 	// Keep, if set, returns what Load needs of the rows of a page.
 	Keep func(ctx context.Context, rows []Row) []Row
 	Log  logrus.FieldLogger
@@ -39,6 +43,20 @@
 	Pause func() time.Duration
 
 	unreachable bool
+	// numFailed counts the failed calls since failingSince, when the first of them was sent.
+	numFailed    int
+	failingSince time.Time
+	// lastAnswer is the last answer.
+	lastAnswer Answer
+}
+
+// Received says how rows arrived.
+type Received struct {
+	// Answer is the answer that they came in, and Before the one before it.
+	Answer, Before Answer
+	// Took is how long the call took, or the loading if Loaded is set.
+	Took   time.Duration
+	Loaded bool
 }
 
 // Run follows the table until ctx is done.
@@ -51,44 +69,63 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.logFailure(err)
+		f.logFailure(err, time.Now())
 		clock.Pause(ctx, followRetryDelay)
 	}
 }
 
-func (f *Follower) logFailure(err error) {
+// logFailure logs a call that was sent at the given time.
+func (f *Follower) logFailure(err error, sentAt time.Time) {
 	var lost *HistoryLostError
 	if errors.As(err, &lost) {
 		f.Log.WithField("table", f.Table).Info("change history of the table lost; reloading the table")
 		return
 	}
-	if !f.unreachable {
-		f.unreachable = true
-		f.Log.WithError(err).WithField("table", f.Table).Warn("following the table failed; retrying")
+	log := f.Log.WithError(err).WithFields(logrus.Fields{"table": f.Table, "took": sinceText(sentAt)})
+	f.numFailed++
+	if f.unreachable {
+		log.WithField("failed", f.numFailed).Info("following the table failed again")
+		return
 	}
+	f.unreachable, f.failingSince = true, sentAt
+	log.Warn("following the table failed; retrying")
 }
 
+func sinceText(t time.Time) string { return time.Since(t).Round(time.Millisecond).String() }
+
 func (f *Follower) load(ctx context.Context) (uint64, error) {
 	var ranges []Range
 	for _, partition := range f.Partitions() {
 		ranges = append(ranges, Range{Table: f.Table, Partition: partition})
 	}
+	startedAt := time.Now()
 	l := Loader{
 		Store: f.Store, Timeout: func() time.Duration { return followWait + followSlack }, OnAnswer: f.recordAnswer, OnFailure: f.logFailure,
 		Keep: f.Keep,
 	}
+	before := f.lastAnswer
 	rows, version, err := l.Load(ctx, ranges)
 	if err != nil {
 		return 0, err
 	}
+	f.received(Received{Answer: f.lastAnswer, Before: before, Took: time.Since(startedAt), Loaded: true})
 	f.Load(rows)
 	return version, nil
 }
 
-func (f *Follower) recordAnswer() {
+func (f *Follower) received(r Received) {
+	if f.OnReceived != nil {
+		f.OnReceived(r)
+	}
+}
+
+func (f *Follower) recordAnswer(a Answer) {
+	f.lastAnswer = a
 	if f.unreachable {
-		f.unreachable = false
-		f.Log.WithField("table", f.Table).Info("following the table resumed")
+		f.Log.WithFields(logrus.Fields{
+			"table": f.Table, "via": a.Via, "failed": f.numFailed, "after": sinceText(f.failingSince),
+		}).Info("following the table resumed")
+		f.unreachable, f.numFailed = false, 0
 	}
 	if f.OnAnswer != nil {
 		f.OnAnswer()
@@ -99,6 +136,7 @@
 func (f *Follower) followChanges(ctx context.Context, version uint64) error {
 	slack := followSlack
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		call, cancel := context.WithTimeout(ctx, followWait+slack)
 		changes, err := f.Store.Changes(call, f.Table, version, followWait)
 		cancel()
@@ -108,7 +146,7 @@
 			return err
 		case err != nil:
 			if ctx.Err() == nil {
-				f.logFailure(err)
+				f.logFailure(err, sentAt)
 				clock.Pause(ctx, followRetryDelay)
 			}
 			if errors.Is(err, context.DeadlineExceeded) {
@@ -117,9 +155,16 @@
 			continue
 		}
 		slack = followSlack
-		f.recordAnswer()
+		if time.Since(sentAt) > followWait+slowAnswerTime {
+			f.Log.WithFields(logrus.Fields{
+				"table": f.Table, "via": changes.Via, "took": sinceText(sentAt), "rows": len(changes.Rows),
+			}).Info("slow answer of the table")
+		}
+		before := f.lastAnswer
+		f.recordAnswer(changes.Answer)
 		version = max(version, changes.Version)
 		if len(changes.Rows) > 0 {
+			f.received(Received{Answer: changes.Answer, Before: before, Took: time.Since(sentAt)})
 			f.Apply(changes.Rows)
 			if f.Pause != nil {
 				clock.Pause(ctx, f.Pause())
--- a/table/load.go
+++ b/table/load.go
@@ -37,8 +37,8 @@
 	// Timeout returns the timeout of a call.
 	Timeout func() time.Duration
 	// OnAnswer and OnFailure, if set, are called after every call.
-	OnAnswer  func()
-	OnFailure func(err error)
+	OnAnswer  func(Answer)
+	OnFailure func(err error, sentAt time.Time)
 	// Keep, if set, returns what is kept of the rows of a page until all are read. More is read once it has returned.
 	Keep func(ctx context.Context, rows []Row) []Row
 
@@ -100,14 +100,14 @@
 		case p.err != nil:
 			l.shrink(p.sentAt)
 			if l.OnFailure != nil {
-				l.OnFailure(p.err)
+				l.OnFailure(p.err, p.sentAt)
 			}
 			waiting = append(waiting, p.index)
 			clock.Pause(ctx, followRetryDelay)
 			continue
 		}
 		if l.OnAnswer != nil {
-			l.OnAnswer()
+			l.OnAnswer(p.page.Answer)
 		}
 		l.adapt(p)
 		if !parts[p.index].add(ctx, p.page, l.Keep) {
--- a/table/relay.go
+++ b/table/relay.go
@@ -135,13 +135,18 @@
 
 func relay[T any](ctx context.Context, r *Relay, op string, call func(Store) (T, error)) (T, error) {
 	var zero T
-	var directErr error = &RefusedError{Op: op}
+	failed := &NoPathError{}
+	refused := &RefusedError{Op: op, Err: failed}
 	if r.Direct.Reachable(time.Now()) {
 		got, err := call(r.Direct)
 		if !isRefused(err) {
 			return got, err
 		}
-		directErr = err
+		failed.Errs = append(failed.Errs, err)
+		_ = errors.As(err, &refused)
+		refused = &RefusedError{Op: op, Status: refused.Status, Err: failed}
+	} else {
+		failed.Errs = append(failed.Errs, errUnreachable)
 	}
 	fallbacks := r.Fallbacks()
 	for _, s := range fallbacks[:min(maxRelayHosts, len(fallbacks))] {
@@ -152,10 +157,23 @@
 		if !isRefused(err) {
 			return got, err
 		}
+		failed.Errs = append(failed.Errs, err)
 	}
-	return zero, directErr
+	return zero, refused
 }
 
+// errUnreachable says that a call was not sent over the direct path.
+var errUnreachable = errors.New("the direct path is down")
+
+// NoPathError says why no path led to the table.
+type NoPathError struct {
+	// Errs holds the reason of each path that was tried, the direct one first.
+	Errs []error
+}
+
+// Error lists the reasons.
+func (e *NoPathError) Error() string { return "no path: " + errors.Join(e.Errs...).Error() }
+
 func isRefused(err error) bool {
 	var r *RefusedError
 	return errors.As(err, &r)
--- a/table/table.go
+++ b/table/table.go
@@ -57,12 +57,22 @@
 	Rows    []Row
 	More    bool
 	Version uint64
+	Answer
 }
 
 // Changes holds the rows of a table that changed up to a version.
 type Changes struct {
 	Rows    []Row
 	Version uint64
+	Answer
+}
+
+// Answer says when and how the table answered a call.
+type Answer struct {
+	// TableTime is the table's own steady clock; 0 means that it is not known.
+	TableTime time.Duration
+	// Via names the host that passed the call on; it is empty for the direct path.
+	Via string
 }
 
 // Store is a transactional table; its operations are linearizable.
@@ -102,10 +112,19 @@
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	if e.Err != nil {
-		return fmt.Sprintf("table: %s: %v", e.Op, e.Err)
+	return fmt.Sprintf("table: %s refused: %s", e.Op, e.Reason())
+}
+
+// Reason returns why the call was refused.
+func (e *RefusedError) Reason() string {
+	switch {
+	case e.Err == nil:
+		return fmt.Sprintf("status %d", e.Status)
+	case e.Status == 0:
+		return e.Err.Error()
+	default:
+		return fmt.Sprintf("status %d, %v", e.Status, e.Err)
 	}
-	return fmt.Sprintf("table: %s refused with status %d", e.Op, e.Status)
 }
 
 // Permanent reports whether the table would refuse the same transaction again, since it is invalid or too large.
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
+	"regexp"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/corianderdrift/corianderdrift/fakes"
 	"github.com/corianderdrift/corianderdrift/table"
@@ -21,13 +22,12 @@
 	c.Assert(err, qt.IsNil)
 }
 
-// A follower receives every row, also when the change history is dropped and while calls fail.
+// A follower receives every row, also when the change history is dropped and while calls fail. Each failed call is logged with the time that it took.
 func TestFollowerReceivesEveryRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		store := fakes.NewTable()
-		log := logrus.New()
-		log.SetOutput(io.Discard)
+		log, lines := logtest.NewNullLogger()
 		received := map[string]bool{}
 		record := func(got []table.Row) {
 			for _, r := range got {
@@ -51,6 +51,19 @@
 		cancel()
 		synctest.Wait()
 		c.Assert(received, qt.DeepEquals, map[string]bool{"first": true, "second": true, "third": true})
+		var texts []string
+		for _, e := range lines.AllEntries() {
+			text, err := e.String()
+			c.Assert(err, qt.IsNil)
+			texts = append(texts, text)
+		}
+		all := strings.Join(texts, "")
+		for _, pattern := range []string{
+			"failed; retrying.*deadline exceeded.*table=t took=1.6s", "failed again.*deadline exceeded.*failed=2 table=t took=2.2s",
+			"resumed.*after=[4-9][.0-9]*s failed=2 table=t via=", "history of the table lost",
+		} {
+			c.Check(regexp.MustCompile(pattern).MatchString(all), qt.IsTrue, qt.Commentf("%s in:\n%s", pattern, all))
+		}
 	})
 }
 
