--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -58,6 +59,8 @@
 	// groups they run.
 	fastPath map[string]bool
 	conns    map[netip.AddrPort]*grpc.ClientConn
+	// rows returns a client of the host at an address, through which calls to the table are passed on.
+	rows func(netip.AddrPort) (cellpb.RowsClient, error)
 	// backoffUntil holds the hosts that did not respond, and until when they are not used.
 	backoffUntil map[string]time.Time
 	// withoutTableUntil holds the hosts that could not reach the table, and until when they are asked after all others.
@@ -65,10 +68,12 @@
 }
 
 func newHosts(self, dataCenter string) *hosts {
-	return &hosts{
+	h := &hosts{
 		self: self, dataCenter: dataCenter, known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{},
 		backoffUntil: map[string]time.Time{}, withoutTableUntil: map[string]time.Time{},
 	}
+	h.rows = h.rowsClient
+	return h
 }
 
 // fastPathDivisor and strongPathDivisor are how many hosts of a data centre there are for each one that is reserved for short calls to
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -36,8 +37,11 @@
 	host  host
 }
 
-func (s *relayStore) client() (cellpb.RowsClient, error) {
-	conn, err := s.hosts.conn(s.host.Address)
+func (s *relayStore) client() (cellpb.RowsClient, error) { return s.hosts.rows(s.host.Address) }
+
+// rowsClient returns a client of the host at the given address.
+func (h *hosts) rowsClient(addr netip.AddrPort) (cellpb.RowsClient, error) {
+	conn, err := h.conn(addr)
 	if err != nil {
 		return nil, err
 	}
