Keep hosts that left as paths to the table, and prefer those with one

Cause: a host without a path looks for one in the list of hosts, which it reads over that path. Hosts that stop remove their rows at once, though they pass calls on until their end; those that start again were unknown. So while others are rolled, only hosts that are refused as well stay in the list. Hosts in backoff were not asked at all, and the strong ones came first again a second after they had refused.

Change: hosts that left are kept for a minute of reading the list; hosts through which the table has answered are asked first, hosts that left or did not respond before those that refused, and these in the order in which they were asked, for longer with each refusal. Commits go only to hosts that are listed and respond, or through which the table has answered since.

--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -63,14 +63,13 @@
 	rows func(netip.AddrPort) (cellpb.RowsClient, error)
 	// backoffUntil holds the hosts that did not respond, and until when they are not used.
 	backoffUntil map[string]time.Time
-	// withoutTableUntil holds the hosts that could not reach the table, and until when they are asked after all others.
-	withoutTableUntil map[string]time.Time
+	relayPaths
 }
 
 func newHosts(self, dataCenter string) *hosts {
 	h := &hosts{
 		self: self, dataCenter: dataCenter, known: map[string]host{}, conns: map[netip.AddrPort]*grpc.ClientConn{},
-		backoffUntil: map[string]time.Time{}, withoutTableUntil: map[string]time.Time{},
+		backoffUntil: map[string]time.Time{}, relayPaths: newRelayPaths(),
 	}
 	h.rows = h.rowsClient
 	return h
@@ -158,7 +157,7 @@
 			continue
 		}
 		if r.Deleted {
-			delete(h.known, r.Name)
+			h.leave(r.Name, time.Now())
 			continue
 		}
 		peer := host{Name: r.Name}
@@ -167,8 +166,10 @@
 			continue
 		}
 		h.known[r.Name] = peer
+		delete(h.left, r.Name)
 		onStarted(r.Name, peer.Incarnation, r.Version, time.Now())
 	}
+	h.forgetLeft(time.Now())
 	h.sort()
 	h.chooseFastPath()
 	return lastErr
@@ -219,33 +220,6 @@
 	return fastPath, rest
 }
 
-// relays returns the hosts through which the table may be reached: strong ones first, since weak ones can't carry what a runner reads, and
-// last those that could not reach it themselves.
-func (h *hosts) relays(now time.Time) []host {
-	strong, weak := h.splitFastPath(now)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	withoutTable := func(peer host) bool { return now.Before(h.withoutTableUntil[peer.Name]) }
-	list := slices.Concat(strong, weak)
-	slices.SortStableFunc(list, func(a, b host) int {
-		switch {
-		case withoutTable(a) == withoutTable(b):
-			return 0
-		case withoutTable(b):
-			return -1
-		default:
-			return 1
-		}
-	})
-	return slices.DeleteFunc(list, func(peer host) bool { return peer.Name == h.self })
-}
-
-func (h *hosts) setWithoutTable(name string, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.withoutTableUntil[name] = now.Add(withoutTableDuration)
-}
-
 func (h *hosts) find(name string) (host, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/agent/paths.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// What is known of the paths to the table through other hosts.
+const (
+	// withoutTableDuration is how long a host that could not reach the table is asked after all others. It doubles with each further refusal in a
+	// row, up to maxWithoutTableDuration.
+	withoutTableDuration    = time.Second
+	maxWithoutTableDuration = 8 * time.Second
+	// answeredDuration is how long a host through which the table has answered is preferred.
+	answeredDuration = 30 * time.Second
+	// leftDuration is how long a host that has left the list is kept, as far as the list can be read. A host that stops leaves the list at once and
+	// passes calls on until its end, and one that starts again mostly has the same address.
+	leftDuration = time.Minute
+)
+
+// relayPaths is what this host knows of the paths to the table through other hosts. The list of hosts is itself read from the table, so it may be
+// old when it is needed.
+type relayPaths struct {
+	records map[string]*pathRecord
+	// left holds the hosts that have left the list.
+	left map[string]leftHost
+}
+
+// pathRecord is what calls through a host have met.
+type pathRecord struct {
+	answeredAt, refusedAt, refusedUntil time.Time
+	// numRefusals counts the refusals since the last answer.
+	numRefusals int
+}
+
+type leftHost struct {
+	host
+	at time.Time
+}
+
+// relayHost is a host that may pass calls on to the table.
+type relayHost struct {
+	host
+	// tentative says that the host has left or didn't respond: it may no longer run, so that a commit through it might stay without an answer.
+	tentative bool
+}
+
+func newRelayPaths() relayPaths {
+	return relayPaths{records: map[string]*pathRecord{}, left: map[string]leftHost{}}
+}
+
+// leave removes a host from the list; h.mu must be held.
+func (h *hosts) leave(name string, now time.Time) {
+	if peer, ok := h.known[name]; ok {
+		h.left[name] = leftHost{peer, now}
+		delete(h.known, name)
+	}
+}
+
+// forgetLeft forgets hosts that left long ago; h.mu must be held.
+func (h *hosts) forgetLeft(now time.Time) {
+	for name, peer := range h.left {
+		if now.Sub(peer.at) > leftDuration {
+			delete(h.left, name)
+		}
+	}
+	for name := range h.records {
+		_, known := h.known[name]
+		if _, left := h.left[name]; !known && !left {
+			delete(h.records, name)
+		}
+	}
+}
+
+// record returns the record of a host; h.mu must be held.
+func (h *hosts) record(name string) *pathRecord {
+	r, ok := h.records[name]
+	if !ok {
+		r = &pathRecord{}
+		h.records[name] = r
+	}
+	return r
+}
+
+// setWithoutTable records that a host could not reach the table.
+func (h *hosts) setWithoutTable(name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(name)
+	duration := withoutTableDuration
+	for range r.numRefusals {
+		duration = min(2*duration, maxWithoutTableDuration)
+	}
+	r.refusedAt, r.refusedUntil, r.numRefusals = now, now.Add(duration), min(r.numRefusals+1, 10)
+}
+
+// setWithTable records that the table has answered through a host.
+func (h *hosts) setWithTable(name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(name)
+	r.answeredAt, r.refusedUntil, r.numRefusals = now, time.Time{}, 0
+}
+
+// relays returns the hosts through which the table may be reached: first those through which it has answered, then the others, then those of which it
+// isn't known whether they run, and last those that could not reach it, the one that was asked longest ago first. Strong hosts come first otherwise,
+// since weak ones can't carry what a runner reads.
+func (h *hosts) relays(now time.Time) []relayHost {
+	strong, weak := h.splitFastPath(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []relayHost
+	for _, peer := range slices.Concat(strong, weak) {
+		list = append(list, relayHost{host: peer})
+	}
+	for _, peer := range h.sorted {
+		if until, ok := h.backoffUntil[peer.Name]; ok {
+			list = append(list, relayHost{peer, !h.record(peer.Name).answeredAt.After(until.Add(-backoffDuration))})
+		}
+	}
+	for _, name := range h.leftNames() {
+		peer := h.left[name]
+		list = append(list, relayHost{peer.host, !h.record(name).answeredAt.After(peer.at)})
+	}
+	list = slices.DeleteFunc(list, func(peer relayHost) bool { return peer.Name == h.self })
+	slices.SortStableFunc(list, func(a, b relayHost) int {
+		rankA, rankB := h.relayRank(a, now), h.relayRank(b, now)
+		if rankA == rankB && rankA == relayRefused {
+			return h.record(a.Name).refusedAt.Compare(h.record(b.Name).refusedAt)
+		}
+		return cmp.Compare(rankA, rankB)
+	})
+	return list
+}
+
+// leftNames returns the names of the hosts that have left, the last one first; h.mu must be held.
+func (h *hosts) leftNames() []string {
+	names := make([]string, 0, len(h.left))
+	for name := range h.left {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(h.left[b].at.Compare(h.left[a].at), cmp.Compare(a, b)) })
+	return names
+}
+
+// Ranks of hosts as paths to the table.
+const (
+	relayAnswered = iota
+	relayUnknown
+	relayTentative
+	relayRefused
+)
+
+// relayRank returns the rank of a host; h.mu must be held.
+func (h *hosts) relayRank(peer relayHost, now time.Time) int {
+	r := h.record(peer.Name)
+	switch {
+	case now.Before(r.refusedUntil):
+		return relayRefused
+	case peer.tentative:
+		return relayTentative
+	case r.numRefusals == 0 && !r.answeredAt.IsZero() && now.Sub(r.answeredAt) < answeredDuration:
+		return relayAnswered
+	default:
+		return relayUnknown
+	}
+}
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -18,15 +18,13 @@
 const (
 	// relayTimeout bounds a commit or a read, so that a host that is partitioned itself soon responds to its callers.
 	relayTimeout = 600 * time.Millisecond
-	// withoutTableDuration is how long a host that could not reach the table is asked after all others.
-	withoutTableDuration = time.Second
 )
 
 // relayStores returns the routes to the table through other hosts.
 func (a *Agent) relayStores() []table.Store {
 	var stores []table.Store
 	for _, h := range a.hosts.relays(time.Now()) {
-		stores = append(stores, &relayStore{hosts: a.hosts, host: h})
+		stores = append(stores, &relayStore{hosts: a.hosts, host: h.host, tentative: h.tentative})
 	}
 	return stores
 }
@@ -35,6 +33,8 @@
 type relayStore struct {
 	hosts *hosts
 	host  host
+	// tentative says that commits must not be sent.
+	tentative bool
 }
 
 func (s *relayStore) client() (cellpb.RowsClient, error) { return s.hosts.rows(s.host.Address) }
@@ -65,6 +65,8 @@
 		refused.Err = &viaError{s.host.Name, refused.Err}
 	case errors.As(err, &unanswered):
 		unanswered.Err = &viaError{s.host.Name, unanswered.Err}
+	default:
+		s.hosts.setWithTable(s.host.Name, time.Now())
 	}
 	return err
 }
@@ -94,6 +96,9 @@
 // Commit implements table.Store.
 func (s *relayStore) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
 	const op = "commit"
+	if s.tentative {
+		return 0, &table.RefusedError{Op: op, Err: &viaError{s.host.Name, errMayNotRun}}
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	c, err := s.client()
@@ -221,6 +226,7 @@
 // Reasons for which calls are not passed on.
 var (
 	errTooManyCalls = errors.New("too many calls are being passed on")
+	errMayNotRun    = errors.New("not sent, since the host may no longer run")
 	errNoDirectPath = errors.New("the table doesn't answer this host either")
 )
 
--- a/agent/yield.go
+++ b/agent/yield.go
@@ -61,17 +61,17 @@
 	}
 	checked := 0
 	for _, peer := range g.a.hosts.relays(time.Now()) {
-		if peer.Cores <= minCores {
+		if peer.tentative || peer.Cores <= minCores {
 			continue
 		}
 		if checked++; checked > maxSuitableChecks {
 			break
 		}
 		call, cancel := context.WithTimeout(ctx, suitableTimeout)
-		_, err := (&relayStore{hosts: g.a.hosts, host: peer}).Read(call, g.a.relay.Probe)
+		_, err := (&relayStore{hosts: g.a.hosts, host: peer.host}).Read(call, g.a.relay.Probe)
 		cancel()
 		if err == nil {
-			return peer, true
+			return peer.host, true
 		}
 		g.a.log.WithError(err).WithField("peer", peer.Name).Debug("a stronger host does not reach the table")
 	}
