Back off from a host only after calls that had time to be answered

What callers saw: after a submission that had 345 ms left and was passed on to the only host with a path, the host had no path for 4 s: submissions got 503, and the followers were behind.

Cause: every call through a host that ended without an answer counted as silence of that host, also where the caller's own deadline came first.

Change: a host is left out if it fails at once, or has had the time that a call through another host gets.

TestCallWithLittleTimeBacksOffNoHost: two of its four cases failed before.

--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -366,3 +366,43 @@
 		_, _ = h.relay.Commit(ctx, table.Tx{Writes: []table.Write{{Key: table.Key{Table: "t", Name: "n"}}}})
 	}
 )
+
+// Guards against calls that have little time left and take a host away from all others that go through it, or from the advisor's calls; a host that
+// responds to none is still left out.
+func TestCallWithLittleTimeBacksOffNoHost(t *testing.T) {
+	commit := func(ctx context.Context, s table.Store) error {
+		_, err := s.Commit(ctx, table.Tx{})
+		return err
+	}
+	changes := func(ctx context.Context, s table.Store) error {
+		_, err := s.Changes(ctx, "t", 0, time.Second)
+		return err
+	}
+	for _, test := range []struct {
+		name   string
+		call   func(context.Context, table.Store) error
+		time   time.Duration
+		usable bool
+	}{
+		{"commit with little time", commit, 300 * time.Millisecond, true},
+		{"commit", commit, 2 * time.Second, false},
+		{"changes with little time", changes, 300 * time.Millisecond, true},
+		{"changes", changes, 1600 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFollowSite(t, 2)
+				time.Sleep(time.Second)
+				s.hosts[1].peers.Store(int32(pathSilent))
+				h := s.hosts[0].hosts
+				ctx, cancel := context.WithTimeout(t.Context(), test.time)
+				defer cancel()
+				s.c.Check(test.call(ctx, &relayStore{hosts: h, host: h.relays(time.Now())[0].host}), qt.IsNotNil)
+				s.c.Check(h.usable(time.Now()), qt.HasLen, map[bool]int{true: 2, false: 1}[test.usable])
+				for _, h := range s.hosts {
+					h.stop()
+				}
+			})
+		})
+	}
+}
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/guard"
@@ -48,9 +50,12 @@
 	return cellpb.NewRowsClient(conn), nil
 }
 
-// unanswered backs off from the host, which did not respond, and returns the error for the call.
-func (s *relayStore) unanswered(op string, err error) error {
-	s.hosts.backOff(s.host.Name, time.Now())
+// unanswered returns the error of a call that was sent at the given time. It backs off from the host if that did not respond within the limit: a caller
+// that had less time says nothing about it.
+func (s *relayStore) unanswered(op string, err error, sentAt time.Time, limit time.Duration) error {
+	if code := status.Code(err); time.Since(sentAt) >= limit || (code != codes.DeadlineExceeded && code != codes.Canceled) {
+		s.hosts.backOff(s.host.Name, time.Now())
+	}
 	return &table.UnansweredError{Op: op, Err: &viaError{s.host.Name, err}}
 }
 
@@ -99,15 +104,16 @@
 	if s.tentative {
 		return 0, &table.RefusedError{Op: op, Err: &viaError{s.host.Name, errMayNotRun}}
 	}
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	c, err := s.client()
 	if err != nil {
-		return 0, s.unanswered(op, err)
+		return 0, s.unanswered(op, err, sentAt, relayTimeout)
 	}
 	reply, err := c.Commit(ctx, txToProto(tx))
 	if err != nil {
-		return 0, s.unanswered(op, err)
+		return 0, s.unanswered(op, err, sentAt, relayTimeout)
 	}
 	return reply.GetVersion(), s.failure(op, reply.GetFailure())
 }
@@ -115,15 +121,16 @@
 // Read implements table.Store.
 func (s *relayStore) Read(ctx context.Context, r table.Range) (table.Page, error) {
 	const op = "read"
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	c, err := s.client()
 	if err != nil {
-		return table.Page{}, s.unanswered(op, err)
+		return table.Page{}, s.unanswered(op, err, sentAt, relayTimeout)
 	}
 	reply, err := c.Read(ctx, &cellpb.ReadRequest{Table: r.Table, Part: r.Partition, From: r.From, To: r.To, Limit: int32(r.Limit)})
 	if err != nil {
-		return table.Page{}, s.unanswered(op, err)
+		return table.Page{}, s.unanswered(op, err, sentAt, relayTimeout)
 	}
 	page := table.Page{
 		Rows: rowsFromProto(reply.GetRows()), More: reply.GetMore(), Version: reply.GetVersion(), Answer: s.answer(reply.GetTableNanos()),
@@ -134,13 +141,14 @@
 // Changes implements table.Store; it takes as long as ctx allows, since the changes may have to come over a narrow link.
 func (s *relayStore) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
 	const op = "changes"
+	sentAt := time.Now()
 	c, err := s.client()
 	if err != nil {
-		return table.Changes{}, s.unanswered(op, err)
+		return table.Changes{}, s.unanswered(op, err, sentAt, wait+relayTimeout/2)
 	}
 	reply, err := c.Changes(ctx, &cellpb.ChangesRequest{Table: name, After: after, WaitNanos: int64(wait)})
 	if err != nil {
-		return table.Changes{}, s.unanswered(op, err)
+		return table.Changes{}, s.unanswered(op, err, sentAt, wait+relayTimeout/2)
 	}
 	err = s.failure(op, reply.GetFailure())
 	var lost *table.HistoryLostError
