Don't hold configurations back for the record of required keys

What callers saw: at hosts with a poor path to the table, routes were refused as an older configuration says.

Cause: where no version has listed teams, each one waited until the table had answered whether an earlier one did, one after another.

Change: only the first configuration of a process waits. While one without keys is in force, holding the next one back protects nothing; the record is read beside it, and keys are required once it is found.

TestConfigurationDoesNotWaitForRecordOfKeysAgain failed before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -112,7 +112,7 @@
 	a.relay.OnAnswer = a.tableAnswered
 	a.store, a.workers = a.health, &instrumentedWorkers{platform.NewWorkers(), a.metrics}
 	a.registry = &platform.Registry{Store: a.store, Log: log}
-	a.config = &platform.ConfigFollower{Store: a.store, Log: log}
+	a.config = &platform.ConfigFollower{Store: a.store, Log: log, RequireKeys: a.queues.RequireKeys}
 	a.advisors = newAdvisorBalancer(s.Name, a.advisor, a.hosts)
 	a.intake = &intake.Intake{Store: a.store, Health: a.health, Recheck: a.relay.Check, Groups: a.groups, Log: log}
 	a.front = &platform.Front{
