Don't take calls that were given up for silence of the table

What callers saw: a host that passes calls on refuses them all for a moment, and takes no submissions itself, after one of them was given up.

Cause: any call without an answer made the direct path count as down: one whose caller's deadline or connection had ended after some ms, and one whose answer had come but was not read for want of memory.

Change: a call that was given up counts only if it was in flight for longer than an answer may take; an answer that is not read is an answer.

--- a/table/health.go
+++ b/table/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -43,7 +44,7 @@
 func (h *Health) Reachable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	limit := max(minUnresponsiveTime, unresponsiveFactor*h.currentLatency(now))
+	limit := h.maxInFlight(now)
 	for _, sentAt := range h.inFlight {
 		if now.Sub(sentAt) > limit && h.lastSuccess.Before(sentAt) {
 			return false
@@ -102,15 +103,24 @@
 	return h.lastID
 }
 
-func (h *Health) end(id int, err error, now time.Time) {
+// end records the outcome of a call. One that its caller has given up says nothing, unless it was in flight for too long.
+func (h *Health) end(ctx context.Context, id int, err error, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	sentAt := h.inFlight[id]
 	delete(h.inFlight, id)
-	if isUnreachable(err) {
+	var noMemory *AnswerLimitError
+	switch {
+	case !isUnreachable(err), errors.As(err, &noMemory):
+		h.lastSuccess = now
+	case ctx.Err() == nil, now.Sub(sentAt) > h.maxInFlight(now):
 		h.lastFailure = now
-		return
 	}
-	h.lastSuccess = now
+}
+
+// maxInFlight returns how long a call that should be answered at once may be in flight; h.mu must be held.
+func (h *Health) maxInFlight(now time.Time) time.Duration {
+	return max(minUnresponsiveTime, unresponsiveFactor*h.currentLatency(now))
 }
 
 // Answered records that the table has answered a call that was not made through h.
@@ -125,7 +135,7 @@
 	sentAt := time.Now()
 	id := h.begin(sentAt)
 	v, err := h.store.Commit(ctx, tx)
-	h.end(id, err, time.Now())
+	h.end(ctx, id, err, time.Now())
 	if !isUnreachable(err) {
 		h.recordLatency(sentAt, time.Now())
 	}
@@ -136,7 +146,7 @@
 func (h *Health) Read(ctx context.Context, r Range) (Page, error) {
 	id := h.begin(time.Now())
 	page, err := h.store.Read(ctx, r)
-	h.end(id, err, time.Now())
+	h.end(ctx, id, err, time.Now())
 	return page, err
 }
 
@@ -144,6 +154,6 @@
 func (h *Health) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
 	id := h.begin(time.Now().Add(wait))
 	c, err := h.store.Changes(ctx, table, after, wait)
-	h.end(id, err, time.Now())
+	h.end(ctx, id, err, time.Now())
 	return c, err
 }
