Ask another host if one has no memory for an answer

What callers saw: routes refused as an older configuration says, at hosts that reach the table through others.

Cause: an answer of over 4 KB, as a configuration of 20 queues is, needs memory at the host that passes it on. Without it the call failed as unanswered, so that no other host was asked, and the next call went to the same one.

Change: the call is refused, with the reason, and the next host is asked.

--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,6 +116,13 @@
 	if late := p.fault(ctx, "changes"); late != nil {
 		return table.Changes{}, late
 	}
+	size := 0
+	for _, row := range changes.Rows {
+		size += len(row.Value)
+	}
+	if take := table.AnswerLimit(ctx); take != nil && !take(size) {
+		return table.Changes{}, &table.UnansweredError{Op: "changes", Err: &table.AnswerLimitError{Bytes: size}}
+	}
 	return changes, err
 }
 
@@ -183,7 +191,9 @@
 // store writes the next version of the configuration.
 func (s *followSite) store() {
 	s.stored = append(s.stored, time.Now())
-	raw := fmt.Sprintf(`{"version":%d,"services":[{"name":"desk"}],"routes":[]}`, len(s.stored))
+	// Of the size of some twenty queues.
+	padding := strings.Repeat(" ", 8<<10)
+	raw := fmt.Sprintf(`{"version":%d,"services":[{"name":"desk"}],"routes":[]%s}`, len(s.stored), padding)
 	_, err := s.table.Apply(table.Tx{Writes: []table.Write{{Key: table.Key{Table: "op", Name: "config"}, Value: []byte(raw)}}})
 	s.c.Assert(err, qt.IsNil)
 }
@@ -284,6 +294,7 @@
 		{"a call with little time left at the only relay", 8, 0, []followEvent{
 			{8 * time.Second, 8, slow}, {8 * time.Second, 0, commitSoon}, {8100 * time.Millisecond, 8, fast},
 		}},
+		{"relays without memory", 6, 0, []followEvent{{6 * time.Second, 6, fill}, {6 * time.Second, 7, fill}}},
 		{"relays stand still in turn", 6, 0, []followEvent{
 			{7 * time.Second, 6, freeze}, {11 * time.Second, 6, thaw}, {11 * time.Second, 7, freeze}, {15 * time.Second, 7, thaw},
 		}},
@@ -358,6 +369,8 @@
 		h.list()
 	}
 	slow = func(_ *testing.T, h *followHost) { h.relayDelay.Store(int64(50 * time.Millisecond)) }
+	// fill takes the memory for answers that are passed on.
+	fill = func(_ *testing.T, h *followHost) { h.rows.memory.bytes.TryAcquire(h.rows.memory.total) }
 	fast = func(_ *testing.T, h *followHost) { h.relayDelay.Store(0) }
 	// commitSoon sends a commit that has 30 ms left.
 	commitSoon = func(t *testing.T, h *followHost) {
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -286,7 +286,7 @@
 	})
 }
 
-// Changes implements cellpb.RowsServer.
+// Changes implements cellpb.RowsServer. An answer for which there is no memory is refused, so that the caller asks another host.
 func (r *rowServer) Changes(ctx context.Context, req *cellpb.ChangesRequest) (*cellpb.ChangesReply, error) {
 	s, end, err := r.begin("changes")
 	reply := &cellpb.ChangesReply{}
@@ -296,6 +296,10 @@
 		defer release()
 		var got table.Changes
 		got, err = s.Changes(limited, req.GetTable(), req.GetAfter(), time.Duration(req.GetWaitNanos()))
+		var noMemory *table.AnswerLimitError
+		if errors.As(err, &noMemory) {
+			err = &table.RefusedError{Op: "changes", Err: noMemory}
+		}
 		reply.Rows, reply.Version, reply.TableNanos = rowsToProto(got.Rows), got.Version, int64(got.TableTime)
 	}
 	reply.Failure = failureToProto(err)
