Ask directly for changes as soon as the table answers again

What callers saw: routes refused as an older configuration says, after a host was cut off.

Cause: a call for changes keeps its path until its timeout, whatever becomes known meanwhile.

Change: when a probe of the direct path is answered, calls for changes in flight are sent over it as well, and the first answer counts. It covers calls that wait on a connection of before the outage, too.

TestChangesDoNotWaitForDeadRelay failed before (no answer within 6 s).

--- a/table/relay.go
+++ b/table/relay.go
@@ -40,6 +40,8 @@
 	mu sync.Mutex
 	// lastProbe is the probe that was sent last.
 	lastProbe probe
+	// answered is closed when a probe is answered; nil if no call waits for that.
+	answered chan struct{}
 }
 
 // probe is a read that tells whether the table answers this host directly; done is closed after it.
@@ -82,6 +84,7 @@
 			r.Log.WithError(err).Debug("probe of the direct path to the table failed")
 			return
 		}
+		r.notifyAnswered()
 		if r.OnAnswer != nil {
 			r.OnAnswer()
 		}
@@ -89,6 +92,25 @@
 	return p
 }
 
+// nextAnswer returns a channel that is closed when the next probe is answered.
+func (r *Relay) nextAnswer() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered == nil {
+		r.answered = make(chan struct{})
+	}
+	return r.answered
+}
+
+func (r *Relay) notifyAnswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered != nil {
+		close(r.answered)
+		r.answered = nil
+	}
+}
+
 // Check reports whether the table answers directly. If it did not answer before, a probe is sent, and waited for a short time: a caller that
 // comes back after an outage must not be refused because of an earlier call.
 func (r *Relay) Check(ctx context.Context) bool {
@@ -125,12 +147,39 @@
 	return relay(ctx, r, "read", func(s Store) (Page, error) { return s.Read(ctx, rg) })
 }
 
-// Changes implements Store; the time that earlier paths have taken counts as waited.
+// Changes implements Store; the time that earlier paths have taken counts as waited. If the table answers a probe meanwhile, the changes are asked for
+// over the direct path too: the call may be waiting for a path that is gone, and the first answer counts.
 func (r *Relay) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
+	type outcome struct {
+		changes Changes
+		err     error
+	}
 	startedAt := time.Now()
-	return relay(ctx, r, "changes", func(s Store) (Changes, error) {
+	directAnswers := r.nextAnswer()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call := func(s Store) (Changes, error) {
 		return s.Changes(ctx, table, after, max(0, wait-time.Since(startedAt).Truncate(time.Millisecond)))
-	})
+	}
+	outcomes := make(chan outcome, 2)
+	go func() {
+		changes, err := relay(ctx, r, "changes", call)
+		outcomes <- outcome{changes, err}
+	}()
+	var first outcome
+	select {
+	case first = <-outcomes:
+		return first.changes, first.err
+	case <-directAnswers:
+	}
+	go func() {
+		changes, err := call(r.Direct)
+		outcomes <- outcome{changes, err}
+	}()
+	if first = <-outcomes; isUnreachable(first.err) {
+		first = <-outcomes
+	}
+	return first.changes, first.err
 }
 
 func relay[T any](ctx context.Context, r *Relay, op string, call func(Store) (T, error)) (T, error) {
--- a/table/relay_test.go
+++ b/table/relay_test.go
@@ -185,6 +185,48 @@
 	})
 }
 
+// silentPath is a path that doesn't answer calls for changes.
+type silentPath struct {
+	*fakes.Table
+}
+
+// Changes implements table.Store.
+func (p *silentPath) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{}, &table.UnansweredError{Op: "changes", Err: ctx.Err()}
+}
+
+// Guards against calls for changes that wait for a host that has gone until their timeout, up to 6 s, though the table answers directly again. Where the
+// other host is there, either answer does.
+func TestChangesDoNotWaitForDeadRelay(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			const timeout, refusedFor, storedAfter, wait = 6 * time.Second, 300 * time.Millisecond, 500 * time.Millisecond, time.Second
+			store := fakes.NewTable()
+			direct := newPath(store, fakes.TableUnavailable)
+			relay := newRelay(direct, newPath(store, fakes.TableOK))
+			if dead {
+				relay.Fallbacks = func() []table.Store { return []table.Store{&silentPath{store}} }
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			_, _ = relay.Direct.Read(ctx, relay.Probe)
+			go relay.Run(ctx)
+			time.AfterFunc(refusedFor, func() { direct.fault.Store(int32(fakes.TableOK)) })
+			time.AfterFunc(storedAfter, func() { put(c, store, "row") })
+			call, stop := context.WithTimeout(ctx, timeout)
+			startedAt := time.Now()
+			changes, err := relay.Changes(call, "t", 0, wait)
+			c.Assert(err, qt.IsNil)
+			c.Check(changes.Rows, qt.HasLen, 1)
+			c.Check(time.Since(startedAt) <= wait, qt.IsTrue, qt.Commentf("answered after %v", time.Since(startedAt)))
+			stop()
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 // After an outage callers used to be refused for up to 250 ms more, until the next probe.
 func TestCallFindsThatTableAnswersAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
