Print how late hosts had each configuration in force

`corianderdrift delays` reads the hosts' logs and prints the distribution, and for the worst cases when the first host had the configuration, when and over which path it arrived and what the last failed call before that met.

--- a/cmds/commands.go
+++ b/cmds/commands.go
@@ -68,7 +68,7 @@
 func commands() []command {
 	return []command{
 		cmdServe, cmdTry, cmdCatalogue, cmdSubmit, cmdStatus, cmdCancel, cmdResult,
-		cmdOwners, cmdWorkers, cmdHosts, cmdDrain, cmdLoad, cmdMeasure, cmdExplain, cmdWhere, cmdVersion, cmdDev,
+		cmdOwners, cmdWorkers, cmdHosts, cmdDrain, cmdLoad, cmdMeasure, cmdExplain, cmdDelays, cmdWhere, cmdVersion, cmdDev,
 	}
 }
 
--- a/table/relay.go
+++ b/table/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -221,7 +222,13 @@
 }
 
 // Error lists the reasons.
-func (e *NoPathError) Error() string { return "no path: " + errors.Join(e.Errs...).Error() }
+func (e *NoPathError) Error() string {
+	texts := make([]string, len(e.Errs))
+	for i, err := range e.Errs {
+		texts[i] = err.Error()
+	}
+	return "no path: " + strings.Join(texts, "; ")
+}
 
 func isRefused(err error) bool {
 	var r *RefusedError
