Go on to the next path when a read fails without an answer

What callers saw: routes refused as an older configuration says.

Cause: only a refusal let a call go on to the next path, also for reads, which can't take effect twice.

Change: reads and calls for changes go on as long as their time lasts; commits need proof as before.

TestReadsGoOnAfterUnansweredPath failed before (connection reset).

--- a/table/relay.go
+++ b/table/relay.go
@@ -26,8 +26,8 @@
 	checkTimeout = 50 * time.Millisecond
 )
 
-// Relay is a Store that sends calls through other hosts while the table does not answer this one. A call is retried over the next
-// path only if the previous one proves that the call had no effect.
+// Relay is a Store that sends calls through other hosts while the table does not answer this one. A commit is retried over the next
+// path only if the previous one proves that it had no effect; reads have none, and go on as long as their time lasts.
 type Relay struct {
 	Direct *Health
 	// Fallbacks returns the paths through other hosts, in order of preference.
@@ -140,12 +140,12 @@
 
 // Commit implements Store.
 func (r *Relay) Commit(ctx context.Context, tx Tx) (uint64, error) {
-	return relay(ctx, r, "commit", func(s Store) (uint64, error) { return s.Commit(ctx, tx) })
+	return relay(ctx, r, "commit", isRefused, func(s Store) (uint64, error) { return s.Commit(ctx, tx) })
 }
 
 // Read implements Store.
 func (r *Relay) Read(ctx context.Context, rg Range) (Page, error) {
-	return relay(ctx, r, "read", func(s Store) (Page, error) { return s.Read(ctx, rg) })
+	return relay(ctx, r, "read", failedWithTimeLeft(ctx), func(s Store) (Page, error) { return s.Read(ctx, rg) })
 }
 
 // Changes implements Store; the time that earlier paths have taken counts as waited. If the table answers a probe meanwhile, the changes are asked for
@@ -164,7 +164,7 @@
 	}
 	outcomes := make(chan outcome, 2)
 	go func() {
-		changes, err := relay(ctx, r, "changes", call)
+		changes, err := relay(ctx, r, "changes", failedWithTimeLeft(ctx), call)
 		outcomes <- outcome{changes, err}
 	}()
 	var first outcome
@@ -183,18 +183,27 @@
 	return first.changes, first.err
 }
 
-func relay[T any](ctx context.Context, r *Relay, op string, call func(Store) (T, error)) (T, error) {
+// relay makes a call over one path after another, as long as it may go on after the error of the last one.
+func relay[T any](
+	ctx context.Context, r *Relay, op string, mayGoOn func(error) bool, call func(Store) (T, error),
+) (T, error) {
 	var zero T
 	failed := &NoPathError{}
-	refused := &RefusedError{Op: op, Err: failed}
+	status, unanswered := 0, false
+	record := func(err error) {
+		failed.Errs = append(failed.Errs, err)
+		unanswered = unanswered || !isRefused(err)
+	}
 	if r.Direct.Reachable(time.Now()) {
 		got, err := call(r.Direct)
-		if !isRefused(err) {
+		if !mayGoOn(err) {
 			return got, err
 		}
-		failed.Errs = append(failed.Errs, err)
-		_ = errors.As(err, &refused)
-		refused = &RefusedError{Op: op, Status: refused.Status, Err: failed}
+		record(err)
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			status = refused.Status
+		}
 	} else {
 		failed.Errs = append(failed.Errs, errUnreachable)
 	}
@@ -204,12 +213,20 @@
 			break
 		}
 		got, err := call(s)
-		if !isRefused(err) {
+		if !mayGoOn(err) {
 			return got, err
 		}
-		failed.Errs = append(failed.Errs, err)
+		record(err)
+	}
+	if unanswered {
+		return zero, &UnansweredError{Op: op, Err: failed}
 	}
-	return zero, refused
+	return zero, &RefusedError{Op: op, Status: status, Err: failed}
+}
+
+// failedWithTimeLeft returns a function that reports whether an error says that a path doesn't lead to the table, while ctx goes on.
+func failedWithTimeLeft(ctx context.Context) func(error) bool {
+	return func(err error) bool { return isRefused(err) || (isUnreachable(err) && ctx.Err() == nil) }
 }
 
 // errUnreachable says that a call was not sent over the direct path.
--- a/table/relay_test.go
+++ b/table/relay_test.go
@@ -185,6 +185,44 @@
 	})
 }
 
+// Guards against reads that fail with their first path though another one has the rows: nothing but a commit can take effect twice.
+func TestReadsGoOnAfterUnansweredPath(t *testing.T) {
+	c := qt.New(t)
+	store := fakes.NewTable()
+	put(c, store, "row")
+	broken := &brokenPath{store}
+	relay := newRelay(nil, nil)
+	relay.Direct = table.NewHealth(broken)
+	relay.Fallbacks = func() []table.Store { return []table.Store{broken, newPath(store, fakes.TableOK)} }
+	page, err := relay.Read(t.Context(), relay.Probe)
+	c.Assert(err, qt.IsNil)
+	c.Assert(page.Rows, qt.HasLen, 1)
+	changes, err := relay.Changes(t.Context(), "t", 0, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Rows, qt.HasLen, 1)
+	relay.Fallbacks = func() []table.Store { return []table.Store{broken} }
+	_, err = relay.Read(t.Context(), relay.Probe)
+	var unanswered *table.UnansweredError
+	c.Assert(errors.As(err, &unanswered), qt.IsTrue)
+}
+
+// brokenPath is a path on which connections are reset.
+type brokenPath struct {
+	*fakes.Table
+}
+
+var errReset = &table.UnansweredError{Err: errors.New("connection reset")}
+
+// Read implements table.Store.
+func (p *brokenPath) Read(context.Context, table.Range) (table.Page, error) {
+	return table.Page{}, errReset
+}
+
+// Changes implements table.Store.
+func (p *brokenPath) Changes(context.Context, string, uint64, time.Duration) (table.Changes, error) {
+	return table.Changes{}, errReset
+}
+
 // silentPath is a path that doesn't answer calls for changes.
 type silentPath struct {
 	*fakes.Table
