Ask a host without waiting before changes are awaited through it

What callers saw: routes refused as an older configuration says, at hosts that the table refuses while several other hosts stand still.

Cause: the first call through each host that stands still took the whole time of a call for changes, 1.6 s, three of them one after another more than the 3 s in which a configuration is due.

Change: through a host over which the table has not answered lately, a short read comes first, which has 600 ms; the call goes on to the next host after it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -106,7 +106,7 @@
 	a.newGuard()
 	a.direct = table.NewHealth(&instrumentedStore{platform.NewStore(s.Table), a.metrics})
 	a.relay = &table.Relay{
-		Direct: a.direct, Fallbacks: a.relayStores, Probe: table.Range{Table: elect.Table, Partition: hostsPartition, Limit: 1}, Log: log,
+		Direct: a.direct, Fallbacks: a.relayStores, Probe: tableProbe, Log: log,
 	}
 	a.health = table.NewHealth(a.relay)
 	a.relay.OnAnswer = a.tableAnswered
--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -222,7 +222,7 @@
 	}
 	fallbacks := (&Agent{hosts: h.hosts}).relayStores
 	h.relay = &table.Relay{
-		Direct: h.health, Fallbacks: fallbacks, Probe: table.Range{Table: elect.Table, Partition: hostsPartition, Limit: 1}, Log: log,
+		Direct: h.health, Fallbacks: fallbacks, Probe: tableProbe, Log: log,
 	}
 	store := table.NewHealth(h.relay)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -294,6 +294,10 @@
 		{"a call with little time left at the only relay", 8, 0, []followEvent{
 			{8 * time.Second, 8, slow}, {8 * time.Second, 0, commitSoon}, {8100 * time.Millisecond, 8, fast},
 		}},
+		{"several hosts stand still", 5, 0, []followEvent{
+			{6 * time.Second, 5, freeze}, {6 * time.Second, 6, freeze}, {6 * time.Second, 7, freeze},
+			{18 * time.Second, 5, thaw}, {18 * time.Second, 6, thaw}, {18 * time.Second, 7, thaw},
+		}},
 		{"relays without memory", 6, 0, []followEvent{{6 * time.Second, 6, fill}, {6 * time.Second, 7, fill}}},
 		{"relays stand still in turn", 6, 0, []followEvent{
 			{7 * time.Second, 6, freeze}, {11 * time.Second, 6, thaw}, {11 * time.Second, 7, freeze}, {15 * time.Second, 7, thaw},
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -44,6 +44,8 @@
 	host
 	// tentative says that the host has left or didn't respond: it may no longer run, so that a commit through it might stay without an answer.
 	tentative bool
+	// proven says that the table has answered through the host lately.
+	proven bool
 }
 
 func newRelayPaths() relayPaths {
@@ -116,12 +118,12 @@
 	}
 	for _, peer := range h.sorted {
 		if until, ok := h.backoffUntil[peer.Name]; ok {
-			list = append(list, relayHost{peer, !h.record(peer.Name).answeredAt.After(until.Add(-backoffDuration))})
+			list = append(list, relayHost{host: peer, tentative: !h.record(peer.Name).answeredAt.After(until.Add(-backoffDuration))})
 		}
 	}
 	for _, name := range h.leftNames() {
 		peer := h.left[name]
-		list = append(list, relayHost{peer.host, !h.record(name).answeredAt.After(peer.at)})
+		list = append(list, relayHost{host: peer.host, tentative: !h.record(name).answeredAt.After(peer.at)})
 	}
 	list = slices.DeleteFunc(list, func(peer relayHost) bool { return peer.Name == h.self })
 	slices.SortStableFunc(list, func(a, b relayHost) int {
@@ -131,6 +133,9 @@
 		}
 		return cmp.Compare(rankA, rankB)
 	})
+	for i := range list {
+		list[i].proven = h.relayRank(list[i], now) == relayAnswered
+	}
 	return list
 }
 
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
+	"github.com/corianderdrift/corianderdrift/elect"
 	"github.com/corianderdrift/corianderdrift/guard"
 	"github.com/corianderdrift/corianderdrift/table"
 )
@@ -22,11 +23,14 @@
 	relayTimeout = 600 * time.Millisecond
 )
 
+// tableProbe is a range that can be read at any time.
+var tableProbe = table.Range{Table: elect.Table, Partition: hostsPartition, Limit: 1}
+
 // relayStores returns the routes to the table through other hosts.
 func (a *Agent) relayStores() []table.Store {
 	var stores []table.Store
 	for _, h := range a.hosts.relays(time.Now()) {
-		stores = append(stores, &relayStore{hosts: a.hosts, host: h.host, tentative: h.tentative})
+		stores = append(stores, &relayStore{hosts: a.hosts, host: h.host, tentative: h.tentative, unproven: !h.proven})
 	}
 	return stores
 }
@@ -35,8 +39,8 @@
 type relayStore struct {
 	hosts *hosts
 	host  host
-	// tentative says that commits must not be sent.
-	tentative bool
+	// tentative says that commits must not be sent, and unproven that a call which may wait must not be either before the host has answered another.
+	tentative, unproven bool
 }
 
 func (s *relayStore) client() (cellpb.RowsClient, error) { return s.hosts.rows(s.host.Address) }
@@ -142,6 +146,13 @@
 func (s *relayStore) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
 	const op = "changes"
 	sentAt := time.Now()
+	if s.unproven {
+		if _, err := s.Read(ctx, tableProbe); err != nil {
+			return table.Changes{}, err
+		}
+		wait = max(0, wait-time.Since(sentAt).Truncate(time.Millisecond))
+		sentAt = time.Now()
+	}
 	c, err := s.client()
 	if err != nil {
 		return table.Changes{}, s.unanswered(op, err, sentAt, wait+relayTimeout/2)
