Share stand-ins of broken paths between tests

A path to the table and the network between hosts that passes calls on move to fakes, with silent, refused and reset states.

--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	logtest "github.com/sirupsen/logrus/hooks/test"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/status"
 
 	"github.com/corianderdrift/corianderdrift/cellpb"
 	"github.com/corianderdrift/corianderdrift/elect"
@@ -33,17 +29,6 @@
 	settleTime     = 4 * time.Second
 )
 
-// pathState is the state of a host's path to the table, or to the other hosts.
-type pathState int32
-
-const (
-	pathUp pathState = iota
-	// pathRefused answers at once that the call has not been carried out.
-	pathRefused
-	// pathSilent answers nothing, also to calls in flight.
-	pathSilent
-)
-
 // followSite is a site of hosts that follow the configuration, in virtual time, with the product's own relays and followers.
 type followSite struct {
 	c     *qt.C
@@ -58,117 +43,20 @@
 	site    *followSite
 	name    string
 	address netip.AddrPort
-	// direct is the state of the path to the table, and peers that of the path to and from the other hosts.
-	direct, peers atomic.Int32
-	// relayDelay is how long the host takes to pass on a call.
-	relayDelay atomic.Int64
-	health     *table.Health
-	hosts      *hosts
-	relay      *table.Relay
-	rows       *rowServer
-	end        func()
+	// direct is the path to the table, and peer that to and from the other hosts.
+	direct fakes.Path
+	peer   fakes.Peer
+	health *table.Health
+	hosts  *hosts
+	relay  *table.Relay
+	rows   *rowServer
+	end    func()
 
 	mu        sync.Mutex
 	installed map[uint64]time.Time
 	newest    uint64
 }
 
-// hostPath is a host's path to the table.
-type hostPath struct {
-	*fakes.Table
-	host *followHost
-}
-
-func (p *hostPath) fault(ctx context.Context, op string) error {
-	switch pathState(p.host.direct.Load()) {
-	case pathRefused:
-		return &table.RefusedError{Op: op, Status: 429}
-	case pathSilent:
-		<-ctx.Done()
-		return &table.UnansweredError{Op: op, Err: ctx.Err()}
-	default:
-		return nil
-	}
-}
-
-// Commit implements table.Store.
-func (p *hostPath) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
-	if err := p.fault(ctx, "commit"); err != nil {
-		return 0, err
-	}
-	return p.Table.Commit(ctx, tx)
-}
-
-// Read implements table.Store.
-func (p *hostPath) Read(ctx context.Context, r table.Range) (table.Page, error) {
-	if err := p.fault(ctx, "read"); err != nil {
-		return table.Page{}, err
-	}
-	return p.Table.Read(ctx, r)
-}
-
-// Changes implements table.Store.
-func (p *hostPath) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
-	if err := p.fault(ctx, "changes"); err != nil {
-		return table.Changes{}, err
-	}
-	changes, err := p.Table.Changes(ctx, name, after, wait)
-	if late := p.fault(ctx, "changes"); late != nil {
-		return table.Changes{}, late
-	}
-	size := 0
-	for _, row := range changes.Rows {
-		size += len(row.Value)
-	}
-	if take := table.AnswerLimit(ctx); take != nil && !take(size) {
-		return table.Changes{}, &table.UnansweredError{Op: "changes", Err: &table.AnswerLimitError{Bytes: size}}
-	}
-	return changes, err
-}
-
-// passedOn is a cellpb.RowsClient without a network.
-type passedOn struct {
-	from, to *followHost
-}
-
-func passOn[R any](ctx context.Context, p passedOn, call func(context.Context) (R, error)) (R, error) {
-	var none R
-	blocked := func() bool {
-		return pathState(p.from.peers.Load()) == pathSilent || pathState(p.to.peers.Load()) == pathSilent
-	}
-	if p.to.end == nil {
-		return none, errors.New("connection refused")
-	}
-	select {
-	case <-time.After(time.Millisecond + time.Duration(p.to.relayDelay.Load())):
-	case <-ctx.Done():
-		return none, status.FromContextError(ctx.Err()).Err()
-	}
-	if !blocked() {
-		reply, err := call(ctx)
-		if !blocked() && p.to.end != nil {
-			return reply, err
-		}
-	}
-	<-ctx.Done()
-	return none, status.FromContextError(ctx.Err()).Err()
-}
-
-// Commit implements cellpb.RowsClient.
-func (p passedOn) Commit(ctx context.Context, in *cellpb.CommitRequest, _ ...grpc.CallOption) (*cellpb.CommitReply, error) {
-	return passOn(ctx, p, func(ctx context.Context) (*cellpb.CommitReply, error) { return p.to.rows.Commit(ctx, in) })
-}
-
-// Read implements cellpb.RowsClient.
-func (p passedOn) Read(ctx context.Context, in *cellpb.ReadRequest, _ ...grpc.CallOption) (*cellpb.ReadReply, error) {
-	return passOn(ctx, p, func(ctx context.Context) (*cellpb.ReadReply, error) { return p.to.rows.Read(ctx, in) })
-}
-
-// Changes implements cellpb.RowsClient.
-func (p passedOn) Changes(ctx context.Context, in *cellpb.ChangesRequest, _ ...grpc.CallOption) (*cellpb.ChangesReply, error) {
-	return passOn(ctx, p, func(ctx context.Context) (*cellpb.ChangesReply, error) { return p.to.rows.Changes(ctx, in) })
-}
-
 func newFollowSite(t *testing.T, numHosts int) *followSite {
 	t.Helper()
 	s := &followSite{c: qt.New(t), table: fakes.NewTable()}
@@ -214,11 +102,14 @@
 func (h *followHost) start(t *testing.T) {
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
-	h.health = table.NewHealth(&hostPath{h.site.table, h})
+	h.peer.Set(fakes.PathUp)
+	h.direct.Store = h.site.table
+	h.health = table.NewHealth(&h.direct)
 	h.rows = &rowServer{direct: h.health, memory: newRelayMemory(guard.SizesOf(0, 0), 0)}
 	h.hosts = newHosts(h.name, "here")
 	h.hosts.rows = func(addr netip.AddrPort) (cellpb.RowsClient, error) {
-		return passedOn{h, h.site.hosts[addr.Addr().As4()[3]]}, nil
+		to := h.site.hosts[addr.Addr().As4()[3]]
+		return &fakes.RowsClient{From: &h.peer, To: &to.peer, Server: func() cellpb.RowsServer { return to.rows }}, nil
 	}
 	fallbacks := (&Agent{hosts: h.hosts}).relayStores
 	h.relay = &table.Relay{
@@ -253,10 +144,8 @@
 }
 
 func (h *followHost) stop() {
-	if h.end != nil {
-		h.end()
-		h.end = nil
-	}
+	h.end()
+	h.peer.Set(fakes.PathRefused)
 }
 
 // inForce returns when a version or a newer one was in force.
@@ -280,51 +169,35 @@
 		name string
 		// So many hosts have no direct path from 5 to 20 s, or no path at all from cutStart to cutEnd.
 		refused, cut int
-		// at holds what happens besides, in order of time.
-		at []followEvent
+		// events are what happens besides.
+		events []followEvent
 	}{
 		{"calm", 0, 0, nil},
 		{"refused", 6, 0, nil},
 		{"cut off", 0, 6, nil},
 		{"relays leave and come back", 6, 0, []followEvent{
-			{6 * time.Second, 6, leave},
-			{6500 * time.Millisecond, 7, leave},
-			{7 * time.Second, 8, leave},
-			{8500 * time.Millisecond, 6, stop},
-			{9500 * time.Millisecond, 6, restart},
-			{10 * time.Second, 7, stop},
-			{11 * time.Second, 7, restart},
-			{11500 * time.Millisecond, 8, stop},
-			{12500 * time.Millisecond, 8, restart},
-		}},
-		{"a call with little time left at the only relay", 8, 0, []followEvent{
-			{8 * time.Second, 8, slow}, {8 * time.Second, 0, commitSoon}, {8100 * time.Millisecond, 8, fast},
+			at(6, 6, leave), at(6.5, 7, leave), at(7, 8, leave), at(8.5, 6, stop), at(9.5, 6, restart),
+			at(10, 7, stop), at(11, 7, restart), at(11.5, 8, stop), at(12.5, 8, restart),
 		}},
+		{"a call with little time left at the only relay", 8, 0, []followEvent{at(8, 8, slow), at(8, 0, commitSoon), at(8.1, 8, fast)}},
 		{"several hosts stand still", 5, 0, []followEvent{
-			{6 * time.Second, 5, freeze},
-			{6 * time.Second, 6, freeze},
-			{6 * time.Second, 7, freeze},
-			{18 * time.Second, 5, thaw},
-			{18 * time.Second, 6, thaw},
-			{18 * time.Second, 7, thaw},
-		}},
-		{"relays without memory", 6, 0, []followEvent{{6 * time.Second, 6, fill}, {6 * time.Second, 7, fill}}},
-		{"relays stand still in turn", 6, 0, []followEvent{
-			{7 * time.Second, 6, freeze}, {11 * time.Second, 6, thaw}, {11 * time.Second, 7, freeze}, {15 * time.Second, 7, thaw},
+			at(6, 5, freeze), at(6, 6, freeze), at(6, 7, freeze), at(18, 5, thaw), at(18, 6, thaw), at(18, 7, thaw),
 		}},
+		{"relays without memory", 6, 0, []followEvent{at(6, 6, fill), at(6, 7, fill)}},
+		{"relays stand still in turn", 6, 0, []followEvent{at(7, 6, freeze), at(11, 6, thaw), at(11, 7, freeze), at(15, 7, thaw)}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newFollowSite(t, numHosts)
 				startedAt := time.Now()
-				at := append([]followEvent{}, test.at...)
+				events := append([]followEvent{}, test.events...)
 				for i := range test.refused {
-					at = append(at, followEvent{5 * time.Second, i, refuse}, followEvent{20 * time.Second, i, serve})
+					events = append(events, at(5, i, refuse), at(20, i, serve))
 				}
 				for i := range test.cut {
-					at = append(at, followEvent{cutStart, i, cutOff}, followEvent{cutEnd, i, heal})
+					events = append(events, followEvent{cutStart, i, cutOff}, followEvent{cutEnd, i, heal})
 				}
-				for _, e := range at {
+				for _, e := range events {
 					time.AfterFunc(e.after, func() { e.what(t, s.hosts[e.host]) })
 				}
 				for time.Since(startedAt) < 22*time.Second {
@@ -364,18 +237,23 @@
 	what  func(*testing.T, *followHost)
 }
 
-func setPath(direct, peers pathState) func(*testing.T, *followHost) {
+// at returns an event some seconds after the start.
+func at(seconds float64, host int, what func(*testing.T, *followHost)) followEvent {
+	return followEvent{time.Duration(seconds * float64(time.Second)), host, what}
+}
+
+func setPath(direct, peer fakes.PathState) func(*testing.T, *followHost) {
 	return func(_ *testing.T, h *followHost) {
-		h.direct.Store(int32(direct))
-		h.peers.Store(int32(peers))
+		h.direct.Set(direct)
+		h.peer.Set(peer)
 	}
 }
 
 // What may happen to a host.
 var (
-	refuse, serve = setPath(pathRefused, pathUp), setPath(pathUp, pathUp)
-	cutOff, heal  = setPath(pathSilent, pathSilent), setPath(pathUp, pathUp)
-	freeze, thaw  = setPath(pathUp, pathSilent), setPath(pathUp, pathUp)
+	refuse, serve = setPath(fakes.PathRefused, fakes.PathUp), setPath(fakes.PathUp, fakes.PathUp)
+	cutOff, heal  = setPath(fakes.PathSilent, fakes.PathSilent), setPath(fakes.PathUp, fakes.PathUp)
+	freeze, thaw  = setPath(fakes.PathUp, fakes.PathSilent), setPath(fakes.PathUp, fakes.PathUp)
 	leave         = func(_ *testing.T, h *followHost) { h.unlist() }
 	stop          = func(_ *testing.T, h *followHost) { h.stop() }
 	restart       = func(t *testing.T, h *followHost) {
@@ -383,10 +261,10 @@
 		h.start(t)
 		h.list()
 	}
-	slow = func(_ *testing.T, h *followHost) { h.relayDelay.Store(int64(50 * time.Millisecond)) }
+	slow = func(_ *testing.T, h *followHost) { h.peer.SetDelay(50 * time.Millisecond) }
 	// fill takes the memory for answers that are passed on.
 	fill = func(_ *testing.T, h *followHost) { h.rows.memory.bytes.TryAcquire(h.rows.memory.total) }
-	fast = func(_ *testing.T, h *followHost) { h.relayDelay.Store(0) }
+	fast = func(_ *testing.T, h *followHost) { h.peer.SetDelay(0) }
 	// commitSoon sends a commit that has 30 ms left.
 	commitSoon = func(t *testing.T, h *followHost) {
 		t.Helper()
@@ -422,7 +300,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newFollowSite(t, 2)
 				time.Sleep(time.Second)
-				s.hosts[1].peers.Store(int32(pathSilent))
+				s.hosts[1].peer.Set(fakes.PathSilent)
 				h := s.hosts[0].hosts
 				ctx, cancel := context.WithTimeout(t.Context(), test.time)
 				defer cancel()
--- a/table/relay_test.go
+++ b/table/relay_test.go
@@ -190,7 +190,8 @@
 	c := qt.New(t)
 	store := fakes.NewTable()
 	put(c, store, "row")
-	broken := &brokenPath{store}
+	broken := &fakes.Path{Store: store}
+	broken.Set(fakes.PathReset)
 	relay := newRelay(nil, nil)
 	relay.Direct = table.NewHealth(broken)
 	relay.Fallbacks = func() []table.Store { return []table.Store{broken, newPath(store, fakes.TableOK)} }
@@ -206,34 +207,6 @@
 	c.Assert(errors.As(err, &unanswered), qt.IsTrue)
 }
 
-// brokenPath is a path on which connections are reset.
-type brokenPath struct {
-	*fakes.Table
-}
-
-var errReset = &table.UnansweredError{Err: errors.New("connection reset")}
-
-// Read implements table.Store.
-func (p *brokenPath) Read(context.Context, table.Range) (table.Page, error) {
-	return table.Page{}, errReset
-}
-
-// Changes implements table.Store.
-func (p *brokenPath) Changes(context.Context, string, uint64, time.Duration) (table.Changes, error) {
-	return table.Changes{}, errReset
-}
-
-// silentPath is a path that doesn't answer calls for changes.
-type silentPath struct {
-	*fakes.Table
-}
-
-// Changes implements table.Store.
-func (p *silentPath) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (table.Changes, error) {
-	<-ctx.Done()
-	return table.Changes{}, &table.UnansweredError{Op: "changes", Err: ctx.Err()}
-}
-
 // Guards against calls for changes that wait for a host that has gone until their timeout, up to 6 s, though the table answers directly again. Where the
 // other host is there, either answer does.
 func TestChangesDoNotWaitForDeadRelay(t *testing.T) {
@@ -245,7 +218,9 @@
 			direct := newPath(store, fakes.TableUnavailable)
 			relay := newRelay(direct, newPath(store, fakes.TableOK))
 			if dead {
-				relay.Fallbacks = func() []table.Store { return []table.Store{&silentPath{store}} }
+				silent := &fakes.Path{Store: store}
+				silent.Set(fakes.PathSilent)
+				relay.Fallbacks = func() []table.Store { return []table.Store{silent} }
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			_, _ = relay.Direct.Read(ctx, relay.Probe)
