Forget what a host answered once it doesn't respond

What callers saw: nothing yet; found on reading the change. A host that had answered and then stopped responding came first again after its backoff, with a whole call for changes, every 5.6 s for 30 s.

TestCallWithLittleTimeBacksOffNoHost failed before in two of its cases.

--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -275,7 +275,7 @@
 )
 
 // Guards against calls that have little time left and take a host away from all others that go through it, or from the advisor's calls; a host that
-// responds to none is still left out.
+// responds to none is still left out, and counts as unknown after that.
 func TestCallWithLittleTimeBacksOffNoHost(t *testing.T) {
 	commit := func(ctx context.Context, s table.Store) error {
 		_, err := s.Commit(ctx, table.Tx{})
@@ -300,12 +300,17 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newFollowSite(t, 2)
 				time.Sleep(time.Second)
-				s.hosts[1].peer.Set(fakes.PathSilent)
 				h := s.hosts[0].hosts
+				remote := &relayStore{hosts: h, host: h.relays(time.Now())[0].host}
+				_, err := remote.Read(t.Context(), tableProbe)
+				s.c.Assert(err, qt.IsNil)
+				s.hosts[1].peer.Set(fakes.PathSilent)
 				ctx, cancel := context.WithTimeout(t.Context(), test.time)
 				defer cancel()
-				s.c.Check(test.call(ctx, &relayStore{hosts: h, host: h.relays(time.Now())[0].host}), qt.IsNotNil)
+				s.c.Check(test.call(ctx, remote), qt.IsNotNil)
 				s.c.Check(h.usable(time.Now()), qt.HasLen, map[bool]int{true: 2, false: 1}[test.usable])
+				time.Sleep(backoffDuration)
+				s.c.Check(h.relays(time.Now())[0].proven, qt.Equals, test.usable)
 				for _, h := range s.hosts {
 					h.stop()
 				}
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -105,6 +105,14 @@
 	r.answeredAt, r.refusedUntil, r.numRefusals = now, time.Time{}, 0
 }
 
+// setSilent backs off from a host that has not responded. What it answered before says nothing of the time after that.
+func (h *hosts) setSilent(name string, now time.Time) {
+	h.backOff(name, now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record(name).answeredAt = time.Time{}
+}
+
 // relays returns the hosts through which the table may be reached: first those through which it has answered, then the others, then those of which it
 // isn't known whether they run, and last those that could not reach it, the one that was asked longest ago first. Strong hosts come first otherwise,
 // since weak ones can't carry what a runner reads.
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -58,7 +58,7 @@
 // that had less time says nothing about it.
 func (s *relayStore) unanswered(op string, err error, sentAt time.Time, limit time.Duration) error {
 	if code := status.Code(err); time.Since(sentAt) >= limit || (code != codes.DeadlineExceeded && code != codes.Canceled) {
-		s.hosts.backOff(s.host.Name, time.Now())
+		s.hosts.setSilent(s.host.Name, time.Now())
 	}
 	return &table.UnansweredError{Op: op, Err: &viaError{s.host.Name, err}}
 }
