End with the error if an address is in use

Cause: if the engine can't listen at one of its addresses, it closes the others and waits for its accept loops, which only end once it is being shut down.

Change: the listeners are opened before the engine starts.

TestHostEndsWhenAddressIsInUse failed before (the host still ran after 30 s).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -202,6 +202,9 @@
 		Addrs: []string{a.settings.Front.String(), a.settings.Ready.String(), a.metricsAddress().String()},
 	}
 	a.guard.Apply(&engineConfig)
+	if err := a.guard.Listen(engineConfig.Network, engineConfig.Addrs...); err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
 	a.engine = nbhttp.NewEngine(engineConfig)
 	a.engine.OnOpen(a.guard.OnOpen)
 	if err := a.engine.Start(); err != nil {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -45,6 +45,8 @@
 	conns  map[net.Conn]*conn
 	places []*place
 	peers  []*peerListener
+	// opened holds the listeners that Listen has opened.
+	opened map[string]net.Listener
 
 	turning  atomic.Bool
 	refusals atomic.Int64
@@ -152,7 +154,33 @@
 	nb.Conn = c
 }
 
+// Listen opens the listeners of an engine that is about to start, and closes them if it can't open all: the engine itself would wait without end for
+// its accept loops then.
+func (g *Guard) Listen(network string, addresses ...string) error {
+	g.opened = map[string]net.Listener{}
+	for _, address := range addresses {
+		l, err := g.open(network, address)
+		if err != nil {
+			for _, opened := range g.opened {
+				_ = opened.Close()
+			}
+			return err
+		}
+		g.opened[address] = l
+	}
+	return nil
+}
+
+// listen returns an open listener, or a new one, for an engine.
 func (g *Guard) listen(network, address string) (net.Listener, error) {
+	if l, ok := g.opened[address]; ok {
+		delete(g.opened, address)
+		return l, nil
+	}
+	return g.open(network, address)
+}
+
+func (g *Guard) open(network, address string) (net.Listener, error) {
 	place := &place{address: address, maxConns: minListenerConns}
 	for _, p := range g.places {
 		if p.address == address {
