Search for a path to the table at several hosts at a time

Cause: calls ask one host after another, and each that doesn't respond takes 0.6 s of their 1.6 s; hosts that don't respond came before those that refuse, always in the same order, so that the calls did not get further.

Change: hosts that failed are asked in the order in which they failed. While no path is known, eight of the others at a time get a short read.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -165,6 +165,7 @@
 	campaignCtx, stopCampaign := context.WithCancel(serveCtx)
 	eg, serveCtx := errgroup.WithContext(serveCtx)
 	eg.Go(func() error { a.relay.Run(serveCtx); return nil })
+	eg.Go(func() error { a.searchRelays(serveCtx); return nil })
 	eg.Go(func() error { a.followConfig(serveCtx); return nil })
 	eg.Go(func() error { a.followLeases(serveCtx); return nil })
 	eg.Go(func() error { a.announce(serveCtx); return nil })
--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -111,14 +111,15 @@
 		to := h.site.hosts[addr.Addr().As4()[3]]
 		return &fakes.RowsClient{From: &h.peer, To: &to.peer, Server: func() cellpb.RowsServer { return to.rows }}, nil
 	}
-	fallbacks := (&Agent{hosts: h.hosts}).relayStores
+	a := &Agent{hosts: h.hosts, direct: h.health}
 	h.relay = &table.Relay{
-		Direct: h.health, Fallbacks: fallbacks, Probe: tableProbe, Log: log,
+		Direct: h.health, Fallbacks: a.relayStores, Probe: tableProbe, Log: log,
 	}
 	store := table.NewHealth(h.relay)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.relay.Run(ctx) })
+	wg.Go(func() { a.searchRelays(ctx) })
 	wg.Go(func() {
 		(&platform.ConfigFollower{Store: store, Log: log}).Follow(ctx, func(cfg *queues.Config) {
 			h.mu.Lock()
@@ -164,7 +165,7 @@
 // Guards against routes that are refused as an older configuration says, long after a newer one was acknowledged, at hosts whose own path to the table
 // fails while other hosts have one.
 func TestConfigurationsReachHostsWithoutPath(t *testing.T) {
-	const numHosts, cutStart, cutEnd = 9, 5 * time.Second, 12 * time.Second
+	const numHosts, cutStart, cutEnd = 16, 5 * time.Second, 12 * time.Second
 	for _, test := range []struct {
 		name string
 		// So many hosts have no direct path from 5 to 20 s, or no path at all from cutStart to cutEnd.
@@ -173,18 +174,16 @@
 		events []followEvent
 	}{
 		{"calm", 0, 0, nil},
-		{"refused", 6, 0, nil},
-		{"cut off", 0, 6, nil},
-		{"relays leave and come back", 6, 0, []followEvent{
-			at(6, 6, leave), at(6.5, 7, leave), at(7, 8, leave), at(8.5, 6, stop), at(9.5, 6, restart),
-			at(10, 7, stop), at(11, 7, restart), at(11.5, 8, stop), at(12.5, 8, restart),
+		{"refused", 13, 0, nil},
+		{"cut off", 0, 13, nil},
+		{"relays leave and come back", 13, 0, []followEvent{
+			at(6, 13, leave), at(6.5, 14, leave), at(7, 15, leave), at(8.5, 13, stop), at(9.5, 13, restart),
+			at(10, 14, stop), at(11, 14, restart), at(11.5, 15, stop), at(12.5, 15, restart),
 		}},
-		{"a call with little time left at the only relay", 8, 0, []followEvent{at(8, 8, slow), at(8, 0, commitSoon), at(8.1, 8, fast)}},
-		{"several hosts stand still", 5, 0, []followEvent{
-			at(6, 5, freeze), at(6, 6, freeze), at(6, 7, freeze), at(18, 5, thaw), at(18, 6, thaw), at(18, 7, thaw),
-		}},
-		{"relays without memory", 6, 0, []followEvent{at(6, 6, fill), at(6, 7, fill)}},
-		{"relays stand still in turn", 6, 0, []followEvent{at(7, 6, freeze), at(11, 6, thaw), at(11, 7, freeze), at(15, 7, thaw)}},
+		{"a call with little time left at the only relay", 15, 0, []followEvent{at(8, 15, slow), at(8, 0, commitSoon), at(8.1, 15, fast)}},
+		{"all hosts with a path but one stand still", 4, 0, allBut(9, 4, numHosts, 6, freeze)},
+		{"relays without memory", 13, 0, []followEvent{at(6, 13, fill), at(6, 14, fill)}},
+		{"relays stand still in turn", 13, 0, []followEvent{at(7, 13, freeze), at(11, 13, thaw), at(11, 14, freeze), at(15, 14, thaw)}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -242,6 +241,17 @@
 	return followEvent{time.Duration(seconds * float64(time.Second)), host, what}
 }
 
+// allBut returns an event for each of the hosts from first to below end, except one.
+func allBut(except, first, end int, seconds float64, what func(*testing.T, *followHost)) []followEvent {
+	var events []followEvent
+	for host := first; host < end; host++ {
+		if host != except {
+			events = append(events, at(seconds, host, what))
+		}
+	}
+	return events
+}
+
 func setPath(direct, peer fakes.PathState) func(*testing.T, *followHost) {
 	return func(_ *testing.T, h *followHost) {
 		h.direct.Set(direct)
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -2,8 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
+	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corianderdrift/corianderdrift/clock"
 )
 
 // What is known of the paths to the table through other hosts.
@@ -17,6 +23,9 @@
 	// leftDuration is how long a host that has left the list is kept, as far as the list can be read. A host that stops leaves the list at once and
 	// passes calls on until its end, and one that starts again mostly has the same address.
 	leftDuration = time.Minute
+	// searchInterval is the interval at which paths are searched for, and maxSearches how many hosts are asked at a time.
+	searchInterval = 100 * time.Millisecond
+	maxSearches    = 8
 )
 
 // relayPaths is what this host knows of the paths to the table through other hosts. The list of hosts is itself read from the table, so it may be
@@ -29,7 +38,9 @@
 
 // pathRecord is what calls through a host have met.
 type pathRecord struct {
-	answeredAt, refusedAt, refusedUntil time.Time
+	answeredAt, refusedUntil time.Time
+	// failedAt is when a call through it last failed.
+	failedAt time.Time
 	// numRefusals counts the refusals since the last answer.
 	numRefusals int
 }
@@ -94,7 +105,7 @@
 	for range r.numRefusals {
 		duration = min(2*duration, maxWithoutTableDuration)
 	}
-	r.refusedAt, r.refusedUntil, r.numRefusals = now, now.Add(duration), min(r.numRefusals+1, 10)
+	r.failedAt, r.refusedUntil, r.numRefusals = now, now.Add(duration), min(r.numRefusals+1, 10)
 }
 
 // setWithTable records that the table has answered through a host.
@@ -110,12 +121,13 @@
 	h.backOff(name, now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.record(name).answeredAt = time.Time{}
+	r := h.record(name)
+	r.failedAt, r.answeredAt = now, time.Time{}
 }
 
-// relays returns the hosts through which the table may be reached: first those through which it has answered, then the others, then those of which it
-// isn't known whether they run, and last those that could not reach it, the one that was asked longest ago first. Strong hosts come first otherwise,
-// since weak ones can't carry what a runner reads.
+// relays returns the hosts through which the table may be reached: first those through which it has answered, then the others, and last those of which
+// it isn't known whether they run or that could not reach it, the one that failed longest ago first. Strong hosts come first otherwise, since weak ones
+// can't carry what a runner reads.
 func (h *hosts) relays(now time.Time) []relayHost {
 	strong, weak := h.splitFastPath(now)
 	h.mu.Lock()
@@ -136,10 +148,10 @@
 	list = slices.DeleteFunc(list, func(peer relayHost) bool { return peer.Name == h.self })
 	slices.SortStableFunc(list, func(a, b relayHost) int {
 		rank := h.relayRank(a, now)
-		if order := cmp.Compare(rank, h.relayRank(b, now)); order != 0 || rank != relayRefused {
+		if order := cmp.Compare(rank, h.relayRank(b, now)); order != 0 || rank != relayDoubtful {
 			return order
 		}
-		return h.record(a.Name).refusedAt.Compare(h.record(b.Name).refusedAt)
+		return h.record(a.Name).failedAt.Compare(h.record(b.Name).failedAt)
 	})
 	for i := range list {
 		list[i].proven = h.relayRank(list[i], now) == relayAnswered
@@ -161,21 +173,58 @@
 const (
 	relayAnswered = iota
 	relayUnknown
-	relayTentative
-	relayRefused
+	relayDoubtful
 )
 
 // relayRank returns the rank of a host; h.mu must be held.
 func (h *hosts) relayRank(peer relayHost, now time.Time) int {
 	r := h.record(peer.Name)
 	switch {
-	case now.Before(r.refusedUntil):
-		return relayRefused
-	case peer.tentative:
-		return relayTentative
+	case now.Before(r.refusedUntil), peer.tentative:
+		return relayDoubtful
 	case r.numRefusals == 0 && !r.answeredAt.IsZero() && now.Sub(r.answeredAt) < answeredDuration:
 		return relayAnswered
 	default:
 		return relayUnknown
 	}
 }
+
+// searchRelays asks hosts for a path to the table, several at a time, while the table doesn't answer this one and none is known: calls go on from one host
+// to the next, and each that doesn't respond takes most of their time.
+func (a *Agent) searchRelays(ctx context.Context) {
+	var asking sync.Map
+	var eg errgroup.Group
+	eg.SetLimit(maxSearches)
+	for clock.Pause(ctx, searchInterval) {
+		if a.direct.Reachable(time.Now()) {
+			continue
+		}
+		for _, peer := range a.hosts.unprovenRelays(time.Now()) {
+			if _, asked := asking.LoadOrStore(peer.Name, true); asked {
+				continue
+			}
+			if !eg.TryGo(func() error {
+				defer asking.Delete(peer.Name)
+				_, err := (&relayStore{hosts: a.hosts, host: peer.host}).Read(ctx, tableProbe)
+				return err
+			}) {
+				asking.Delete(peer.Name)
+				break
+			}
+		}
+	}
+	_ = eg.Wait()
+}
+
+// unprovenRelays returns the hosts that have not failed lately, or none if the table has answered through one.
+func (h *hosts) unprovenRelays(now time.Time) []relayHost {
+	list := h.relays(now)
+	if len(list) > 0 && list[0].proven {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(list, func(peer relayHost) bool {
+		return now.Before(h.record(peer.Name).refusedUntil) || now.Before(h.backoffUntil[peer.Name])
+	})
+}
