--- a/agent/paths.go
+++ b/agent/paths.go
@@ -20,8 +20,8 @@
 	maxWithoutTableDuration = 8 * time.Second
 	// answeredDuration is how long a host through which the table has answered is preferred.
 	answeredDuration = 30 * time.Second
-	// leftDuration is how long a host that has left the list is kept, as far as the list can be read. A host that stops leaves the list at once and
-	// passes calls on until its end, and one that starts again mostly has the same address.
+	// leftDuration is how long a host that has left the list is kept at least. It is forgotten when the list is read after that. A host that stops leaves
+	// the list at once but passes calls on until its end, and one that starts again mostly has the same address.
 	leftDuration = time.Minute
 	// searchInterval is the interval at which paths are searched for, and maxSearches how many hosts are asked at a time.
 	searchInterval = 100 * time.Millisecond
@@ -38,11 +38,11 @@
 
 // pathRecord is what calls through a host have met.
 type pathRecord struct {
-	answeredAt, refusedUntil time.Time
-	// failedAt is when a call through it last failed.
-	failedAt time.Time
-	// numRefusals counts the refusals since the last answer.
-	numRefusals int
+	// answeredAt is when the table last answered through the host, and failedAt when a call last failed.
+	answeredAt, failedAt time.Time
+	// refusedUntil is until when it is asked after all others, and refusedFor how long that was from its last refusal on.
+	refusedUntil time.Time
+	refusedFor   time.Duration
 }
 
 type leftHost struct {
@@ -101,11 +101,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.record(name)
-	duration := withoutTableDuration
-	for range r.numRefusals {
-		duration = min(2*duration, maxWithoutTableDuration)
-	}
-	r.failedAt, r.refusedUntil, r.numRefusals = now, now.Add(duration), min(r.numRefusals+1, 10)
+	r.refusedFor = min(max(2*r.refusedFor, withoutTableDuration), maxWithoutTableDuration)
+	r.failedAt, r.refusedUntil = now, now.Add(r.refusedFor)
 }
 
 // setWithTable records that the table has answered through a host.
@@ -113,7 +110,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.record(name)
-	r.answeredAt, r.refusedUntil, r.numRefusals = now, time.Time{}, 0
+	r.answeredAt, r.refusedUntil, r.refusedFor = now, time.Time{}, 0
 }
 
 // setSilent backs off from a host that has not responded. What it answered before says nothing of the time after that.
@@ -182,7 +179,7 @@
 	switch {
 	case now.Before(r.refusedUntil), peer.tentative:
 		return relayDoubtful
-	case r.numRefusals == 0 && !r.answeredAt.IsZero() && now.Sub(r.answeredAt) < answeredDuration:
+	case r.answeredAt.After(r.failedAt) && now.Sub(r.answeredAt) < answeredDuration:
 		return relayAnswered
 	default:
 		return relayUnknown
