--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -116,6 +116,9 @@
 		Direct: h.health, Fallbacks: a.relayStores, Probe: tableProbe, Log: log,
 	}
 	store := table.NewHealth(h.relay)
+	h.mu.Lock()
+	h.newest = 0
+	h.mu.Unlock()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.relay.Run(ctx) })
@@ -137,7 +140,6 @@
 		}
 		f.Run(ctx)
 	})
-	h.newest = 0
 	h.end = func() {
 		cancel()
 		wg.Wait()
